base, config, wire: Name the fleet's ids, declarations and messages

Cause: nothing existed. The ids and units are types of their own, so that a team cannot be passed for a pool. Ruled out: numbering teams instead of hashing them, which needs an agreed table of numbers.

--- /dev/null
+++ b/base/hash.cpp
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Stable hashes by xxHash.
+#include "base/hash.h"
+
+#include <xxhash.h>
+
+namespace shedhill {
+
+std::uint64_t stable_hash(std::string_view text, std::uint64_t seed) { return XXH64(text.data(), text.size(), seed); }
+
+std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate) { return stable_hash(candidate, key); }
+
+account_id account_of(team_name const& team, pool_name const& pool)
+{
+    return account_id(stable_hash(team.value(), stable_hash(pool.value())));
+}
+
+} // namespace shedhill
--- /dev/null
+++ b/base/hash.h
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Stable hashes: the same on every process of the fleet, so that all agree on who is home for what.
+#pragma once
+
+#include "base/identifiers.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace shedhill {
+
+std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
+
+// Rendezvous hashing: of the candidates for a key, the one with the largest weight is chosen.
+std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate);
+
+account_id account_of(team_name const& team, pool_name const& pool);
+
+} // namespace shedhill
--- /dev/null
+++ b/libraries/wire/reasons.h
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Outcomes of an attempt and the reasons for refusals and retries. Each reason has a counter of its own.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace shedhill::wire {
+
+// What is known of an attempt. "unknown" is never told to a caller as "not run".
+enum class run_outcome : std::uint8_t {
+    // Proved by the endpoint's process, or the body was never sent.
+    not_run,
+    // The whole answer was received.
+    ran,
+    // The body was sent, and what became of it cannot be told.
+    unknown,
+};
+
+// Why a request or an attempt was refused, retried or ended. The order is part of the wire protocol: add at the end.
+enum class reason : std::uint8_t {
+    none,
+    // Refusals at the router, before anything was sent.
+    unknown_key,
+    bad_request,
+    body_too_large,
+    missing_idempotency_key,
+    no_allowed_endpoint,
+    team_queue_full,
+    router_queue_full,
+    router_not_ready,
+    router_draining,
+    deadline_in_queue,
+    claim_taken,
+    claim_unavailable,
+    // Refusals by the endpoint's process: the attempt was not run.
+    stale_revision,
+    endpoint_draining,
+    unknown_grant,
+    engine_unreachable,
+    engine_busy,
+    // Ends after the body was sent.
+    endpoint_lost,
+    engine_cut,
+    chunk_gap,
+    stalled,
+    deadline_while_running,
+    caller_gone,
+    retry_budget_spent,
+    attempts_spent,
+    count,
+};
+
+constexpr std::string_view name_of(reason why)
+{
+    switch (why) {
+    case reason::none:
+        return "none";
+    case reason::unknown_key:
+        return "unknown_key";
+    case reason::bad_request:
+        return "bad_request";
+    case reason::body_too_large:
+        return "body_too_large";
+    case reason::missing_idempotency_key:
+        return "missing_idempotency_key";
+    case reason::no_allowed_endpoint:
+        return "no_allowed_endpoint";
+    case reason::team_queue_full:
+        return "team_queue_full";
+    case reason::router_queue_full:
+        return "router_queue_full";
+    case reason::router_not_ready:
+        return "router_not_ready";
+    case reason::router_draining:
+        return "router_draining";
+    case reason::deadline_in_queue:
+        return "deadline_in_queue";
+    case reason::claim_taken:
+        return "claim_taken";
+    case reason::claim_unavailable:
+        return "claim_unavailable";
+    case reason::stale_revision:
+        return "stale_revision";
+    case reason::endpoint_draining:
+        return "endpoint_draining";
+    case reason::unknown_grant:
+        return "unknown_grant";
+    case reason::engine_unreachable:
+        return "engine_unreachable";
+    case reason::engine_busy:
+        return "engine_busy";
+    case reason::endpoint_lost:
+        return "endpoint_lost";
+    case reason::engine_cut:
+        return "engine_cut";
+    case reason::chunk_gap:
+        return "chunk_gap";
+    case reason::stalled:
+        return "stalled";
+    case reason::deadline_while_running:
+        return "deadline_while_running";
+    case reason::caller_gone:
+        return "caller_gone";
+    case reason::retry_budget_spent:
+        return "retry_budget_spent";
+    case reason::attempts_spent:
+        return "attempts_spent";
+    case reason::count:
+        break;
+    }
+    return "invalid";
+}
+
+constexpr std::string_view name_of(run_outcome outcome)
+{
+    switch (outcome) {
+    case run_outcome::not_run:
+        return "not-run";
+    case run_outcome::ran:
+        return "ran";
+    case run_outcome::unknown:
+        return "unknown";
+    }
+    return "invalid";
+}
+
+} // namespace shedhill::wire
