router, endpoint, ledger: Decide by reducers, effects as data

Cause: requests wait at routers while the endpoint's process alone knows its slots. Routers leave standing demand at a few endpoints and widen it while work waits; the endpoint grants the least served of a few accounts drawn at random. Service is charged with its expected cost at admission; homes chosen by rendezvous hashing add up cumulative values. Ruled out: a broker for each request (130 bytes a request over the whole fleet does not pay for it).

--- /dev/null
+++ b/libraries/router/link_table.cpp
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Links, their reconnection and the stable subset of endpoints for each pool.
+#include "libraries/router/link_table.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace shedhill::router {
+
+void link_table::update_vms(std::vector<platform::vm_record> const& vms, step_context& step)
+{
+    std::set<vm_name> listed;
+    for (auto const& vm : vms) {
+        if (vm.name == m_settings.vm)
+            continue;
+        listed.insert(vm.name);
+        auto& known = m_links[vm.name];
+        auto const has_moved = known.vm.address != vm.address;
+        known.vm = vm;
+        // The list lags: it may add a drain notice, never take one back that the endpoint itself gave.
+        if (vm.state == platform::vm_state::leaving)
+            known.is_draining = true;
+        if (has_moved)
+            known.retry_at = step.now();
+    }
+    std::erase_if(m_links,
+        [&](auto const& entry) { return !listed.contains(entry.first) && entry.second.phase == link_phase::idle; });
+    for (auto& [name, known] : m_links) {
+        if (!listed.contains(name))
+            known.is_wanted = false;
+    }
+}
+
+void link_table::connect_due(step_context& step)
+{
+    for (auto& [name, known] : m_links) {
+        if (!known.is_wanted || known.phase != link_phase::idle || step.now() < known.retry_at)
+            continue;
+        known.phase = link_phase::connecting;
+        step.emit(open_connection { name, known.vm.address });
+    }
+}
+
+link* link_table::note_up(connection_id connection, vm_name const& vm)
+{
+    auto const found = m_links.find(vm);
+    if (found == m_links.end())
+        return nullptr;
+    auto& known = found->second;
+    if (known.phase == link_phase::up)
+        m_by_connection.erase(known.connection);
+    known.phase = link_phase::up;
+    known.connection = connection;
+    known.backoff = milliseconds(0);
+    known.is_draining = known.vm.state == platform::vm_state::leaving;
+    known.needed_revision = revision();
+    known.free_slots = 0;
+    m_by_connection[connection] = vm;
+    return &known;
+}
+
+void link_table::note_down(link& broken, instant now)
+{
+    m_by_connection.erase(broken.connection);
+    broken.phase = link_phase::idle;
+    broken.offered.clear();
+    broken.running.clear();
+    broken.free_slots = 0;
+    broken.backoff = m_settings.reconnect_least;
+    broken.retry_at = now + broken.backoff;
+}
+
+void link_table::note_connect_failed(vm_name const& vm, instant now)
+{
+    auto* known = find(vm);
+    if (known == nullptr || known->phase != link_phase::connecting)
+        return;
+    known->phase = link_phase::idle;
+    known->backoff = std::clamp(known->backoff * 2, m_settings.reconnect_least, m_settings.reconnect_most);
+    known->retry_at = now + known->backoff;
+}
+
+link* link_table::find(connection_id connection)
+{
+    auto const found = m_by_connection.find(connection);
+    return found == m_by_connection.end() ? nullptr : find(found->second);
+}
+
+link* link_table::find(vm_name const& vm)
+{
+    auto const found = m_links.find(vm);
+    return found == m_links.end() ? nullptr : &found->second;
+}
+
+std::vector<link*> link_table::subset(pool_name const& pool)
+{
+    std::vector<link*> links;
+    auto const found = m_subsets.find(pool);
+    if (found == m_subsets.end())
+        return links;
+    for (auto const& name : found->second) {
+        if (auto* known = find(name))
+            links.push_back(known);
+    }
+    return links;
+}
+
+bool link_table::widen(pool_name const& pool)
+{
+    auto const found = m_pool_vms.find(pool);
+    auto& size = m_subset_sizes.try_emplace(pool, m_settings.subset_size).first->second;
+    if (found == m_pool_vms.end() || size >= found->second.size())
+        return false;
+    ++size;
+    choose_subsets();
+    return true;
+}
+
+void link_table::set_pools(config::catalog const& catalog)
+{
+    m_pool_vms.clear();
+    for (auto const& [name, known] : m_links) {
+        if (known.vm.role != platform::vm_role::endpoint)
+            continue;
+        if (auto const* declared = catalog.find_endpoint(known.vm.endpoint))
+            m_pool_vms[declared->pool].push_back(name);
+    }
+    choose_subsets();
+}
+
+std::vector<vm_name> link_table::live_routers() const
+{
+    std::vector<vm_name> routers { m_settings.vm };
+    for (auto const& [name, known] : m_links) {
+        auto const is_failing = known.phase == link_phase::idle && known.backoff > milliseconds(0);
+        if (known.vm.role == platform::vm_role::router && known.vm.state == platform::vm_state::live && !is_failing)
+            routers.push_back(name);
+    }
+    return routers;
+}
+
+void link_table::want(vm_name const& vm)
+{
+    if (auto* known = find(vm))
+        known->is_wanted = true;
+}
+
+std::vector<platform::vm_record> link_table::records() const
+{
+    std::vector<platform::vm_record> records;
+    records.reserve(m_links.size());
+    for (auto const& [name, known] : m_links)
+        records.push_back(known.vm);
+    return records;
+}
+
+void link_table::choose_subsets()
+{
+    m_subsets.clear();
+    for (auto const& [pool, vms] : m_pool_vms) {
+        auto ranked = ranked_endpoints(vms);
+        auto const size = m_subset_sizes.try_emplace(pool, m_settings.subset_size).first->second;
+        if (ranked.size() > size)
+            ranked.resize(size);
+        for (auto const& name : ranked)
+            m_links[name].is_wanted = true;
+        m_subsets[pool] = std::move(ranked);
+    }
+}
+
+// Takes the best of each failure domain in turn, so that the loss of one leaves the others' share.
+std::vector<vm_name> link_table::ranked_endpoints(std::vector<vm_name> const& candidates) const
+{
+    auto const key = stable_hash(m_settings.vm.value());
+    std::map<failure_domain, std::vector<vm_name>> by_domain;
+    for (auto const& name : candidates)
+        by_domain[m_links.at(name).vm.domain].push_back(name);
+    std::size_t longest = 0;
+    for (auto& [domain, names] : by_domain) {
+        std::ranges::sort(names, [&](vm_name const& left, vm_name const& right) {
+            return rendezvous_weight(key, left.value()) > rendezvous_weight(key, right.value());
+        });
+        longest = std::max(longest, names.size());
+    }
+    std::vector<vm_name> ranked;
+    ranked.reserve(candidates.size());
+    for (std::size_t rank = 0; rank < longest; ++rank) {
+        for (auto const& [domain, names] : by_domain) {
+            if (rank < names.size())
+                ranked.push_back(names[rank]);
+        }
+    }
+    return ranked;
+}
+
+} // namespace shedhill::router
--- /dev/null
+++ b/libraries/router/offer_planner.cpp
@@ -0,0 +1,239 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Standing offers: few at first, more while work waits, and the second look at each grant.
+#include "libraries/router/offer_planner.h"
+
+#include <algorithm>
+
+namespace shedhill::router {
+
+namespace {
+
+constexpr std::uint32_t most_offered = 64;
+// The share of a new cost in the moving average, as a divisor.
+constexpr std::int64_t cost_memory = 8;
+// A level is sent again once it has moved by this many expected requests.
+constexpr std::int64_t refresh_after_requests = 2;
+
+} // namespace
+
+void offer_planner::sync(account_id account, step_context& step)
+{
+    auto* queue = m_queues.find(account);
+    if (queue == nullptr)
+        return;
+    if (queue->waiting.empty()) {
+        withdraw(account, queue->pool, step);
+        queue->spread = 0;
+        return;
+    }
+    if (queue->spread == 0) {
+        queue->spread = m_settings.offer_spread;
+        queue->widened_at = step.now();
+    }
+    struct candidate {
+        link* to;
+        bool is_offered;
+        bool is_free;
+        std::uint64_t tie;
+    };
+    std::vector<candidate> candidates;
+    std::size_t offered_count = 0;
+    for (auto* to : m_links.subset(queue->pool)) {
+        if (!is_offerable(*to) || !tier_at(*queue, *to))
+            continue;
+        auto const offered = to->offered.find(account);
+        auto const is_offered = offered != to->offered.end() && offered->second.remaining > 0;
+        offered_count += is_offered ? 1 : 0;
+        candidates.push_back({ to, is_offered, to->free_slots > 0, step.draw().next() });
+    }
+    std::ranges::sort(candidates, [](candidate const& left, candidate const& right) {
+        return left.is_free != right.is_free ? left.is_free : left.tie < right.tie;
+    });
+    for (auto const& [to, is_offered, is_free, tie] : candidates) {
+        // More requests than free endpoints were offered: each free one gets its offer, whatever the spread.
+        auto const is_due = offered_count < queue->spread || (is_free && offered_count < queue->waiting.size());
+        if (is_offered || !is_due)
+            continue;
+        send_offer(*to, { account }, step);
+        ++offered_count;
+    }
+}
+
+void offer_planner::offer_all(link& to, step_context& step)
+{
+    auto const* declared = m_catalog.find_endpoint(to.vm.endpoint);
+    if (declared == nullptr || !is_offerable(to))
+        return;
+    std::vector<account_id> accounts;
+    for (auto const account : m_queues.backlogged(declared->pool)) {
+        auto const offered = to.offered.find(account);
+        auto const is_offered = offered != to.offered.end() && offered->second.remaining > 0;
+        if (!is_offered && tier_at(*m_queues.find(account), to))
+            accounts.push_back(account);
+    }
+    // An endpoint with free slots wants the accounts that are furthest behind; the others follow as offers widen.
+    std::ranges::sort(accounts, [&](account_id left, account_id right) {
+        auto const level_of = [&](account_id account) {
+            return m_ledger.level(account, m_queues.find(account)->weight, step.now()).level;
+        };
+        auto const left_level = level_of(left);
+        auto const right_level = level_of(right);
+        return left_level != right_level ? left_level < right_level : left < right;
+    });
+    auto const most = static_cast<std::size_t>(to.free_slots) + m_settings.offer_spread;
+    if (accounts.size() > most)
+        accounts.resize(most);
+    send_offer(to, accounts, step);
+}
+
+void offer_planner::tick(step_context& step)
+{
+    for (auto const account : m_queues.all_backlogged()) {
+        auto* queue = m_queues.find(account);
+        if (step.now() - queue->widened_at < m_settings.widen_interval)
+            continue;
+        queue->widened_at = step.now();
+        auto const reachable = m_links.subset(queue->pool).size();
+        if (queue->spread < reachable) {
+            ++queue->spread;
+        } else if (m_links.widen(queue->pool)) {
+            step.count(counter::links_widened);
+            ++queue->spread;
+        }
+        sync(account, step);
+    }
+    refresh_moved_levels(step);
+}
+
+std::optional<account_id> offer_planner::choose_for_grant(link const& from, account_id granted, instant now) const
+{
+    auto const* queue = m_queues.find(granted);
+    if (queue == nullptr)
+        return std::nullopt;
+    auto const granted_tier = tier_at(*queue, from);
+    std::optional<account_id> chosen;
+    std::int64_t chosen_level = 0;
+    if (!queue->waiting.empty() && granted_tier) {
+        chosen = granted;
+        // Only an account that is behind by more than one request is moved ahead: the endpoint's draw stands otherwise.
+        chosen_level = m_ledger.level(granted, queue->weight, now).level
+            - expected_cost(granted).value() / static_cast<std::int64_t>(queue->weight);
+    }
+    for (auto const account : m_queues.backlogged(queue->pool)) {
+        auto const& other = *m_queues.find(account);
+        auto const tier = tier_at(other, from);
+        if (account == granted || !tier || (granted_tier && *tier > *granted_tier))
+            continue;
+        auto const level = m_ledger.level(account, other.weight, now).level;
+        if (!chosen || level < chosen_level) {
+            chosen = account;
+            chosen_level = level;
+        }
+    }
+    return chosen;
+}
+
+wire::offer_entry offer_planner::make_entry(account_id account, link const& to, instant now) const
+{
+    wire::offer_entry entry;
+    entry.account = account;
+    auto const* queue = m_queues.find(account);
+    if (queue == nullptr)
+        return entry;
+    auto const [level, age] = m_ledger.level(account, queue->weight, now);
+    entry.level = level;
+    entry.level_age = age;
+    entry.expected_cost = expected_cost(account);
+    entry.weight = queue->weight;
+    auto const tier = tier_at(*queue, to);
+    entry.tier = tier.value_or(0);
+    if (tier)
+        entry.waiting = static_cast<std::uint32_t>(std::min<std::size_t>(queue->waiting.size(), most_offered));
+    return entry;
+}
+
+std::optional<service_units> offer_planner::floor_for(account_id account, instant now) const
+{
+    auto const* queue = m_queues.find(account);
+    std::optional<std::int64_t> least;
+    for (auto const other : m_queues.backlogged(queue->pool)) {
+        if (other == account)
+            continue;
+        auto const level = m_ledger.level(other, m_queues.find(other)->weight, now).level;
+        least = std::min(least.value_or(level), level);
+    }
+    if (!least)
+        return std::nullopt;
+    return service_units(*least * static_cast<std::int64_t>(queue->weight));
+}
+
+void offer_planner::note_finished(account_id account, service_units service)
+{
+    auto& average = m_expected.try_emplace(account, m_settings.first_expected_cost).first->second;
+    average += service_units((service - average).value() / cost_memory);
+}
+
+service_units offer_planner::expected_cost(account_id account) const
+{
+    auto const found = m_expected.find(account);
+    return found == m_expected.end() ? m_settings.first_expected_cost : found->second;
+}
+
+bool offer_planner::is_offerable(link const& to) const
+{
+    return to.phase == link_phase::up && !to.is_draining && to.needed_revision <= m_catalog.current_revision();
+}
+
+std::optional<std::uint8_t> offer_planner::tier_at(account_queue const& queue, link const& to) const
+{
+    auto const* endpoint = m_catalog.find_endpoint(to.vm.endpoint);
+    if (endpoint == nullptr || endpoint->pool != queue.pool)
+        return std::nullopt;
+    return m_reach.tier(queue.team, endpoint->name);
+}
+
+void offer_planner::send_offer(link& to, std::vector<account_id> const& accounts, step_context& step)
+{
+    if (accounts.empty())
+        return;
+    wire::offer sent { m_catalog.current_revision(), {} };
+    for (auto const account : accounts) {
+        auto const entry = make_entry(account, to, step.now());
+        to.offered[account] = { entry, entry.waiting };
+        sent.entries.push_back(entry);
+    }
+    step.count(counter::offers_sent);
+    step.send(to.connection, std::move(sent));
+}
+
+void offer_planner::withdraw(account_id account, pool_name const& pool, step_context& step)
+{
+    for (auto* to : m_links.subset(pool)) {
+        auto const offered = to->offered.find(account);
+        if (offered == to->offered.end())
+            continue;
+        auto const is_standing = offered->second.remaining > 0;
+        if (is_standing && to->phase == link_phase::up)
+            send_offer(*to, { account }, step);
+        to->offered.erase(account);
+    }
+}
+
+void offer_planner::refresh_moved_levels(step_context& step)
+{
+    for (auto& [name, to] : m_links.all()) {
+        if (!is_offerable(to))
+            continue;
+        std::vector<account_id> moved;
+        for (auto const& [account, offered] : to.offered) {
+            auto const now_at = make_entry(account, to, step.now());
+            auto const distance = std::abs(now_at.level - offered.entry.level) * now_at.weight;
+            if (now_at.waiting > 0
+                && (offered.remaining == 0 || distance > refresh_after_requests * now_at.expected_cost.value()))
+                moved.push_back(account);
+        }
+        send_offer(to, moved, step);
+    }
+}
+
+} // namespace shedhill::router
--- /dev/null
+++ b/libraries/router/offer_planner.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Decides which endpoints are offered which waiting accounts, and which request answers a grant.
+#pragma once
+
+#include "libraries/ledger/service_ledger.h"
+#include "libraries/router/link_table.h"
+#include "libraries/router/reach_cache.h"
+#include "libraries/router/work_queues.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace shedhill::router {
+
+class offer_planner {
+public:
+    offer_planner(options const& settings, config::catalog const& catalog, reach_cache& reach, link_table& links,
+        work_queues& queues, ledger::service_ledger const& ledger)
+        : m_settings(settings)
+        , m_catalog(catalog)
+        , m_reach(reach)
+        , m_links(links)
+        , m_queues(queues)
+        , m_ledger(ledger)
+    {
+    }
+
+    // Brings the offers of an account in line with its queue: withdraws them, or offers to more endpoints.
+    void sync(account_id account, step_context& step);
+
+    // An endpoint has free slots or has just connected: offers it the accounts of its pool that wait.
+    void offer_all(link& to, step_context& step);
+
+    // Accounts that still wait are offered to one endpoint more; levels that have moved are sent again.
+    void tick(step_context& step);
+
+    // Which account to run on a grant: the granted one, or one of this router that is clearly further behind.
+    [[nodiscard]] std::optional<account_id> choose_for_grant(link const& from, account_id granted, instant now) const;
+
+    // The entry for an account at an endpoint, as of now.
+    [[nodiscard]] wire::offer_entry make_entry(account_id account, link const& to, instant now) const;
+
+    // The least amount that an account returning from idle counts as having received: its weight's share of the least
+    // level among the pool's other backlogged accounts.
+    [[nodiscard]] std::optional<service_units> floor_for(account_id account, instant now) const;
+
+    void note_finished(account_id account, service_units service);
+    [[nodiscard]] service_units expected_cost(account_id account) const;
+
+private:
+    [[nodiscard]] bool is_offerable(link const& to) const;
+    [[nodiscard]] std::optional<std::uint8_t> tier_at(account_queue const& queue, link const& to) const;
+    void send_offer(link& to, std::vector<account_id> const& accounts, step_context& step);
+    void withdraw(account_id account, pool_name const& pool, step_context& step);
+    void refresh_moved_levels(step_context& step);
+
+    options const& m_settings;
+    config::catalog const& m_catalog;
+    reach_cache& m_reach;
+    link_table& m_links;
+    work_queues& m_queues;
+    ledger::service_ledger const& m_ledger;
+    // A moving average of what the account's requests have cost.
+    std::unordered_map<account_id, service_units> m_expected;
+};
+
+} // namespace shedhill::router
--- /dev/null
+++ b/libraries/router/options.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The settings of a router's decisions. docs/OPERATORS.md explains each.
+#pragma once
+
+#include "base/identifiers.h"
+#include "base/units.h"
+#include "libraries/ledger/service_home.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace shedhill::router {
+
+struct options {
+    vm_name vm;
+    failure_domain domain;
+    process_epoch epoch {};
+
+    // Endpoints of one pool that this router keeps connections to.
+    std::size_t subset_size { 12 };
+    // Endpoints that a waiting account is offered to at first.
+    std::size_t offer_spread { 3 };
+    // How often an account that still waits is offered to one endpoint more.
+    milliseconds widen_interval { 100 };
+
+    std::size_t queue_bound { 4096 };
+    milliseconds default_deadline { 60000 };
+    // The longest silence of an endpoint before the first chunk, and between chunks.
+    milliseconds first_chunk_limit { 20000 };
+    milliseconds next_chunk_limit { 5000 };
+    // The largest answer that is kept back until it is whole.
+    std::size_t held_answer_bound { std::size_t { 8 } << 20 };
+
+    std::uint32_t most_attempts { 3 };
+    // Retries for each hundred first tries, over and above the minimum.
+    std::uint32_t retry_percent { 10 };
+    std::uint32_t retry_minimum { 10 };
+
+    milliseconds claim_interval { 20 };
+    milliseconds head_interval { 2000 };
+    milliseconds vm_interval { 2000 };
+    // Until the list has shown an endpoint.
+    milliseconds first_vm_interval { 250 };
+    milliseconds reconnect_least { 200 };
+    milliseconds reconnect_most { 10000 };
+
+    // How often service is reported, and how many bytes a second the reports may take.
+    milliseconds report_interval { 250 };
+    std::size_t report_bytes_per_second { 1500 };
+    ledger::home_options home;
+    service_units first_expected_cost { 300000 };
+};
+
+} // namespace shedhill::router
--- /dev/null
+++ b/libraries/router/step_context.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What the parts of the router's reducer share during one step: the time, random numbers and the effects so far.
+#pragma once
+
+#include "base/random_draw.h"
+#include "libraries/router/effects.h"
+
+#include <utility>
+
+namespace shedhill::router {
+
+class step_context {
+public:
+    step_context(instant now, std::uint64_t draw)
+        : m_now(now)
+        , m_draw(draw)
+    {
+    }
+
+    [[nodiscard]] instant now() const { return m_now; }
+    random_draw& draw() { return m_draw; }
+
+    void emit(effect done) { m_effects.push_back(std::move(done)); }
+    void count(counter which) { emit(count_event { which }); }
+    void send(connection_id connection, wire::message message)
+    {
+        emit(send_message { connection, std::move(message) });
+    }
+
+    effect_list take_effects() { return std::move(m_effects); }
+
+private:
+    instant m_now;
+    random_draw m_draw;
+    effect_list m_effects;
+};
+
+} // namespace shedhill::router
