net, platform, shedhilld, shedhill: Carry out the effects and serve

Cause: the reducers need a daemon. One thread, Boost.Fiber over Asio: the scheduler blocks in the io_context when no fiber is ready.

--- /dev/null
+++ b/libraries/metrics/registry.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Quantiles by Boost.Accumulators, which keep a few markers instead of the samples.
+#include "libraries/metrics/registry.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <sstream>
+
+namespace shedhill::metrics {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 4> quantiles { 0.5, 0.9, 0.95, 0.99 };
+
+using accumulator
+    = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
+
+// "name{labels}" with one label more.
+std::string with_label(std::string const& name, std::string const& label)
+{
+    if (name.ends_with('}'))
+        return name.substr(0, name.size() - 1) + "," + label + "}";
+    return name + "{" + label + "}";
+}
+
+std::string with_suffix(std::string const& name, std::string const& suffix)
+{
+    auto const brace = name.find('{');
+    return brace == std::string::npos ? name + suffix : name.substr(0, brace) + suffix + name.substr(brace);
+}
+
+} // namespace
+
+class timing {
+public:
+    void observe(double milliseconds) { m_samples(milliseconds); }
+
+    void print(std::string const& name, std::ostream& out) const
+    {
+        // NOTE: The markers mean nothing before there are as many samples as markers.
+        if (acc::count(m_samples) > 2 * quantiles.size() + 2) {
+            for (std::size_t index = 0; index < quantiles.size(); ++index) {
+                auto const label = "quantile=\"" + std::to_string(quantiles.at(index)).substr(0, 4) + "\"";
+                out << with_label(name, label) << ' '
+                    << acc::extended_p_square(m_samples)[static_cast<std::ptrdiff_t>(index)] << '\n';
+            }
+        }
+        out << with_suffix(name, "_sum") << ' ' << acc::sum(m_samples) << '\n';
+        out << with_suffix(name, "_count") << ' ' << acc::count(m_samples) << '\n';
+    }
+
+private:
+    accumulator m_samples { acc::tag::extended_p_square::probabilities = quantiles };
+};
+
+registry::registry() = default;
+registry::~registry() = default;
+
+void registry::observe(std::string const& name, double milliseconds)
+{
+    auto& found = m_timings[name];
+    if (!found)
+        found = std::make_unique<timing>();
+    found->observe(milliseconds);
+}
+
+std::uint64_t registry::counter(std::string const& name) const
+{
+    auto const found = m_counters.find(name);
+    return found == m_counters.end() ? 0 : found->second;
+}
+
+std::string registry::to_text() const
+{
+    std::ostringstream out;
+    for (auto const& [name, value] : m_counters)
+        out << name << ' ' << value << '\n';
+    for (auto const& [name, value] : m_gauges)
+        out << name << ' ' << value << '\n';
+    for (auto const& [name, sampled] : m_timings)
+        sampled->print(name, out);
+    return out.str();
+}
+
+} // namespace shedhill::metrics
--- /dev/null
+++ b/libraries/net/fiber_scheduler.cpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The scheduler, in order of readiness.
+#include "libraries/net/fiber_scheduler.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/type.hpp>
+
+namespace shedhill::net {
+
+namespace {
+
+struct installed_io {
+    installed_io()
+        : io(std::make_shared<boost::asio::io_context>(1))
+        , guard(boost::asio::make_work_guard(*io))
+    {
+        boost::fibers::use_scheduling_algorithm<fiber_scheduler>(io);
+    }
+
+    std::shared_ptr<boost::asio::io_context> io;
+    // Keeps the io_context from returning while it has nothing to wait for.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
+};
+
+} // namespace
+
+fiber_scheduler::fiber_scheduler(std::shared_ptr<boost::asio::io_context> io)
+    : m_io(std::move(io))
+    , m_wake_timer(*m_io)
+{
+}
+
+void fiber_scheduler::awakened(boost::fibers::context* ready) noexcept
+{
+    if (!ready->is_context(boost::fibers::type::dispatcher_context))
+        ++m_ready_fibers;
+    ready->ready_link(m_ready);
+}
+
+boost::fibers::context* fiber_scheduler::pick_next() noexcept
+{
+    if (m_ready.empty())
+        return nullptr;
+    auto* next = &m_ready.front();
+    m_ready.pop_front();
+    if (next->is_context(boost::fibers::type::dispatcher_context)) {
+        // Once in each round of the fibers, so that busy ones cannot hold up input and output.
+        if (m_ready_fibers > 0)
+            m_io->poll();
+    } else {
+        --m_ready_fibers;
+    }
+    return next;
+}
+
+bool fiber_scheduler::has_ready_fibers() const noexcept { return m_ready_fibers > 0; }
+
+void fiber_scheduler::suspend_until(std::chrono::steady_clock::time_point const& wake_at) noexcept
+{
+    if (wake_at != (std::chrono::steady_clock::time_point::max)()) {
+        m_wake_timer.expires_at(wake_at);
+        m_wake_timer.async_wait([](boost::system::error_code const&) {});
+    }
+    m_io->run_one();
+    m_io->poll();
+}
+
+void fiber_scheduler::notify() noexcept
+{
+    boost::asio::post(*m_io, [] {});
+}
+
+boost::asio::io_context& process_io()
+{
+    static installed_io installed;
+    return *installed.io;
+}
+
+} // namespace shedhill::net
--- /dev/null
+++ b/libraries/net/http_server.cpp
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The HTTP server: a fiber for each connection.
+#include "libraries/net/await.h"
+#include "libraries/net/fiber_scheduler.h"
+#include "libraries/net/fibers.h"
+#include "libraries/net/frame_connection.h"
+#include "libraries/net/http.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+
+namespace shedhill::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+class server_exchange final : public http_exchange {
+public:
+    server_exchange(beast::tcp_stream& stream, http_limits const& limits, http_request received, bool keep_alive)
+        : m_stream(stream)
+        , m_limits(limits)
+        , m_request(std::move(received))
+        , m_keep_alive(keep_alive)
+    {
+    }
+
+    [[nodiscard]] http_request const& request() const override { return m_request; }
+    [[nodiscard]] bool has_answered() const { return m_has_answered; }
+    [[nodiscard]] bool may_keep_alive() const { return m_keep_alive; }
+
+    result<void> respond(http_response const& response) override
+    {
+        m_has_answered = true;
+        m_watch.reset();
+        http::response<http::string_body> message;
+        message.result(response.status);
+        message.version(11);
+        message.keep_alive(m_keep_alive);
+        if (!response.content_type.empty())
+            message.set(http::field::content_type, response.content_type);
+        for (auto const& [name, value] : response.headers)
+            message.set(name, value);
+        message.body() = response.body;
+        message.prepare_payload();
+        m_stream.expires_after(m_limits.write);
+        auto const outcome = await_io([&](auto handler) { http::async_write(m_stream, message, std::move(handler)); });
+        return checked(outcome, "write answer");
+    }
+
+    result<void> start_stream(
+        std::uint16_t status, std::string const& content_type, std::vector<http_header> const& headers) override
+    {
+        m_has_answered = true;
+        http::response<http::empty_body> message;
+        message.result(status);
+        message.version(11);
+        message.keep_alive(m_keep_alive);
+        message.chunked(true);
+        if (!content_type.empty())
+            message.set(http::field::content_type, content_type);
+        for (auto const& [name, value] : headers)
+            message.set(name, value);
+        http::response_serializer<http::empty_body> serializer(message);
+        m_stream.expires_after(m_limits.write);
+        auto const outcome
+            = await_io([&](auto handler) { http::async_write_header(m_stream, serializer, std::move(handler)); });
+        return checked(outcome, "write answer");
+    }
+
+    result<void> write_chunk(std::string_view data) override
+    {
+        if (data.empty())
+            return {};
+        m_stream.expires_after(m_limits.write);
+        auto const outcome = await_io([&](auto handler) {
+            asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), std::move(handler));
+        });
+        return checked(outcome, "write answer");
+    }
+
+    result<void> end_stream() override
+    {
+        m_watch.reset();
+        m_stream.expires_after(m_limits.write);
+        auto const outcome
+            = await_io([&](auto handler) { asio::async_write(m_stream, http::make_chunk_last(), std::move(handler)); });
+        return checked(outcome, "write answer");
+    }
+
+    void abort_stream() override
+    {
+        m_watch.reset();
+        m_keep_alive = false;
+        boost::system::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.close();
+    }
+
+    void watch_caller(std::function<void()> on_gone) override
+    {
+        m_watch = std::make_shared<std::function<void()>>(std::move(on_gone));
+        m_stream.socket().async_wait(tcp::socket::wait_read,
+            [weak = std::weak_ptr(m_watch), &socket = m_stream.socket()](boost::system::error_code failure) {
+                auto const watch = weak.lock();
+                if (!watch || failure == asio::error::operation_aborted)
+                    return;
+                boost::system::error_code problem;
+                // Readable with nothing to read means closed. Another request, sent ahead, may wait its turn.
+                if (failure || socket.available(problem) == 0)
+                    (*watch)();
+            });
+    }
+
+private:
+    result<void> checked(io_outcome const& outcome, std::string const& step)
+    {
+        if (!outcome.failure)
+            return {};
+        m_keep_alive = false;
+        return fail(step, "caller", outcome.failure.message());
+    }
+
+    beast::tcp_stream& m_stream;
+    http_limits const& m_limits;
+    http_request m_request;
+    bool m_keep_alive;
+    bool m_has_answered { false };
+    // Held only while the caller is watched, so that a late notice finds nothing to call.
+    std::shared_ptr<std::function<void()>> m_watch;
+};
+
+http_request to_request(http::request<http::string_body> message)
+{
+    http_request received;
+    received.method = std::string(message.method_string());
+    received.target = std::string(message.target());
+    for (auto const& field : message)
+        received.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    received.body = std::move(message.body());
+    return received;
+}
+
+std::uint16_t status_of_read_failure(boost::system::error_code failure)
+{
+    if (failure == http::error::body_limit)
+        return 413;
+    if (failure == http::error::header_limit)
+        return 431;
+    if (failure == beast::error::timeout)
+        return 408;
+    return 400;
+}
+
+bool is_caller_gone(boost::system::error_code failure)
+{
+    return failure == http::error::end_of_stream || failure == asio::error::connection_reset
+        || failure == asio::error::operation_aborted;
+}
+
+void refuse_unreadable(beast::tcp_stream& stream, http_limits const& limits, boost::system::error_code failure)
+{
+    server_exchange exchange(stream, limits, {}, false);
+    http_response refusal;
+    refusal.status = status_of_read_failure(failure);
+    refusal.content_type = "application/json";
+    refusal.headers.push_back({ "x-shedhill-outcome", "not-run" });
+    refusal.body = R"({"error":{"type":"bad_request","outcome":"not-run","reason":")" + failure.message() + "\"}}\n";
+    // A caller that cannot be told has gone.
+    (void)exchange.respond(refusal);
+}
+
+void serve(tcp::socket socket, http_limits const& limits, http_server::handler const& handle)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    for (auto keep_alive = true; keep_alive;) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        parser.body_limit(limits.body_bytes);
+        stream.expires_after(limits.read);
+        auto const [failure, size]
+            = await_io([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+        if (is_caller_gone(failure))
+            break;
+        if (failure) {
+            refuse_unreadable(stream, limits, failure);
+            break;
+        }
+        stream.expires_never();
+        keep_alive = parser.get().keep_alive();
+        server_exchange exchange(stream, limits, to_request(parser.release()), keep_alive);
+        handle(exchange);
+        keep_alive = exchange.may_keep_alive() && exchange.has_answered();
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+class listening_server final : public http_server {
+public:
+    listening_server(tcp::acceptor acceptor, http_limits const& limits, handler handle)
+        : m_acceptor(std::move(acceptor))
+        , m_shared(std::make_shared<shared_part>(shared_part { limits, std::move(handle) }))
+    {
+        accept_next();
+    }
+
+    [[nodiscard]] std::uint16_t port() const override { return m_acceptor.local_endpoint().port(); }
+
+    void close() override
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+private:
+    // Outlives the server in the connections that are still open.
+    struct shared_part {
+        http_limits limits;
+        handler handle;
+    };
+
+    void accept_next()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code failure, tcp::socket socket) {
+            if (failure == asio::error::operation_aborted)
+                return;
+            if (!failure) {
+                auto moved = std::make_shared<tcp::socket>(std::move(socket));
+                start_fiber([shared = m_shared, moved] { serve(std::move(*moved), shared->limits, shared->handle); });
+            }
+            accept_next();
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<shared_part> m_shared;
+};
+
+} // namespace
+
+std::string http_request::header(std::string_view name) const
+{
+    auto const found = std::ranges::find_if(
+        headers, [&](http_header const& candidate) { return beast::iequals(candidate.name, name); });
+    return found == headers.end() ? std::string() : found->value;
+}
+
+result<std::unique_ptr<http_server>> http_server::open(
+    std::string const& address, http_limits const& limits, handler handle)
+{
+    auto const target = TRY(parse_address(address));
+    tcp::acceptor acceptor(process_io());
+    boost::system::error_code failure;
+    acceptor.open(target.protocol(), failure);
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    acceptor.bind(target, failure);
+    if (!failure)
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        return fail("listen", address, failure.message());
+    return std::make_unique<listening_server>(std::move(acceptor), limits, std::move(handle));
+}
+
+} // namespace shedhill::net
--- /dev/null
+++ b/services/shedhilld/main.cpp
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The daemon: reads its settings, becomes a router or an endpoint's process, and runs until it is stopped.
+#include "libraries/logging/log.h"
+#include "libraries/net/fiber_scheduler.h"
+#include "libraries/settings/setting_table.h"
+#include "services/shedhilld/endpoint_daemon.h"
+#include "services/shedhilld/router_daemon.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+using namespace shedhill;
+
+constexpr std::size_t least_key_size = 16;
+
+settings::setting_table describe_settings()
+{
+    settings::setting_table table("shedhilld");
+    table.add_choice("role", { "none", "router", "endpoint" }, "What this process is: router or endpoint.");
+    table.add_text("vm", "", "The name of this VM in the platform's list.");
+    table.add_text("failure-domain", "default", "The failure domain of this VM.");
+    table.add_text("fleet-key", "", "The key that all processes of the fleet share; at least 16 characters.");
+    table.add_text("frames", "127.0.0.1:7401", "Where other processes of the fleet connect.");
+    table.add_text("admin", "127.0.0.1:7402", "Where /healthz, /readyz and /metrics are served.");
+    table.add_text("http", "127.0.0.1:7400", "Router: where callers connect.");
+    table.add_text("platform", "127.0.0.1:7300", "Router: the platform's table, object store and VM list.");
+    table.add_text("peers", "", "Router: other routers as VM=ADDRESS:PORT,..., asked when the platform is down.");
+    table.add_number("subset-size", 12, 1, 1000, "Router: endpoints of one pool that it keeps connections to.");
+    table.add_number("offer-spread", 3, 1, 100, "Router: endpoints that waiting work is offered to at first.");
+    table.add_number("queue-bound", 4096, 1, 1000000, "Router: requests that may wait in all.");
+    table.add_number("deadline-ms", 60000, 100, 3600000, "Router: the longest time a request may take.");
+    table.add_number("first-chunk-limit-ms", 20000, 100, 3600000, "Router: silence before an answer begins.");
+    table.add_number("next-chunk-limit-ms", 5000, 100, 3600000, "Router: silence within an answer.");
+    table.add_number("body-bound", 4 << 20, 1024, 12 << 20, "Router: the largest request body in bytes.");
+    table.add_number("retry-percent", 10, 0, 100, "Router: retries for each hundred first tries.");
+    table.add_number("report-interval-ms", 250, 50, 60000, "Router: how often service is reported.");
+    table.add_number("report-bytes", 1500, 100, 1000000, "Router: bytes a second for reports of service.");
+    table.add_number("head-interval-ms", 2000, 100, 60000, "Router: how often the configuration's head is read.");
+    table.add_text("engine", "127.0.0.1:8000", "Endpoint: the engine or service beside this process.");
+    table.add_number("slots", 6, 1, 1024, "Endpoint: requests that the engine takes at once.");
+    table.add_choice("choice", { "corrected-draw", "least-level", "own-counters" },
+        "Endpoint: how the next team is chosen; all but the first are for measurement.");
+    table.add_number("draw-size", 4, 1, 64, "Endpoint: teams drawn for one grant.");
+    table.add_flag("check-settings", "Checks the settings and ends.");
+    table.add_flag("help", "Prints this text.");
+    return table;
+}
+
+endpoint::choice_policy policy_of(std::string const& word)
+{
+    if (word == "least-level")
+        return endpoint::choice_policy::least_level;
+    if (word == "own-counters")
+        return endpoint::choice_policy::own_counters;
+    return endpoint::choice_policy::corrected_draw;
+}
+
+process_epoch new_epoch()
+{
+    // NOTE: Microseconds of the wall clock: a restart on the same VM must have a larger epoch.
+    auto const since = std::chrono::system_clock::now().time_since_epoch();
+    return process_epoch(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count()));
+}
+
+result<std::vector<platform::vm_record>> parse_peers(std::string const& text)
+{
+    std::vector<platform::vm_record> peers;
+    for (std::size_t start = 0; start < text.size();) {
+        auto const end = std::min(text.find(',', start), text.size());
+        auto const item = text.substr(start, end - start);
+        auto const equals = item.find('=');
+        if (equals == std::string::npos)
+            return fail("read settings", "shedhilld", "--peers (SHEDHILL_PEERS) must be VM=ADDRESS:PORT,...");
+        TRY(net::parse_address(item.substr(equals + 1)));
+        platform::vm_record peer;
+        peer.name = vm_name(item.substr(0, equals));
+        peer.role = platform::vm_role::router;
+        peer.address = item.substr(equals + 1);
+        peers.push_back(std::move(peer));
+        start = end + 1;
+    }
+    return peers;
+}
+
+result<void> check(settings::setting_values const& values)
+{
+    auto const refuse = [](std::string const& reason) { return fail("read settings", "shedhilld", reason); };
+    if (values.text("role") == "none")
+        return refuse("--role (SHEDHILL_ROLE) must be router or endpoint");
+    if (values.text("vm").empty())
+        return refuse("--vm (SHEDHILL_VM) is missing");
+    if (values.text("fleet-key").size() < least_key_size)
+        return refuse("--fleet-key (SHEDHILL_FLEET_KEY) must have at least 16 characters");
+    for (auto const* name : { "frames", "admin", "http", "platform", "engine" }) {
+        if (auto const parsed = net::parse_address(values.text(name)); !parsed)
+            return refuse("--" + std::string(name) + " is '" + values.text(name) + "' but " + parsed.error().reason);
+    }
+    TRY(parse_peers(values.text("peers")));
+    return {};
+}
+
+net::fleet_identity make_identity(settings::setting_values const& values, wire::process_role role)
+{
+    return { vm_name(values.text("vm")), role, new_epoch(), values.text("fleet-key") };
+}
+
+daemon::router_settings make_router(settings::setting_values const& values)
+{
+    daemon::router_settings made;
+    made.identity = make_identity(values, wire::process_role::router);
+    auto& options = made.options;
+    options.vm = made.identity.vm;
+    options.epoch = made.identity.epoch;
+    options.domain = failure_domain(values.text("failure-domain"));
+    options.subset_size = static_cast<std::size_t>(values.number("subset-size"));
+    options.offer_spread = static_cast<std::size_t>(values.number("offer-spread"));
+    options.queue_bound = static_cast<std::size_t>(values.number("queue-bound"));
+    options.default_deadline = milliseconds(values.number("deadline-ms"));
+    options.first_chunk_limit = milliseconds(values.number("first-chunk-limit-ms"));
+    options.next_chunk_limit = milliseconds(values.number("next-chunk-limit-ms"));
+    options.retry_percent = static_cast<std::uint32_t>(values.number("retry-percent"));
+    options.report_interval = milliseconds(values.number("report-interval-ms"));
+    options.report_bytes_per_second = static_cast<std::size_t>(values.number("report-bytes"));
+    options.head_interval = milliseconds(values.number("head-interval-ms"));
+    made.http_address = values.text("http");
+    made.frame_address = values.text("frames");
+    made.admin_address = values.text("admin");
+    made.platform_address = values.text("platform");
+    made.limits.body_bytes = static_cast<std::size_t>(values.number("body-bound"));
+    // The peers were checked before.
+    made.peers = parse_peers(values.text("peers")).value_or(std::vector<platform::vm_record> {});
+    return made;
+}
+
+daemon::endpoint_settings make_endpoint(settings::setting_values const& values)
+{
+    daemon::endpoint_settings made;
+    made.identity = make_identity(values, wire::process_role::endpoint);
+    made.options.vm = made.identity.vm;
+    made.options.epoch = made.identity.epoch;
+    made.options.slots = static_cast<std::uint32_t>(values.number("slots"));
+    made.options.policy = policy_of(values.text("choice"));
+    made.options.draw_size = static_cast<std::size_t>(values.number("draw-size"));
+    made.frame_address = values.text("frames");
+    made.admin_address = values.text("admin");
+    made.engine_address = values.text("engine");
+    return made;
+}
+
+template <typename Daemon>
+int run_until_stopped(daemon::process& host, Daemon& served)
+{
+    if (auto const opened = served.open(); !opened) {
+        std::cerr << opened.error().to_string() << '\n';
+        return EXIT_FAILURE;
+    }
+    host.wait_for_stop();
+    logging::log_state("stopped");
+    // NOTE: Fibers of open connections are still suspended; the process ends without unwinding them.
+    std::cout.flush();
+    std::_Exit(EXIT_SUCCESS);
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    auto const table = describe_settings();
+    auto const values = table.parse(count, arguments);
+    if (values && values->has_flag("help")) {
+        std::cout << table.help();
+        return EXIT_SUCCESS;
+    }
+    auto const checked = values ? check(*values) : result<void>(tl::unexpected<error>(values.error()));
+    if (!checked) {
+        std::cerr << checked.error().to_string() << '\n';
+        return 2;
+    }
+    if (values->has_flag("check-settings")) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    logging::open_log(values->text("vm"));
+    net::process_io();
+    daemon::process host;
+    if (values->text("role") == "router") {
+        daemon::router_daemon router(host, make_router(*values));
+        return run_until_stopped(host, router);
+    }
+    daemon::endpoint_daemon endpoint(host, make_endpoint(*values));
+    return run_until_stopped(host, endpoint);
+}
