tests: Run stand-ins and a whole fleet as separate processes

Cause: the whole path has to be seen end to end early. Stand-ins for engine, service and platform with their faults, a harness that starts a fleet on free ports, and the demo.

--- /dev/null
+++ b/tests/harness/caller.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Callers over the product's own HTTP client.
+#include "tests/harness/caller.h"
+
+#include <boost/json.hpp>
+
+namespace shedhill::harness {
+
+namespace {
+
+constexpr std::chrono::milliseconds call_limit { 120000 };
+
+void take_event(std::string const& line, chat_answer& answer, bool& has_done)
+{
+    if (line.starts_with("event: error"))
+        answer.has_error_event = true;
+    if (line.starts_with("data: [DONE]"))
+        has_done = true;
+    else if (line.starts_with("data: {\"choices\"")) {
+        auto const json = boost::json::parse(line.substr(6));
+        answer.text += json.at("choices").as_array().at(0).at("delta").at("content").as_string();
+        ++answer.tokens;
+    }
+}
+
+} // namespace
+
+chat_answer ask(std::string const& router, std::string const& key, std::string const& model, std::string const& text,
+    std::size_t tokens)
+{
+    boost::json::object const body { { "model", model }, { "stream", true }, { "max_tokens", tokens },
+        { "messages", boost::json::array { { { "role", "user" }, { "content", text } } } } };
+    net::http_request const request { "POST", "/v1/chat/completions",
+        { { "authorization", "Bearer " + key }, { "content-type", "application/json" } },
+        boost::json::serialize(body) };
+    chat_answer answer;
+    std::string pending;
+    auto has_done = false;
+    auto const started = std::chrono::steady_clock::now();
+    auto const elapsed = [&] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - started);
+    };
+    auto const call = net::http_call::make();
+    auto const ended = call->run(
+        router, request, call_limit, [&](std::uint16_t status, std::string const&) { answer.status = status; },
+        [&](std::string_view data) {
+            if (pending.empty() && answer.tokens == 0)
+                answer.first_token = elapsed();
+            pending += data;
+            for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
+                take_event(pending.substr(0, end), answer, has_done);
+                pending.erase(0, end + 1);
+            }
+        });
+    answer.total = elapsed();
+    answer.is_whole = ended == net::http_call_end::whole && has_done;
+    return answer;
+}
+
+std::string expected_text(std::string const& text, std::size_t tokens)
+{
+    std::string expected;
+    for (std::size_t index = 0; index < tokens; ++index)
+        expected += text + "#" + std::to_string(index) + " ";
+    return expected;
+}
+
+result<net::http_response> call_service(std::string const& router, std::string const& key, std::string const& target,
+    std::string const& body, std::string const& idempotency_key)
+{
+    net::http_request request { "POST", target, { { "authorization", "Bearer " + key } }, body };
+    if (!idempotency_key.empty()) {
+        request.headers.push_back({ "x-shedhill-not-repeatable", "true" });
+        request.headers.push_back({ "idempotency-key", idempotency_key });
+    }
+    return net::fetch(router, request, call_limit);
+}
+
+std::string header_of(net::http_response const& response, std::string const& name)
+{
+    net::http_request const headers { {}, {}, response.headers, {} };
+    return headers.header(name);
+}
+
+} // namespace shedhill::harness
--- /dev/null
+++ b/tests/stand_ins/engine.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The engine's answer repeats the last message's text before each token's number, so that a test knows its own answer.
+#include "tests/stand_ins/engine.h"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace shedhill::stand_ins {
+
+namespace {
+
+constexpr std::int64_t default_tokens = 16;
+constexpr std::chrono::seconds stall_time { 30 };
+
+std::string last_content(boost::json::value const& body)
+{
+    auto const& messages = body.at("messages").as_array();
+    return messages.empty() ? std::string() : std::string(messages.back().at("content").as_string());
+}
+
+net::http_response json_response(std::string body) { return { 200, {}, "application/json", std::move(body) }; }
+
+} // namespace
+
+void engine::serve(net::http_exchange& exchange)
+{
+    auto const& target = exchange.request().target;
+    if (target == "/v1/chat/completions")
+        serve_chat(exchange);
+    else if (target == "/control")
+        control(exchange);
+    else
+        (void)exchange.respond(json_response(load()));
+}
+
+void engine::serve_chat(net::http_exchange& exchange)
+{
+    auto const body = boost::json::parse(exchange.request().body);
+    auto const text = last_content(body);
+    auto const* most = body.as_object().if_contains("max_tokens");
+    auto const tokens = most == nullptr ? default_tokens : most->to_number<std::int64_t>();
+    auto const* streamed = body.as_object().if_contains("stream");
+    {
+        std::unique_lock lock(m_mutex);
+        m_slot_freed.wait(lock, [this] { return m_running < m_slots; });
+        ++m_running;
+    }
+    ++m_started;
+    m_most_running = std::max(m_most_running, m_running);
+    if (streamed != nullptr && streamed->as_bool()) {
+        stream(exchange, text, tokens);
+    } else {
+        boost::this_fiber::sleep_for(m_token_interval * tokens);
+        std::string answer;
+        for (std::int64_t index = 0; index < tokens; ++index)
+            answer += text + "#" + std::to_string(index) + " ";
+        boost::json::object const json { { "choices",
+                                             boost::json::array { { { "message", { { "content", answer } } } } } },
+            { "usage", { { "prompt_tokens", text.size() / 4 }, { "completion_tokens", tokens } } } };
+        if (m_mode == "cut")
+            exchange.abort_stream();
+        else
+            (void)exchange.respond(json_response(boost::json::serialize(json)));
+        m_tokens += static_cast<std::uint64_t>(tokens);
+        ++m_whole;
+    }
+    --m_running;
+    m_slot_freed.notify_one();
+}
+
+void engine::stream(net::http_exchange& exchange, std::string const& text, std::int64_t tokens)
+{
+    if (!exchange.start_stream(200, "text/event-stream", {}))
+        return;
+    for (std::int64_t index = 0; index < tokens; ++index) {
+        boost::this_fiber::sleep_for(m_token_interval);
+        auto const is_faulty = m_mode != "ok" && index >= m_fault_after;
+        if (is_faulty && m_mode == "stall")
+            boost::this_fiber::sleep_for(stall_time);
+        if (is_faulty && m_mode == "cut") {
+            exchange.abort_stream();
+            return;
+        }
+        boost::json::object const event { { "choices",
+            boost::json::array { { { "delta", { { "content", text + "#" + std::to_string(index) + " " } } } } } } };
+        auto const line = "data: " + boost::json::serialize(event) + "\n\n";
+        if (!exchange.write_chunk(is_faulty && m_mode == "twice" ? line + line : line))
+            return;
+        ++m_tokens;
+    }
+    (void)exchange.write_chunk("data: [DONE]\n\n");
+    if (exchange.end_stream())
+        ++m_whole;
+}
+
+void engine::control(net::http_exchange& exchange)
+{
+    auto const body = boost::json::parse(exchange.request().body);
+    m_mode = std::string(body.at("mode").as_string());
+    auto const* after = body.as_object().if_contains("after");
+    m_fault_after = after == nullptr ? 0 : after->to_number<std::int64_t>();
+    (void)exchange.respond(json_response("{}"));
+}
+
+std::string engine::load() const
+{
+    return boost::json::serialize(boost::json::object { { "running", m_running }, { "most_running", m_most_running },
+        { "started", m_started }, { "whole", m_whole }, { "tokens", m_tokens } });
+}
+
+} // namespace shedhill::stand_ins
--- /dev/null
+++ b/tests/stand_ins/main.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The stand-ins as separate processes on loopback, for tests and demonstrations only.
+#include "libraries/net/await.h"
+#include "libraries/net/fiber_scheduler.h"
+#include "libraries/settings/setting_table.h"
+#include "tests/stand_ins/engine.h"
+#include "tests/stand_ins/platform.h"
+#include "tests/stand_ins/service.h"
+
+#include <cstdlib>
+#include <iostream>
+
+int main(int count, char** arguments)
+{
+    using namespace shedhill;
+    settings::setting_table table("shedhill-stand-in");
+    table.add_choice("kind", { "engine", "service", "platform" }, "What to stand in for.");
+    table.add_text("http", "127.0.0.1:0", "Where it is served.");
+    table.add_number("engine-slots", 6, 1, 1024, "Engine: requests at once.");
+    table.add_number("token-interval-ms", 5, 0, 10000, "Engine: time between tokens.");
+    table.add_number("work-ms", 5, 0, 10000, "Service: time of one run.");
+    auto const values = table.parse(count, arguments);
+    if (!values) {
+        std::cerr << values.error().to_string() << '\n';
+        return 2;
+    }
+    net::process_io();
+    stand_ins::engine engine(static_cast<std::size_t>(values->number("engine-slots")),
+        std::chrono::milliseconds(values->number("token-interval-ms")));
+    stand_ins::service service(std::chrono::milliseconds(values->number("work-ms")));
+    stand_ins::platform platform;
+    auto const& kind = values->text("kind");
+    auto server = net::http_server::open(values->text("http"), {}, [&](net::http_exchange& exchange) {
+        if (kind == "engine")
+            engine.serve(exchange);
+        else if (kind == "service")
+            service.serve(exchange);
+        else
+            platform.serve(exchange);
+    });
+    if (!server) {
+        std::cerr << server.error().to_string() << '\n';
+        return EXIT_FAILURE;
+    }
+    std::cout << "listening http=" << (*server)->port() << std::endl;
+    // Runs until its parent ends it.
+    net::fiber_event never;
+    never.wait();
+}
--- /dev/null
+++ b/tests/stand_ins/service.cpp
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The record of runs is kept before the answer is given, as a real service would.
+#include "tests/stand_ins/service.h"
+
+#include <boost/fiber/operations.hpp>
+
+namespace shedhill::stand_ins {
+
+void service::serve(net::http_exchange& exchange)
+{
+    auto const& request = exchange.request();
+    if (request.target == "/runs") {
+        boost::json::object counts;
+        for (auto const& [key, count] : m_runs)
+            counts[key] = count;
+        (void)exchange.respond({ 200, {}, "application/json", boost::json::serialize(counts) });
+        return;
+    }
+    if (request.target == "/control") {
+        auto const body = boost::json::parse(request.body);
+        m_mode = std::string(body.at("mode").as_string());
+        auto const* delay = body.as_object().if_contains("delay_ms");
+        m_delay = std::chrono::milliseconds(delay == nullptr ? 0 : delay->to_number<std::int64_t>());
+        (void)exchange.respond({ 200, {}, "application/json", "{}" });
+        return;
+    }
+    run(exchange);
+}
+
+void service::run(net::http_exchange& exchange)
+{
+    auto const& request = exchange.request();
+    auto const key = request.header("idempotency-key");
+    auto const count = ++m_runs[key.empty() ? request.target + request.body : key];
+    boost::this_fiber::sleep_for(m_work_time + m_delay);
+    if (m_mode == "cut") {
+        exchange.abort_stream();
+        return;
+    }
+    boost::json::object const answer { { "path", request.target }, { "echo", request.body }, { "run", count } };
+    (void)exchange.respond({ 200, {}, "application/json", boost::json::serialize(answer) });
+}
+
+} // namespace shedhill::stand_ins
