router, endpoint: Send levels along with bodies and withdraw offers lazily

Cause: standing offers took 22 KB/s a router (24 routers, 24 endpoints, 48 backlogged teams, 40 s on the joined reducers, 11 requests/s a router): every level moves all the time, and every move of two requests' cost was sent to every endpoint. Tried first: a budget of 600 B/s for refreshes, going round the endpoints. Not kept alone. Now each body carries the two accounts at that endpoint whose levels moved most, where the next choice is about to be made; the round is left with 300 B/s. 'finished' names only slots without known demand, so that it no longer draws offers to endpoints that have some. Offers are not withdrawn when a queue empties: a grant without work ends one.

--- a/libraries/endpoint/demand_board.cpp
+++ b/libraries/endpoint/demand_board.cpp
@@ -3,8 +3,8 @@
 #include "libraries/endpoint/demand_board.h"
 
 #include <algorithm>
+#include <boost/range/adaptor/reversed.hpp>
 #include <limits>
-#include <ranges>
 
 namespace shedhill::endpoint {
 
@@ -21,7 +21,12 @@
         m_accounts[entry.account][connection] = { entry, now };
         return;
     }
-    auto const found = m_accounts.find(entry.account);
+    drop(connection, entry.account);
+}
+
+void demand_board::drop(connection_id connection, account_id account)
+{
+    auto const found = m_accounts.find(account);
     if (found == m_accounts.end())
         return;
     found->second.erase(connection);
@@ -93,7 +98,7 @@
         return offered.entry.level;
     auto const known_until = offered.received_at - offered.entry.level_age;
     service_units since;
-    for (auto const& charge : std::views::reverse(found->second.recent)) {
+    for (auto const& charge : boost::adaptors::reverse(found->second.recent)) {
         if (charge.at <= known_until || now - charge.at > charge_memory)
             break;
         auto const is_counted = charge.connection == connection && charge.at <= offered.received_at;
--- a/libraries/endpoint/demand_board.h
+++ b/libraries/endpoint/demand_board.h
@@ -29,6 +29,7 @@
     // Replaces what the router has said of the account; no waiting requests withdraw it.
     void put(connection_id connection, wire::offer_entry const& entry, instant now);
     void drop(connection_id connection);
+    void drop(connection_id connection, account_id account);
     void clear() { m_accounts.clear(); }
 
     [[nodiscard]] bool is_empty() const { return m_accounts.empty(); }
--- a/libraries/endpoint/endpoint_reducer.cpp
+++ b/libraries/endpoint/endpoint_reducer.cpp
@@ -106,7 +106,7 @@
     auto const service = ended.how == engine_end::not_sent ? service_units() : spent;
     charge(running, service);
     wire::finished sent { running.request, running.number, running.next_sequence, wire::run_outcome::unknown,
-        wire::reason::engine_cut, service, free_slots() };
+        wire::reason::engine_cut, service, m_board.is_empty() ? free_slots() : 0 };
     switch (ended.how) {
     case engine_end::whole:
         count(counter::runs_whole);
@@ -203,6 +203,7 @@
     if (found == m_grants.end() || found->second.connection != from)
         return;
     count(counter::grants_unused);
+    m_board.drop(from, found->second.account);
     give_back(none.number, found->second);
 }
 
@@ -233,17 +234,18 @@
         router.accepted.erase(router.accepted_order.front());
         router.accepted_order.pop_front();
     }
-    m_board.put(from, run.refresh, m_now);
+    for (auto const& entry : run.refresh)
+        m_board.put(from, entry, m_now);
     call_number const call(++m_last_call);
     auto& running = m_running[call];
     running.connection = from;
     running.request = run.request;
     running.number = run.attempt;
-    running.account = run.refresh.account;
+    running.account = run.account;
     running.started_at = m_now;
     running.is_model_call = run.is_model_call;
     running.is_repeatable = run.is_repeatable;
-    charge(running, run.refresh.expected_cost);
+    charge(running, run.expected_cost);
     m_effects.emplace_back(start_call { call, run });
 }
 
--- a/libraries/router/offer_planner.cpp
+++ b/libraries/router/offer_planner.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t cost_memory = 8;
 // A level is sent again once it has moved by this many expected requests.
 constexpr std::int64_t refresh_after_requests = 2;
+// What a frame with one offer takes besides its entries, and an entry.
+constexpr double bytes_of_offer = 64;
+constexpr double bytes_of_entry = 40;
 
 } // namespace
 
@@ -22,7 +25,7 @@
     if (queue == nullptr)
         return;
     if (queue->waiting.empty()) {
-        withdraw(account, queue->pool, step);
+        // Offers are not withdrawn: work that comes next finds them standing, and a grant without work ends one.
         queue->spread = 0;
         return;
     }
@@ -206,34 +209,77 @@
     step.send(to.connection, std::move(sent));
 }
 
-void offer_planner::withdraw(account_id account, pool_name const& pool, step_context& step)
+// Goes round the links as far as the budget allows. What an endpoint has not been told is corrected when it grants: the
+// router looks again, and sends the level along with the body.
+void offer_planner::refresh_moved_levels(step_context& step)
 {
-    for (auto* to : m_links.subset(pool)) {
-        auto const offered = to->offered.find(account);
-        if (offered == to->offered.end())
+    auto const seconds = static_cast<double>((step.now() - m_refreshed_at).count()) / 1000.0;
+    auto const rate = static_cast<double>(m_settings.refresh_bytes_per_second);
+    m_refreshed_at = step.now();
+    m_refresh_budget = std::min(m_refresh_budget + rate * seconds, rate);
+    auto& links = m_links.all();
+    for (std::size_t seen = 0; seen < links.size() && m_refresh_budget >= bytes_of_offer; ++seen) {
+        auto next = links.upper_bound(m_refreshed_vm);
+        if (next == links.end())
+            next = links.begin();
+        m_refreshed_vm = next->first;
+        auto& to = next->second;
+        if (!is_offerable(to) || to.offered.empty())
             continue;
-        auto const is_standing = offered->second.remaining > 0;
-        if (is_standing && to->phase == link_phase::up)
-            send_offer(*to, { account }, step);
-        to->offered.erase(account);
+        auto const moved = moved_accounts(to, step.now());
+        if (moved.empty())
+            continue;
+        m_refresh_budget -= bytes_of_offer + bytes_of_entry * static_cast<double>(moved.size());
+        send_offer(to, moved, step);
     }
 }
 
-void offer_planner::refresh_moved_levels(step_context& step)
+std::vector<account_id> offer_planner::moved_accounts(link const& to, instant now) const
 {
-    for (auto& [name, to] : m_links.all()) {
-        if (!is_offerable(to))
+    struct moved_account {
+        account_id account;
+        std::int64_t distance;
+    };
+    std::vector<moved_account> moved;
+    for (auto const& [account, offered] : to.offered) {
+        auto const* queue = m_queues.find(account);
+        if (queue->waiting.empty())
             continue;
-        std::vector<account_id> moved;
-        for (auto const& [account, offered] : to.offered) {
-            auto const now_at = make_entry(account, to, step.now());
-            auto const distance = std::abs(now_at.level - offered.entry.level) * now_at.weight;
-            if (now_at.waiting > 0
-                && (offered.remaining == 0 || distance > refresh_after_requests * now_at.expected_cost.value()))
-                moved.push_back(account);
-        }
-        send_offer(to, moved, step);
+        auto const level = m_ledger.level(account, queue->weight, now).level;
+        auto const distance = std::abs(level - offered.entry.level) * static_cast<std::int64_t>(queue->weight);
+        if (offered.remaining == 0 || distance > refresh_after_requests * expected_cost(account).value())
+            moved.push_back({ account, distance });
+    }
+    std::ranges::sort(moved, std::greater {}, &moved_account::distance);
+    std::vector<account_id> accounts;
+    accounts.reserve(moved.size());
+    for (auto const& [account, distance] : moved)
+        accounts.push_back(account);
+    return accounts;
+}
+
+std::vector<wire::offer_entry> offer_planner::refresh_with_run(
+    account_id account, account_id granted, link& to, instant now) const
+{
+    std::vector<wire::offer_entry> entries;
+    auto const add = [&](account_id added) {
+        entries.push_back(make_entry(added, to, now));
+        // An account that no longer waits is withdrawn by its empty entry.
+        if (entries.back().waiting > 0)
+            to.offered[added] = { entries.back(), entries.back().waiting };
+        else
+            to.offered.erase(added);
+    };
+    add(account);
+    if (granted != account)
+        add(granted);
+    for (auto const other : moved_accounts(to, now)) {
+        if (entries.size() > m_settings.refreshes_with_run)
+            break;
+        if (other != account && other != granted)
+            add(other);
     }
+    return entries;
 }
 
 } // namespace shedhill::router
--- a/libraries/router/offer_planner.h
+++ b/libraries/router/offer_planner.h
@@ -25,7 +25,7 @@
     {
     }
 
-    // Brings the offers of an account in line with its queue: withdraws them, or offers to more endpoints.
+    // Brings the offers of an account in line with its queue: offers to more endpoints while more waits.
     void sync(account_id account, step_context& step);
 
     // An endpoint has free slots or has just connected: offers it the accounts of its pool that wait.
@@ -37,8 +37,10 @@
     // Which account to run on a grant: the granted one, or one of this router that is clearly further behind.
     [[nodiscard]] std::optional<account_id> choose_for_grant(link const& from, account_id granted, instant now) const;
 
-    // The entry for an account at an endpoint, as of now.
-    [[nodiscard]] wire::offer_entry make_entry(account_id account, link const& to, instant now) const;
+    // What goes along with a request of the account: its standing demand from now on, and that of a few others at the
+    // same endpoint whose levels have moved most since they were sent.
+    [[nodiscard]] std::vector<wire::offer_entry> refresh_with_run(
+        account_id account, account_id granted, link& to, instant now) const;
 
     // The least amount that an account returning from idle counts as having received: its weight's share of the least
     // level among the pool's other backlogged accounts.
@@ -51,8 +53,11 @@
     [[nodiscard]] bool is_offerable(link const& to) const;
     [[nodiscard]] std::optional<std::uint8_t> tier_at(account_queue const& queue, link const& to) const;
     void send_offer(link& to, std::vector<account_id> const& accounts, step_context& step);
-    void withdraw(account_id account, pool_name const& pool, step_context& step);
+    // The entry for an account at an endpoint, as of now.
+    [[nodiscard]] wire::offer_entry make_entry(account_id account, link const& to, instant now) const;
     void refresh_moved_levels(step_context& step);
+    // Those that moved most first.
+    [[nodiscard]] std::vector<account_id> moved_accounts(link const& to, instant now) const;
 
     options const& m_settings;
     config::catalog const& m_catalog;
@@ -62,6 +67,10 @@
     ledger::service_ledger const& m_ledger;
     // A moving average of what the account's requests have cost.
     std::unordered_map<account_id, service_units> m_expected;
+    // Bytes that refreshes may still take, and the link that was refreshed last.
+    double m_refresh_budget { 0 };
+    instant m_refreshed_at {};
+    vm_name m_refreshed_vm;
 };
 
 } // namespace shedhill::router
--- a/libraries/router/options.h
+++ b/libraries/router/options.h
@@ -47,6 +47,10 @@
     // How often service is reported, and how many bytes a second the reports may take.
     milliseconds report_interval { 250 };
     std::size_t report_bytes_per_second { 1500 };
+    // Bytes a second for telling endpoints how far the levels of standing offers have moved.
+    std::size_t refresh_bytes_per_second { 300 };
+    // Accounts besides its own whose levels are sent along with a body.
+    std::size_t refreshes_with_run { 2 };
     ledger::home_options home;
     service_units first_expected_cost { 300000 };
 };
--- a/libraries/router/request_flow.cpp
+++ b/libraries/router/request_flow.cpp
@@ -162,6 +162,7 @@
     auto const account = m_parts.planner.choose_for_grant(from, granted.account, step.now());
     if (!account) {
         step.count(counter::grants_without_work);
+        from.offered.erase(granted.account);
         step.send(from.connection, wire::no_work { granted.number });
         return;
     }
@@ -388,14 +389,10 @@
     sent.is_model_call = started.caller.is_model_call;
     sent.time_left = started.deadline - step.now();
     sent.revision = m_parts.catalog.current_revision();
-    sent.refresh = m_parts.planner.make_entry(started.account, to, step.now());
-    if (sent.refresh.waiting > 0)
-        to.offered[started.account] = { sent.refresh, sent.refresh.waiting };
-    else
-        to.offered.erase(started.account);
+    sent.account = started.account;
+    sent.expected_cost = m_parts.planner.expected_cost(started.account);
+    sent.refresh = m_parts.planner.refresh_with_run(started.account, granted.account, to, step.now());
     step.send(to.connection, std::move(sent));
-    if (m_parts.queues.waiting_of(started.account) == 0)
-        m_parts.planner.sync(started.account, step);
 }
 
 void request_flow::settle_charge(request& charged, service_units actual)
--- a/libraries/wire/codec.cpp
+++ b/libraries/wire/codec.cpp
@@ -4,7 +4,9 @@
 
 #include "libraries/wire/generated/messages_generated.h"
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace shedhill::wire {
 
@@ -26,10 +28,18 @@
     return builder.CreateVector(reinterpret_cast<std::uint8_t const*>(bytes.data()), bytes.size());
 }
 
+// The nearest value that the smaller type of a wire field can hold.
+template <typename Small>
+Small saturate(std::int64_t value)
+{
+    return static_cast<Small>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Small>::max()));
+}
+
 schema::OfferEntry pack(offer_entry const& entry)
 {
-    return { entry.account.value(), entry.level, entry.expected_cost.value(), entry.waiting,
-        static_cast<std::uint32_t>(entry.level_age.count()), entry.weight, entry.tier };
+    return { entry.account.value(), entry.level, saturate<std::uint32_t>(entry.expected_cost.value()),
+        saturate<std::uint32_t>(entry.level_age.count()), saturate<std::uint16_t>(entry.waiting),
+        saturate<std::uint16_t>(entry.weight), entry.tier };
 }
 
 offer_entry unpack(schema::OfferEntry const& entry)
@@ -64,11 +74,8 @@
 
     built operator()(offer const& sent)
     {
-        std::vector<schema::OfferEntry> entries;
-        for (auto const& entry : sent.entries)
-            entries.push_back(pack(entry));
-        return { schema::Payload::Offer,
-            schema::CreateOffer(builder, sent.revision.value(), builder.CreateVectorOfStructs(entries)).Union() };
+        auto const entries = pack_entries(sent.entries);
+        return { schema::Payload::Offer, schema::CreateOffer(builder, sent.revision.value(), entries).Union() };
     }
 
     built operator()(offer_refused const& sent)
@@ -106,11 +113,11 @@
         auto const target = builder.CreateString(sent.target);
         auto const header_list = builder.CreateVector(headers);
         auto const body = put_bytes(builder, sent.body);
-        auto const refresh = pack(sent.refresh);
+        auto const refresh = pack_entries(sent.refresh);
         return { schema::Payload::Run,
             schema::CreateRun(builder, sent.grant.value(), sent.request.value(), sent.attempt.value(), method, target,
-                header_list, body, sent.is_repeatable, sent.is_model_call,
-                static_cast<std::uint32_t>(sent.time_left.count()), sent.revision.value(), &refresh)
+                header_list, body, sent.account.value(), sent.expected_cost.value(), sent.is_repeatable,
+                sent.is_model_call, static_cast<std::uint32_t>(sent.time_left.count()), sent.revision.value(), refresh)
                 .Union() };
     }
 
@@ -180,6 +187,15 @@
         return schema::CreateSnapshotReply(builder, builder.CreateString(sent.snapshot), listed);
     }
 
+    Offset<flatbuffers::Vector<schema::OfferEntry const*>> pack_entries(std::vector<offer_entry> const& entries)
+    {
+        std::vector<schema::OfferEntry> packed;
+        packed.reserve(entries.size());
+        for (auto const& entry : entries)
+            packed.push_back(pack(entry));
+        return builder.CreateVectorOfStructs(packed);
+    }
+
     // An empty list is left out of the frame.
     Offset<flatbuffers::Vector<schema::AccountValue const*>> pack_values(std::vector<account_value> const& values)
     {
@@ -225,14 +241,20 @@
 
 message unpack(schema::Proof const& table) { return proof { bytes_of(table.mac()) }; }
 
+std::vector<offer_entry> unpack_entries(flatbuffers::Vector<schema::OfferEntry const*> const* list)
+{
+    std::vector<offer_entry> entries;
+    if (list == nullptr)
+        return entries;
+    entries.reserve(list->size());
+    for (auto const* entry : *list)
+        entries.push_back(unpack(*entry));
+    return entries;
+}
+
 message unpack(schema::Offer const& table)
 {
-    offer received { revision(table.revision()), {} };
-    if (table.entries() != nullptr) {
-        for (auto const* entry : *table.entries())
-            received.entries.push_back(unpack(*entry));
-    }
-    return received;
+    return offer { revision(table.revision()), unpack_entries(table.entries()) };
 }
 
 message unpack(schema::OfferRefused const& table)
@@ -269,8 +291,9 @@
     received.is_model_call = table.is_model_call();
     received.time_left = milliseconds(table.time_left());
     received.revision = revision(table.revision());
-    if (table.refresh() != nullptr)
-        received.refresh = unpack(*table.refresh());
+    received.account = account_id(table.account());
+    received.expected_cost = service_units(table.expected_cost());
+    received.refresh = unpack_entries(table.refresh());
     return received;
 }
 
--- a/libraries/wire/messages.h
+++ b/libraries/wire/messages.h
@@ -113,8 +113,12 @@
     bool is_model_call { true };
     milliseconds time_left { 0 };
     shedhill::revision revision {};
-    // The account's standing demand after this request, so that no separate offer is needed.
-    offer_entry refresh;
+    // Which account the request belongs to, and what it is expected to cost.
+    account_id account {};
+    service_units expected_cost {};
+    // The account's standing demand after this request, and that of others whose levels have moved, so that no separate
+    // offers are needed.
+    std::vector<offer_entry> refresh;
     bool operator==(run const&) const = default;
 };
 
@@ -154,6 +158,7 @@
     run_outcome outcome { run_outcome::unknown };
     reason why { reason::none };
     service_units service {};
+    // Slots for which the endpoint knows no demand.
     std::uint32_t free_slots { 0 };
     bool operator==(finished const&) const = default;
 };
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -202,7 +202,8 @@
     return child_process::start(program_path("shedhilld"), arguments);
 }
 
-result<boost::json::value> post_json(std::string const& address, std::string const& target, boost::json::object const& body)
+result<boost::json::value> post_json(
+    std::string const& address, std::string const& target, boost::json::object const& body)
 {
     auto const response = TRY(net::fetch(address, { "POST", target, {}, boost::json::serialize(body) }, fetch_limit));
     boost::system::error_code failure;
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -87,7 +87,8 @@
     std::vector<listed_vm> m_vms;
 };
 
-result<boost::json::value> post_json(std::string const& address, std::string const& target, boost::json::object const& body);
+result<boost::json::value> post_json(
+    std::string const& address, std::string const& target, boost::json::object const& body);
 result<boost::json::value> get_json(std::string const& address, std::string const& target);
 
 } // namespace shedhill::harness
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -24,7 +24,9 @@
     sent.is_model_call = false;
     sent.time_left = milliseconds(500);
     sent.revision = revision(8);
-    sent.refresh = make_entry();
+    sent.account = account_id(4);
+    sent.expected_cost = service_units(5);
+    sent.refresh = { make_entry(), make_entry() };
     vm_record const vm { vm_name("v"), process_role::endpoint, vm_state::leaving, "127.0.0.1:1", failure_domain("d"),
         endpoint_name("p/e") };
     return { hello { vm_name("v"), process_role::endpoint, process_epoch(4), "nonce", revision(5) }, proof { "mac" },
