router: Look only at what is due, and bound the widening of subsets

Three reasons: while work waited each tick widened the subsets without bound, towards 4.2 million connections over the fleet, and ranked all endpoints anew each time; every tick looked at all 12,000 links for ones to connect; and selectors were looked up by strings put together each time. Now accounts stand in a queue by the time at which they are due, subsets grow by one endpoint each 500 ms up to 48, idle wanted links have an index, the VM list is worked out only when it has changed, and a pair's tier is one look-up. Ruled out: matching selectors as such (the cost did not grow from 4 to 400 policies).

--- a/libraries/config/catalog.cpp
+++ b/libraries/config/catalog.cpp
@@ -36,6 +36,7 @@
         parsed.push_back(TRY(parse_object(item)));
     m_objects.clear();
     m_policies.clear();
+    m_endpoints_by_pool.clear();
     m_team_by_key_hash.clear();
     for (auto const& declared : parsed)
         put(declared);
@@ -72,6 +73,13 @@
     return found == nullptr ? nullptr : std::get_if<endpoint>(found);
 }
 
+std::set<endpoint_name> const& catalog::endpoints_of(pool_name const& pool) const
+{
+    static std::set<endpoint_name> const none;
+    auto const found = m_endpoints_by_pool.find(pool);
+    return found == m_endpoints_by_pool.end() ? none : found->second;
+}
+
 object const* catalog::find_object(std::string const& key) const
 {
     auto const found = m_objects.find(key);
@@ -119,6 +127,8 @@
     }
     if (auto const* as_policy = std::get_if<policy>(&stored))
         m_policies[key] = as_policy;
+    if (auto const* as_endpoint = std::get_if<endpoint>(&stored))
+        m_endpoints_by_pool[as_endpoint->pool].insert(as_endpoint->name);
 }
 
 void catalog::remove(std::string const& key)
@@ -130,6 +140,8 @@
         for (auto const& hash : as_team->key_hashes)
             m_team_by_key_hash.erase(hash);
     }
+    if (auto const* as_endpoint = std::get_if<endpoint>(&found->second))
+        m_endpoints_by_pool[as_endpoint->pool].erase(as_endpoint->name);
     m_policies.erase(key);
     m_objects.erase(found);
 }
--- a/libraries/config/catalog.h
+++ b/libraries/config/catalog.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -49,6 +50,7 @@
     [[nodiscard]] team const* find_team(team_name const& name) const;
     [[nodiscard]] team const* find_team_by_key_hash(std::string const& hash) const;
     [[nodiscard]] endpoint const* find_endpoint(endpoint_name const& name) const;
+    [[nodiscard]] std::set<endpoint_name> const& endpoints_of(pool_name const& pool) const;
     [[nodiscard]] object const* find_object(std::string const& key) const;
     [[nodiscard]] std::map<std::string, object> const& objects() const { return m_objects; }
 
@@ -69,6 +71,8 @@
     std::unordered_map<std::string, std::string> m_team_by_key_hash;
     // Derived from m_objects: the keys of all policies.
     std::map<std::string, policy const*> m_policies;
+    // Derived from m_objects.
+    std::map<pool_name, std::set<endpoint_name>> m_endpoints_by_pool;
 };
 
 } // namespace shedhill::config
--- a/libraries/router/config_follower.cpp
+++ b/libraries/router/config_follower.cpp
@@ -2,6 +2,8 @@
 // Polling, catching up, and snapshots for a router that is far behind.
 #include "libraries/router/config_follower.h"
 
+#include <algorithm>
+
 namespace shedhill::router {
 
 namespace {
@@ -11,6 +13,13 @@
 // A read that is not answered in this time is taken for lost.
 constexpr milliseconds read_limit { 5000 };
 
+bool touches_endpoints(config::change const& made)
+{
+    return std::ranges::any_of(made.puts, [](config::object const& put) {
+        return std::holds_alternative<config::endpoint>(put);
+    }) || std::ranges::any_of(made.removals, [](std::string const& key) { return key.starts_with("endpoint:"); });
+}
+
 } // namespace
 
 void config_follower::tick(step_context& step)
@@ -50,12 +59,15 @@
     for (auto const& [number, change] : read.changes) {
         if (!m_catalog.apply(number, change))
             continue;
-        result = follow_result::advanced;
+        if (touches_endpoints(change))
+            result = follow_result::advanced_endpoints;
+        else if (result == follow_result::unchanged)
+            result = follow_result::advanced;
         step.count(counter::changes_applied);
     }
     if (m_catalog.current_revision() >= m_head)
         m_has_revision = true;
-    else if (result == follow_result::advanced)
+    else if (result != follow_result::unchanged)
         read_missing(step);
     return result;
 }
@@ -75,7 +87,7 @@
     } else if (m_catalog.current_revision() > revision()) {
         m_has_revision = true;
     }
-    return loaded.value_or(false) ? follow_result::advanced : follow_result::unchanged;
+    return loaded.value_or(false) ? follow_result::advanced_endpoints : follow_result::unchanged;
 }
 
 void config_follower::read_head_now(step_context& step)
--- a/libraries/router/config_follower.h
+++ b/libraries/router/config_follower.h
@@ -10,7 +10,12 @@
 
 namespace shedhill::router {
 
-enum class follow_result { unchanged, advanced };
+enum class follow_result {
+    unchanged,
+    advanced,
+    // Endpoints were declared, changed or removed, so that pools must be worked out anew.
+    advanced_endpoints,
+};
 
 class config_follower {
 public:
--- a/libraries/router/link_table.cpp
+++ b/libraries/router/link_table.cpp
@@ -8,8 +8,12 @@
 
 namespace shedhill::router {
 
-void link_table::update_vms(std::vector<platform::vm_record> const& vms, step_context& step)
+list_change link_table::update_vms(std::vector<platform::vm_record> const& vms, step_context& step)
 {
+    if (vms == m_listed)
+        return list_change::unchanged;
+    m_listed = vms;
+    m_routers.clear();
     std::set<vm_name> listed;
     for (auto const& vm : vms) {
         if (vm.name == m_settings.vm)
@@ -23,6 +27,8 @@
             known.is_draining = true;
         if (has_moved)
             known.retry_at = step.now();
+        if (vm.role == platform::vm_role::router)
+            m_routers.push_back(vm.name);
     }
     std::erase_if(m_links,
         [&](auto const& entry) { return !listed.contains(entry.first) && entry.second.phase == link_phase::idle; });
@@ -30,16 +36,26 @@
         if (!listed.contains(name))
             known.is_wanted = false;
     }
+    return list_change::changed;
 }
 
 void link_table::connect_due(step_context& step)
 {
-    for (auto& [name, known] : m_links) {
-        if (!known.is_wanted || known.phase != link_phase::idle || step.now() < known.retry_at)
+    std::vector<vm_name> started;
+    for (auto const& name : m_pending) {
+        auto* known = find(name);
+        if (known == nullptr || !known->is_wanted || known->phase != link_phase::idle) {
+            started.push_back(name);
+            continue;
+        }
+        if (step.now() < known->retry_at)
             continue;
-        known.phase = link_phase::connecting;
-        step.emit(open_connection { name, known.vm.address });
+        known->phase = link_phase::connecting;
+        step.emit(open_connection { name, known->vm.address });
+        started.push_back(name);
     }
+    for (auto const& name : started)
+        m_pending.erase(name);
 }
 
 link* link_table::note_up(connection_id connection, vm_name const& vm)
@@ -69,6 +85,7 @@
     broken.free_slots = 0;
     broken.backoff = m_settings.reconnect_least;
     broken.retry_at = now + broken.backoff;
+    note_pending(broken.vm.name, broken);
 }
 
 void link_table::note_connect_failed(vm_name const& vm, instant now)
@@ -79,6 +96,7 @@
     known->phase = link_phase::idle;
     known->backoff = std::clamp(known->backoff * 2, m_settings.reconnect_least, m_settings.reconnect_most);
     known->retry_at = now + known->backoff;
+    note_pending(vm, *known);
 }
 
 link* link_table::find(connection_id connection)
@@ -106,35 +124,54 @@
     return links;
 }
 
-bool link_table::widen(pool_name const& pool)
+bool link_table::widen(pool_name const& pool, instant now)
 {
-    auto const found = m_pool_vms.find(pool);
-    auto& size = m_subset_sizes.try_emplace(pool, m_settings.subset_size).first->second;
-    if (found == m_pool_vms.end() || size >= found->second.size())
+    auto& widened_at = m_widened_at[pool];
+    if (!can_widen(pool) || now - widened_at < m_settings.subset_widen_interval)
         return false;
-    ++size;
-    choose_subsets();
+    widened_at = now;
+    ++m_subset_sizes[pool];
+    choose_subset(pool);
     return true;
 }
 
+bool link_table::can_widen(pool_name const& pool) const
+{
+    auto const vms = m_pool_vms.find(pool);
+    auto const size = m_subset_sizes.find(pool);
+    return vms != m_pool_vms.end() && size != m_subset_sizes.end()
+        && size->second < std::min(vms->second.size(), m_settings.subset_most);
+}
+
 void link_table::set_pools(config::catalog const& catalog)
 {
     m_pool_vms.clear();
-    for (auto const& [name, known] : m_links) {
+    for (auto& [name, known] : m_links) {
+        known.pool.reset();
         if (known.vm.role != platform::vm_role::endpoint)
             continue;
-        if (auto const* declared = catalog.find_endpoint(known.vm.endpoint))
-            m_pool_vms[declared->pool].push_back(name);
+        auto const* declared = catalog.find_endpoint(known.vm.endpoint);
+        if (declared == nullptr)
+            continue;
+        known.pool = declared->pool;
+        known.endpoint_key = stable_hash(declared->name.value());
+        m_pool_vms[declared->pool].push_back(name);
     }
-    choose_subsets();
+    m_subsets.clear();
+    for (auto const& [pool, vms] : m_pool_vms)
+        choose_subset(pool);
 }
 
 std::vector<vm_name> link_table::live_routers() const
 {
     std::vector<vm_name> routers { m_settings.vm };
-    for (auto const& [name, known] : m_links) {
+    for (auto const& name : m_routers) {
+        auto const found = m_links.find(name);
+        if (found == m_links.end())
+            continue;
+        auto const& known = found->second;
         auto const is_failing = known.phase == link_phase::idle && known.backoff > milliseconds(0);
-        if (known.vm.role == platform::vm_role::router && known.vm.state == platform::vm_state::live && !is_failing)
+        if (known.vm.state == platform::vm_state::live && !is_failing)
             routers.push_back(name);
     }
     return routers;
@@ -142,8 +179,11 @@
 
 void link_table::want(vm_name const& vm)
 {
-    if (auto* known = find(vm))
-        known->is_wanted = true;
+    auto* known = find(vm);
+    if (known == nullptr)
+        return;
+    known->is_wanted = true;
+    note_pending(vm, *known);
 }
 
 std::vector<platform::vm_record> link_table::records() const
@@ -155,18 +195,21 @@
     return records;
 }
 
-void link_table::choose_subsets()
+void link_table::choose_subset(pool_name const& pool)
 {
-    m_subsets.clear();
-    for (auto const& [pool, vms] : m_pool_vms) {
-        auto ranked = ranked_endpoints(vms);
-        auto const size = m_subset_sizes.try_emplace(pool, m_settings.subset_size).first->second;
-        if (ranked.size() > size)
-            ranked.resize(size);
-        for (auto const& name : ranked)
-            m_links[name].is_wanted = true;
-        m_subsets[pool] = std::move(ranked);
-    }
+    auto ranked = ranked_endpoints(m_pool_vms.at(pool));
+    auto const size = m_subset_sizes.try_emplace(pool, m_settings.subset_size).first->second;
+    if (ranked.size() > size)
+        ranked.resize(size);
+    for (auto const& name : ranked)
+        want(name);
+    m_subsets[pool] = std::move(ranked);
+}
+
+void link_table::note_pending(vm_name const& vm, link const& known)
+{
+    if (known.is_wanted && known.phase == link_phase::idle)
+        m_pending.insert(vm);
 }
 
 // Takes the best of each failure domain in turn, so that the loss of one leaves the others' share.
--- a/libraries/router/link_table.h
+++ b/libraries/router/link_table.h
@@ -9,12 +9,15 @@
 #include "libraries/router/step_context.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
 
 namespace shedhill::router {
 
+enum class list_change { unchanged, changed };
+
 enum class link_phase { idle, connecting, up };
 
 // What an endpoint has been told of one account.
@@ -33,6 +36,10 @@
     instant retry_at {};
     milliseconds backoff { 0 };
 
+    // Endpoint links only: the pool that the configuration gives the endpoint, and its key in the reach cache.
+    std::optional<pool_name> pool;
+    std::uint64_t endpoint_key { 0 };
+
     // Endpoint links only; all of it advice, since the endpoint's process decides.
     bool is_draining { false };
     // Set by a refusal for a stale revision: no offers until this revision is reached.
@@ -51,7 +58,7 @@
     }
 
     // Takes in the platform's list. VMs that have vanished from it keep a link that is up.
-    void update_vms(std::vector<platform::vm_record> const& vms, step_context& step);
+    list_change update_vms(std::vector<platform::vm_record> const& vms, step_context& step);
 
     // Opens connections that are wanted and due.
     void connect_due(step_context& step);
@@ -65,8 +72,10 @@
 
     // The endpoint links of a pool's subset, in order of rank.
     [[nodiscard]] std::vector<link*> subset(pool_name const& pool);
-    // Adds one more endpoint to the subset of a pool, if there is one.
-    bool widen(pool_name const& pool);
+    // Adds one more endpoint to the subset of a pool, if there is one and the last one was added a while ago.
+    bool widen(pool_name const& pool, instant now);
+    // Whether the subset of a pool may still be widened.
+    [[nodiscard]] bool can_widen(pool_name const& pool) const;
     void set_pools(config::catalog const& catalog);
 
     // Live routers of the platform's list, this one included, less those that cannot be reached.
@@ -77,7 +86,8 @@
     [[nodiscard]] std::map<vm_name, link>& all() { return m_links; }
 
 private:
-    void choose_subsets();
+    void choose_subset(pool_name const& pool);
+    void note_pending(vm_name const& vm, link const& known);
     [[nodiscard]] std::vector<vm_name> ranked_endpoints(std::vector<vm_name> const& candidates) const;
 
     options const& m_settings;
@@ -87,6 +97,12 @@
     std::map<pool_name, std::vector<vm_name>> m_pool_vms;
     std::map<pool_name, std::vector<vm_name>> m_subsets;
     std::map<pool_name, std::size_t> m_subset_sizes;
+    std::map<pool_name, instant> m_widened_at;
+    // The list as it was last taken in, and its routers.
+    std::vector<platform::vm_record> m_listed;
+    std::vector<vm_name> m_routers;
+    // Wanted links that are idle. All others need no look when connections are due.
+    std::set<vm_name> m_pending;
 };
 
 } // namespace shedhill::router
--- a/libraries/router/offer_planner.cpp
+++ b/libraries/router/offer_planner.cpp
@@ -3,6 +3,7 @@
 #include "libraries/router/offer_planner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shedhill::router {
 
@@ -13,6 +14,8 @@
 constexpr std::int64_t cost_memory = 8;
 // A level is sent again once it has moved by this many expected requests.
 constexpr std::int64_t refresh_after_requests = 2;
+// Links that one tick looks at for levels to send again.
+constexpr std::size_t links_looked_at = 2;
 // What a frame with one offer takes besides its entries, and an entry.
 constexpr double bytes_of_offer = 64;
 constexpr double bytes_of_entry = 40;
@@ -31,7 +34,8 @@
     }
     if (queue->spread == 0) {
         queue->spread = m_settings.offer_spread;
-        queue->widened_at = step.now();
+        if (!std::exchange(queue->is_widening, true))
+            m_widen_due.insert({ step.now() + m_settings.widen_interval, account });
     }
     struct candidate {
         link* to;
@@ -64,11 +68,10 @@
 
 void offer_planner::offer_all(link& to, step_context& step)
 {
-    auto const* declared = m_catalog.find_endpoint(to.vm.endpoint);
-    if (declared == nullptr || !is_offerable(to))
+    if (!to.pool || !is_offerable(to))
         return;
     std::vector<account_id> accounts;
-    for (auto const account : m_queues.backlogged(declared->pool)) {
+    for (auto const account : m_queues.backlogged(*to.pool)) {
         auto const offered = to.offered.find(account);
         auto const is_offered = offered != to.offered.end() && offered->second.remaining > 0;
         if (!is_offered && tier_at(*m_queues.find(account), to))
@@ -91,23 +94,34 @@
 
 void offer_planner::tick(step_context& step)
 {
-    for (auto const account : m_queues.all_backlogged()) {
-        auto* queue = m_queues.find(account);
-        if (step.now() - queue->widened_at < m_settings.widen_interval)
-            continue;
-        queue->widened_at = step.now();
-        auto const reachable = m_links.subset(queue->pool).size();
-        if (queue->spread < reachable) {
-            ++queue->spread;
-        } else if (m_links.widen(queue->pool)) {
-            step.count(counter::links_widened);
-            ++queue->spread;
-        }
-        sync(account, step);
+    while (!m_widen_due.empty() && m_widen_due.begin()->first <= step.now()) {
+        auto const account = m_widen_due.begin()->second;
+        m_widen_due.erase(m_widen_due.begin());
+        widen(account, step);
     }
     refresh_moved_levels(step);
 }
 
+void offer_planner::widen(account_id account, step_context& step)
+{
+    auto* queue = m_queues.find(account);
+    queue->is_widening = false;
+    if (queue->waiting.empty())
+        return;
+    auto const reachable = m_links.subset(queue->pool).size();
+    if (queue->spread < reachable) {
+        ++queue->spread;
+    } else if (m_links.widen(queue->pool, step.now())) {
+        step.count(counter::links_widened);
+        ++queue->spread;
+    }
+    sync(account, step);
+    // An account that is offered wherever it can be needs no further look: grants and endpoints' states do the rest.
+    queue->is_widening = queue->spread < reachable || m_links.can_widen(queue->pool);
+    if (queue->is_widening)
+        m_widen_due.insert({ step.now() + m_settings.widen_interval, account });
+}
+
 std::optional<account_id> offer_planner::choose_for_grant(link const& from, account_id granted, instant now) const
 {
     auto const* queue = m_queues.find(granted);
@@ -189,10 +203,9 @@
 
 std::optional<std::uint8_t> offer_planner::tier_at(account_queue const& queue, link const& to) const
 {
-    auto const* endpoint = m_catalog.find_endpoint(to.vm.endpoint);
-    if (endpoint == nullptr || endpoint->pool != queue.pool)
+    if (!to.pool || *to.pool != queue.pool)
         return std::nullopt;
-    return m_reach.tier(queue.team, endpoint->name);
+    return m_reach.tier({ queue.team, queue.team_key }, { to.vm.endpoint, to.endpoint_key });
 }
 
 void offer_planner::send_offer(link& to, std::vector<account_id> const& accounts, step_context& step)
@@ -218,7 +231,8 @@
     m_refreshed_at = step.now();
     m_refresh_budget = std::min(m_refresh_budget + rate * seconds, rate);
     auto& links = m_links.all();
-    for (std::size_t seen = 0; seen < links.size() && m_refresh_budget >= bytes_of_offer; ++seen) {
+    auto const most = std::min(links.size(), links_looked_at);
+    for (std::size_t seen = 0; seen < most && m_refresh_budget >= bytes_of_offer; ++seen) {
         auto next = links.upper_bound(m_refreshed_vm);
         if (next == links.end())
             next = links.begin();
--- a/libraries/router/offer_planner.h
+++ b/libraries/router/offer_planner.h
@@ -8,6 +8,7 @@
 #include "libraries/router/work_queues.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace shedhill::router {
@@ -52,6 +53,7 @@
 private:
     [[nodiscard]] bool is_offerable(link const& to) const;
     [[nodiscard]] std::optional<std::uint8_t> tier_at(account_queue const& queue, link const& to) const;
+    void widen(account_id account, step_context& step);
     void send_offer(link& to, std::vector<account_id> const& accounts, step_context& step);
     // The entry for an account at an endpoint, as of now.
     [[nodiscard]] wire::offer_entry make_entry(account_id account, link const& to, instant now) const;
@@ -67,6 +69,8 @@
     ledger::service_ledger const& m_ledger;
     // A moving average of what the account's requests have cost.
     std::unordered_map<account_id, service_units> m_expected;
+    // When to offer accounts to one endpoint more. An account stands here at most once.
+    std::set<std::pair<instant, account_id>> m_widen_due;
     // Bytes that refreshes may still take, and the link that was refreshed last.
     double m_refresh_budget { 0 };
     instant m_refreshed_at {};
--- a/libraries/router/options.h
+++ b/libraries/router/options.h
@@ -18,6 +18,9 @@
 
     // Endpoints of one pool that this router keeps connections to.
     std::size_t subset_size { 12 };
+    // While work waits the subset grows, by one endpoint at a time, to this size.
+    std::size_t subset_most { 48 };
+    milliseconds subset_widen_interval { 500 };
     // Endpoints that a waiting account is offered to at first.
     std::size_t offer_spread { 3 };
     // How often an account that still waits is offered to one endpoint more.
--- a/libraries/router/reach_cache.cpp
+++ b/libraries/router/reach_cache.cpp
@@ -5,16 +5,18 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace shedhill::router {
 
-std::optional<std::uint8_t> reach_cache::tier(team_name const& team, endpoint_name const& endpoint)
+std::optional<std::uint8_t> reach_cache::tier(subject const& from, target const& to)
 {
     forget_if_changed();
-    auto const key = stable_hash(team.value(), stable_hash(endpoint.value()));
+    // NOTE: The second key is turned, so that two equal names of different kinds do not cancel out.
+    auto const key = from.key ^ std::rotl(to.key, 1);
     if (auto const found = m_tiers.find(key); found != m_tiers.end())
         return found->second;
-    return m_tiers[key] = decide(team, endpoint);
+    return m_tiers[key] = decide(from.team, to.endpoint);
 }
 
 bool reach_cache::can_reach(team_name const& team, pool_name const& pool)
@@ -23,9 +25,11 @@
     auto const key = account_of(team, pool).value();
     if (auto const found = m_reachable.find(key); found != m_reachable.end())
         return found->second;
-    auto const& endpoints = m_endpoints_by_pool[pool];
-    return m_reachable[key]
-        = std::ranges::any_of(endpoints, [&](auto const& endpoint) { return tier(team, endpoint).has_value(); });
+    auto const& endpoints = m_catalog.endpoints_of(pool);
+    subject const from { team, stable_hash(team.value()) };
+    return m_reachable[key] = std::ranges::any_of(endpoints, [&](endpoint_name const& endpoint) {
+        return tier(from, { endpoint, stable_hash(endpoint.value()) }).has_value();
+    });
 }
 
 void reach_cache::forget_if_changed()
@@ -35,11 +39,6 @@
     m_revision = m_catalog.current_revision();
     m_tiers.clear();
     m_reachable.clear();
-    m_endpoints_by_pool.clear();
-    for (auto const& [key, declared] : m_catalog.objects()) {
-        if (auto const* endpoint = std::get_if<config::endpoint>(&declared))
-            m_endpoints_by_pool[endpoint->pool].push_back(endpoint->name);
-    }
 }
 
 std::optional<std::uint8_t> reach_cache::decide(team_name const& team, endpoint_name const& endpoint) const
--- a/libraries/router/reach_cache.h
+++ b/libraries/router/reach_cache.h
@@ -5,10 +5,8 @@
 #include "libraries/config/catalog.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <unordered_map>
-#include <vector>
 
 namespace shedhill::router {
 
@@ -19,8 +17,20 @@
     {
     }
 
+    struct subject {
+        team_name const& team;
+        // stable_hash of the name.
+        std::uint64_t key { 0 };
+    };
+
+    struct target {
+        endpoint_name const& endpoint;
+        // stable_hash of the name.
+        std::uint64_t key { 0 };
+    };
+
     // The team's tier at the endpoint: 0 is served before 1. Nothing if it may not go there.
-    [[nodiscard]] std::optional<std::uint8_t> tier(team_name const& team, endpoint_name const& endpoint);
+    [[nodiscard]] std::optional<std::uint8_t> tier(subject const& from, target const& to);
 
     // Whether any declared endpoint of the pool may serve the team.
     [[nodiscard]] bool can_reach(team_name const& team, pool_name const& pool);
@@ -34,7 +44,6 @@
     revision m_revision {};
     std::unordered_map<std::uint64_t, std::optional<std::uint8_t>> m_tiers;
     std::unordered_map<std::uint64_t, bool> m_reachable;
-    std::map<pool_name, std::vector<endpoint_name>> m_endpoints_by_pool;
 };
 
 } // namespace shedhill::router
--- a/libraries/router/router_reducer.cpp
+++ b/libraries/router/router_reducer.cpp
@@ -95,8 +95,8 @@
     m_has_vms = m_has_vms || std::ranges::any_of(listed.vms, [](platform::vm_record const& vm) {
         return vm.role == platform::vm_role::endpoint;
     });
-    m_links.update_vms(listed.vms, step);
-    m_links.set_pools(catalog());
+    if (m_links.update_vms(listed.vms, step) == list_change::changed)
+        m_links.set_pools(catalog());
     m_links.connect_due(step);
     update_ready(step);
 }
@@ -130,7 +130,7 @@
     for (auto& [name, known] : m_links.all()) {
         if (known.vm.role != platform::vm_role::router)
             continue;
-        known.is_wanted = true;
+        m_links.want(name);
         if (known.phase == link_phase::up)
             step.send(known.connection, wire::snapshot_request { catalog().current_revision() });
     }
@@ -163,7 +163,8 @@
     m_flow.tick(step);
     m_claims.tick(step);
     m_planner.tick(step);
-    m_reporter.tick(m_flow.accounts_in_use(), step);
+    if (m_reporter.is_due(step.now()))
+        m_reporter.report(m_flow.accounts_in_use(), step);
 }
 
 void router_reducer::take_from_endpoint(link& from, wire::message const& message, step_context& step)
@@ -236,9 +237,11 @@
 
 void router_reducer::note_revision(follow_result followed, step_context& step)
 {
-    if (followed == follow_result::advanced) {
+    if (followed == follow_result::advanced_endpoints) {
         m_links.set_pools(catalog());
         m_links.connect_due(step);
+    }
+    if (followed != follow_result::unchanged) {
         auto const number = catalog().current_revision();
         auto const routers = m_links.live_routers();
         auto const writer = std::ranges::max_element(
--- a/libraries/router/service_reporter.cpp
+++ b/libraries/router/service_reporter.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
 
 namespace shedhill::router {
 
@@ -20,20 +21,18 @@
 
 } // namespace
 
-void service_reporter::tick(std::vector<account_id> const& in_use, step_context& step)
+void service_reporter::report(std::vector<account_id> const& in_use, step_context& step)
 {
     auto const elapsed = step.now() - m_reported_at;
-    if (elapsed < m_settings.report_interval)
-        return;
     m_reported_at = step.now();
     auto const rate = static_cast<double>(m_settings.report_bytes_per_second);
     auto const seconds = static_cast<double>(elapsed.count()) / 1000.0;
     // An unspent budget is kept for one second at the most.
     m_budget = std::min(m_budget + rate * seconds, rate);
-    auto const routers = m_links.live_routers();
+    note_routers();
     std::map<vm_name, std::vector<account_id>> by_home;
     for (auto const account : m_ledger.choose_due(in_use, step.now() - m_settings.report_interval, in_use.size())) {
-        auto const home = home_of(account, routers);
+        auto const& home = home_of(account);
         auto const is_own = home == m_settings.vm;
         auto const cost = is_own ? 0 : bytes_of_account + (by_home.contains(home) ? 0 : bytes_of_exchange);
         if (m_budget < cost)
@@ -58,11 +57,24 @@
         m_ledger.read(account, others, now);
 }
 
-vm_name service_reporter::home_of(account_id account, std::vector<vm_name> const& routers) const
+void service_reporter::note_routers()
+{
+    auto routers = m_links.live_routers();
+    if (routers == m_routers)
+        return;
+    m_routers = std::move(routers);
+    m_homes.clear();
+}
+
+vm_name const& service_reporter::home_of(account_id account)
 {
-    return *std::ranges::max_element(routers, {}, [&](vm_name const& router) {
-        return std::pair(rendezvous_weight(account.value(), router.value()), router.value());
-    });
+    auto const [found, is_new] = m_homes.try_emplace(account);
+    if (is_new) {
+        found->second = *std::ranges::max_element(m_routers, {}, [&](vm_name const& router) {
+            return std::pair(rendezvous_weight(account.value(), router.value()), std::string_view(router.value()));
+        });
+    }
+    return found->second;
 }
 
 void service_reporter::report_to(vm_name const& home, std::vector<account_id> const& accounts, step_context& step)
--- a/libraries/router/service_reporter.h
+++ b/libraries/router/service_reporter.h
@@ -22,8 +22,9 @@
     {
     }
 
+    [[nodiscard]] bool is_due(instant now) const { return now - m_reported_at >= m_settings.report_interval; }
     // Reports the accounts that are in use here, as far as the budget goes.
-    void tick(std::vector<account_id> const& in_use, step_context& step);
+    void report(std::vector<account_id> const& in_use, step_context& step);
 
     // Another router's report, at the home of its accounts.
     [[nodiscard]] wire::service_reading accept(
@@ -35,7 +36,8 @@
     [[nodiscard]] ledger::service_home const& home() const { return m_home; }
 
 private:
-    [[nodiscard]] vm_name home_of(account_id account, std::vector<vm_name> const& routers) const;
+    [[nodiscard]] vm_name const& home_of(account_id account);
+    void note_routers();
     void report_to(vm_name const& home, std::vector<account_id> const& accounts, step_context& step);
     wire::service_report make_report(std::vector<account_id> const& accounts, connection_id home_connection);
 
@@ -45,6 +47,9 @@
     ledger::service_home m_home;
     // Over which connection each account was last reported; another one means a home that may know nothing of it.
     std::unordered_map<account_id, connection_id> m_reported_over;
+    // The live routers when homes were last chosen, and the homes chosen among them.
+    std::vector<vm_name> m_routers;
+    std::unordered_map<account_id, vm_name> m_homes;
     std::uint64_t m_sequence { 0 };
     instant m_reported_at {};
     double m_budget { 0 };
--- a/libraries/router/work_queues.cpp
+++ b/libraries/router/work_queues.cpp
@@ -2,6 +2,7 @@
 // Queues and the index of those that are not empty.
 #include "libraries/router/work_queues.h"
 
+#include "base/hash.h"
 #include "base/verify.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
     queue.team = team;
     queue.pool = pool;
     queue.weight = weight;
+    queue.team_key = stable_hash(team.value());
     return queue;
 }
 
--- a/libraries/router/work_queues.h
+++ b/libraries/router/work_queues.h
@@ -6,6 +6,7 @@
 #include "base/units.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
@@ -19,9 +20,12 @@
     pool_name pool;
     std::uint32_t weight { 1 };
     std::deque<request_number> waiting;
-    // When the account's offers were last widened.
-    instant widened_at {};
+    // How many endpoints the account is to be offered to; zero while nothing waits.
     std::size_t spread { 0 };
+    // Whether the account stands among those whose offers are to be widened.
+    bool is_widening { false };
+    // The team's key in the reach cache.
+    std::uint64_t team_key { 0 };
 };
 
 class work_queues {
