tests: Measure real processes, and show that tests fail without their mechanism

Cause: latency, idle cost and shares had been seen on virtual time only. Not a fault of the choice: the weights had no settings. They have now.

--- /dev/null
+++ b/meta/prove.sh
@@ -0,0 +1,72 @@
+#!/usr/bin/env bash
+# Shows that the tests of the promises fail without the mechanism that keeps them: takes one mechanism out of a scratch
+# copy at a time, builds, and runs the test that must then fail. Takes some minutes; not part of CI.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git archive HEAD | tar -x -C "$scratch"
+cmake -S "$scratch" -B "$scratch/build" -G Ninja >/dev/null
+ninja -C "$scratch/build" shedhill-unit-tests >/dev/null
+
+missed=0
+# Arguments: the mechanism, the file, the sed expression that takes it out, the test.
+without() {
+    local mechanism=$1 file=$2 expression=$3 test=$4
+    cp "$scratch/$file" "$scratch/kept"
+    sed -i "$expression" "$scratch/$file"
+    if cmp -s "$scratch/kept" "$scratch/$file"; then
+        echo "STALE    $mechanism: the expression changes nothing in $file"
+        missed=$((missed + 1))
+        return
+    fi
+    ninja -C "$scratch/build" shedhill-unit-tests >/dev/null
+    if timeout 120 "$scratch/build/shedhill-unit-tests" "$test" >/dev/null 2>&1; then
+        echo "MISSED   $mechanism: $test still passes"
+        missed=$((missed + 1))
+    else
+        echo "fails    without $mechanism: $test"
+    fi
+    cp "$scratch/kept" "$scratch/$file"
+}
+
+flow=libraries/router/request_flow.cpp
+endpoint=libraries/endpoint/endpoint_reducer.cpp
+without "the rule that what may not be repeated is not sent again" $flow \
+    's/lost.caller.is_repeatable \&\& //' what_may_not_be_repeated
+without "the check for gaps between chunks" $flow \
+    's/if (received.sequence > receiver->next_sequence)/if (false)/; s/if (received.sequence != ended->next_sequence)/if (false)/' \
+    an_answer_with_a_gap
+without "the outcome 'unknown' for refused repeats" $flow \
+    's/return is_known ? wire::run_outcome::not_run : wire::run_outcome::unknown;/return wire::run_outcome::not_run;/' \
+    a_repeat_that_is_refused
+without "the same rule, under the fuzzer" $flow \
+    's/return is_known ? wire::run_outcome::not_run : wire::run_outcome::unknown;/return wire::run_outcome::not_run;/' \
+    promises_hold
+without "the retry budget" $flow 's/if (!may_repeat || !m_retries.spend())/if (!may_repeat)/' retries_are_bounded
+without "the stall limit" $flow 's/open.phase == request_phase::running \&\& step.now() - open.last_progress > limit/false/' \
+    a_frozen_endpoint
+without "the claim of a key" $flow 's/case platform::claim_verdict::won: enqueue/case platform::claim_verdict::taken: enqueue/; s/case platform::claim_verdict::taken:$/case platform::claim_verdict::won:/' \
+    a_repeat_of_the_key
+without "the return of claims that were not run" libraries/router/claim_batcher.cpp \
+    's/m_releases.push_back(std::move(held));//' a_key_whose_request
+without "the memory of accepted attempts" $endpoint 's/if (m_routers.at(from).accepted.contains/if (false \&\& m_routers.at(from).accepted.contains/' \
+    a_doubled_run
+without "the refusal of offers while draining" $endpoint \
+    's/why = wire::reason::endpoint_draining;/why = wire::reason::none;/' a_draining_endpoint
+without "the wait for grants that are out" $endpoint 's/ || !m_grants.empty())/)/' a_drain_waits
+without "the refusal of stale revisions" libraries/endpoint/revision_window.h \
+    's/return std::ranges::any_of(m_seen, is_due);/return false \&\& std::ranges::any_of(m_seen, is_due);/' a_router_far_behind
+without "the reports of service" libraries/router/router_reducer.cpp 's/if (m_reporter.is_due(step.now()))/if (false)/' \
+    the_gap_is_near
+without "the lift of accounts back from idle" libraries/ledger/service_home.cpp 's/is_returning \&\& present < least/false/' \
+    an_account_back_from_idle
+without "the growth of subsets" libraries/router/link_table.cpp 's/    ++m_subset_sizes\[pool\];//' no_slot_is_idle
+without "the consent of both partners" libraries/config/catalog.cpp 's/if (!verdict.is_own \&\& share == nullptr)/if (false)/' \
+    sharing_needs_both
+without "the order of snapshots" libraries/config/catalog.cpp 's/if (offered <= m_revision.value())/if (false)/' an_older_snapshot
+without "the peers' snapshots" libraries/router/router_reducer.cpp 's/request->newer_than < catalog().current_revision()/false/' \
+    a_restart_with_the_platform_down
+without "the rebuild of homes" libraries/ledger/service_home.cpp 's/account.is_rebuilding ? std::max(known, account.largest_seen) : known/known/' \
+    a_new_home_is_rebuilt
+[ "$missed" -eq 0 ] && echo "every test fails without its mechanism"
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -42,6 +42,9 @@
     table.add_number("slots", 6, 1, 1024, "Endpoint: requests that the engine takes at once.");
     table.add_choice("choice", { "corrected-draw", "least-level", "own-counters" },
         "Endpoint: how the next team is chosen; all but the first are for measurement.");
+    table.add_number("prompt-weight", 250, 0, 1000000, "Endpoint: service of a prompt token, in thousandths.");
+    table.add_number("cached-weight", 25, 0, 1000000, "Endpoint: service of a prompt token served from cache.");
+    table.add_number("generated-weight", 1000, 1, 1000000, "Endpoint: service of a generated token.");
     table.add_number("draw-size", 4, 1, 64, "Endpoint: teams drawn for one grant.");
     table.add_flag("check-settings", "Checks the settings and ends.");
     table.add_flag("help", "Prints this text.");
@@ -143,6 +146,8 @@
     made.options.epoch = made.identity.epoch;
     made.options.slots = static_cast<std::uint32_t>(values.number("slots"));
     made.options.policy = policy_of(values.text("choice"));
+    made.options.weights = { values.number("prompt-weight"), values.number("cached-weight"),
+        values.number("generated-weight") };
     made.options.draw_size = static_cast<std::size_t>(values.number("draw-size"));
     made.frame_address = values.text("frames");
     made.admin_address = values.text("admin");
--- a/tests/benchmarks/reducer_bench.cpp
+++ b/tests/benchmarks/reducer_bench.cpp
@@ -92,8 +92,8 @@
         }
         for (auto const& effect : post(std::move(listed))) {
             if (auto const* open = std::get_if<router::open_connection>(&effect))
-                post(router::connection_up { connection_id(++m_links), open->vm, wire::process_role::endpoint, {},
-                    revision(1), false });
+                post(router::connection_up {
+                    connection_id(++m_links), open->vm, wire::process_role::endpoint, {}, revision(1), false });
         }
         for (std::size_t index = 0; index < size.backlogged; ++index)
             ask(index);
@@ -194,8 +194,8 @@
     auto const standing = measure_ticks(router);
     std::cout << std::setw(8) << size.teams << std::setw(10) << size.endpoints << std::setw(7) << size.pools
               << std::setw(11) << size.backlogged << std::setw(7) << router.links() << std::setw(12) << arrival
-              << std::setw(12) << service << std::setw(12) << widening << std::setw(12)
-              << standing << std::setw(10) << weight << '\n';
+              << std::setw(12) << service << std::setw(12) << widening << std::setw(12) << standing << std::setw(10)
+              << weight << '\n';
 }
 
 void measure_endpoint(std::size_t accounts, std::size_t routers)
@@ -240,10 +240,12 @@
 
 int main()
 {
-    std::cout << std::fixed << std::setprecision(1)
-              << "router: microseconds for an arrival, for a grant with its chunk and end, for a tick while offers widen, and for\n"
-                 "a tick when they stand; state in MiB\n"
-              << "   teams endpoints  pools backlogged  links     arrival     service    widening    standing       MiB\n";
+    std::cout
+        << std::fixed << std::setprecision(1)
+        << "router: microseconds for an arrival, for a grant with its chunk and end, for a tick while offers widen, "
+           "and for\n"
+           "a tick when they stand; state in MiB\n"
+        << "   teams endpoints  pools backlogged  links     arrival     service    widening    standing       MiB\n";
     for (std::size_t const backlogged : { 25, 100, 400, 1600 })
         measure_router({ 16000, 400, 1, backlogged, 4 });
     for (std::size_t const teams : { 1000, 4000, 16000 })
@@ -253,7 +255,8 @@
     for (std::size_t const policies : { 4, 40, 400 })
         measure_router({ 16000, 400, 1, 100, policies });
     measure_router({ 16000, 12000, 30, 1600, 40 });
-    std::cout << "endpoint: microseconds for giving a slot back and granting it anew\n accounts  routers      decision\n";
+    std::cout
+        << "endpoint: microseconds for giving a slot back and granting it anew\n accounts  routers      decision\n";
     for (std::size_t const accounts : { 10, 100, 400, 1600 })
         measure_endpoint(accounts, 4);
     for (std::size_t const routers : { 4, 12, 40 })
--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -61,8 +61,10 @@
     auto const ended = call.run(
         router, request, call_limit, [&](std::uint16_t status, std::string const&) { answer.status = status; },
         [&](std::string_view data) {
-            if (pending.empty() && answer.tokens == 0)
+            if (pending.empty() && answer.tokens == 0) {
                 answer.first_token = elapsed();
+                answer.first_token_exact = std::chrono::steady_clock::now() - started;
+            }
             pending += data;
             for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
                 take_event(pending.substr(0, end), answer, has_done);
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -19,6 +19,7 @@
     bool is_whole { false };
     bool has_error_event { false };
     std::chrono::milliseconds first_token { 0 };
+    std::chrono::steady_clock::duration first_token_exact { 0 };
     std::chrono::milliseconds total { 0 };
 };
 
