--- a/libraries/net/frame_connection.cpp
+++ b/libraries/net/frame_connection.cpp
@@ -2,6 +2,7 @@
 // Framed connections, the handshake and the listener.
 #include "libraries/net/frame_connection.h"
 
+#include "libraries/net/address.h"
 #include "libraries/net/await.h"
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/net/fibers.h"
@@ -10,7 +11,6 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
 #include <optional>
 
 namespace shedhill::net {
@@ -194,21 +194,6 @@
     });
 }
 
-result<tcp::endpoint> parse_address(std::string const& address)
-{
-    auto const colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return fail("parse address", address, "must be address:port");
-    boost::system::error_code failure;
-    auto const host = asio::ip::make_address(address.substr(0, colon), failure);
-    std::uint16_t port = 0;
-    auto const* end = address.data() + address.size();
-    auto const [stop, problem] = std::from_chars(address.data() + colon + 1, end, port);
-    if (failure || problem != std::errc() || stop != end)
-        return fail("parse address", address, "must be an IP number and a port");
-    return tcp::endpoint(host, port);
-}
-
 result<std::shared_ptr<frame_connection>> connect_frames(std::string const& address, std::chrono::milliseconds limit)
 {
     auto const target = TRY(parse_address(address));
@@ -235,17 +220,7 @@
 
 result<std::unique_ptr<frame_listener>> frame_listener::open(std::string const& address, accepted on_accept)
 {
-    auto const target = TRY(parse_address(address));
-    tcp::acceptor acceptor(process_io());
-    boost::system::error_code failure;
-    acceptor.open(target.protocol(), failure);
-    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-    acceptor.bind(target, failure);
-    if (failure)
-        return fail("listen", address, failure.message());
-    acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        return fail("listen", address, failure.message());
+    auto acceptor = TRY(open_acceptor(address));
     std::unique_ptr<frame_listener> listener(new frame_listener(std::move(acceptor), std::move(on_accept)));
     listener->accept_next();
     return listener;
--- a/libraries/net/frame_connection.h
+++ b/libraries/net/frame_connection.h
@@ -93,6 +93,4 @@
     accepted m_on_accept;
 };
 
-result<boost::asio::ip::tcp::endpoint> parse_address(std::string const& address);
-
 } // namespace shedhill::net
--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // HTTP calls. Each has a connection of its own, so that "nothing was sent" can be told from "something may have been".
+#include "libraries/net/address.h"
 #include "libraries/net/await.h"
 #include "libraries/net/fiber_scheduler.h"
-#include "libraries/net/frame_connection.h"
 #include "libraries/net/http.h"
 
 #include <array>
--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // The HTTP server: a fiber for each connection.
+#include "libraries/net/address.h"
 #include "libraries/net/await.h"
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/net/fibers.h"
-#include "libraries/net/frame_connection.h"
 #include "libraries/net/http.h"
 
 #include <algorithm>
@@ -258,16 +258,7 @@
 result<std::unique_ptr<http_server>> http_server::open(
     std::string const& address, http_limits const& limits, handler handle)
 {
-    auto const target = TRY(parse_address(address));
-    tcp::acceptor acceptor(process_io());
-    boost::system::error_code failure;
-    acceptor.open(target.protocol(), failure);
-    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-    acceptor.bind(target, failure);
-    if (!failure)
-        acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        return fail("listen", address, failure.message());
+    auto acceptor = TRY(open_acceptor(address));
     return std::make_unique<listening_server>(std::move(acceptor), limits, std::move(handle));
 }
 
--- a/libraries/router/request_flow.cpp
+++ b/libraries/router/request_flow.cpp
@@ -4,6 +4,8 @@
 
 #include "base/hash.h"
 #include "base/verify.h"
+#include "libraries/router/admission.h"
+#include "libraries/router/refusals.h"
 
 #include <algorithm>
 
@@ -11,47 +13,6 @@
 
 namespace {
 
-constexpr std::uint16_t status_bad_request = 400;
-constexpr std::uint16_t status_unauthorized = 401;
-constexpr std::uint16_t status_forbidden = 403;
-constexpr std::uint16_t status_conflict = 409;
-constexpr std::uint16_t status_too_large = 413;
-constexpr std::uint16_t status_too_many = 429;
-constexpr std::uint16_t status_bad_gateway = 502;
-constexpr std::uint16_t status_unavailable = 503;
-constexpr std::uint16_t status_gateway_timeout = 504;
-
-std::uint16_t status_of(wire::reason why)
-{
-    switch (why) {
-    case wire::reason::unknown_key:
-        return status_unauthorized;
-    case wire::reason::bad_request:
-    case wire::reason::missing_idempotency_key:
-        return status_bad_request;
-    case wire::reason::body_too_large:
-        return status_too_large;
-    case wire::reason::no_allowed_endpoint:
-        return status_forbidden;
-    case wire::reason::team_queue_full:
-        return status_too_many;
-    case wire::reason::claim_taken:
-        return status_conflict;
-    case wire::reason::deadline_in_queue:
-    case wire::reason::deadline_while_running:
-        return status_gateway_timeout;
-    case wire::reason::router_queue_full:
-    case wire::reason::router_not_ready:
-    case wire::reason::router_draining:
-    case wire::reason::claim_unavailable:
-    case wire::reason::retry_budget_spent:
-    case wire::reason::attempts_spent:
-        return status_unavailable;
-    default:
-        return status_bad_gateway;
-    }
-}
-
 // Refusals that say nothing against the engine: the next endpoint may take the request at once.
 bool is_free_to_retry(wire::reason why)
 {
@@ -59,27 +20,16 @@
         || why == wire::reason::unknown_grant;
 }
 
-// A refusal before the claim is won says nothing of earlier requests with the same key, which may have run.
-wire::run_outcome refused_outcome(caller_request const& refused, wire::reason why)
-{
-    auto const is_known
-        = refused.is_repeatable || why == wire::reason::missing_idempotency_key || why == wire::reason::unknown_key;
-    return is_known ? wire::run_outcome::not_run : wire::run_outcome::unknown;
-}
-
-std::string refusal_body(wire::run_outcome outcome, wire::reason why)
-{
-    return R"({"error":{"type":")" + std::string(name_of(why)) + R"(","outcome":")" + std::string(name_of(outcome))
-        + "\"}}\n";
-}
-
 } // namespace
 
 void request_flow::arrive(caller_request const& arrived, bool is_ready, step_context& step)
 {
     step.count(counter::requests);
     auto const* team = m_parts.catalog.find_team_by_key_hash(arrived.key_hash);
-    if (auto const why = check_arrival(arrived, team, is_ready); why != wire::reason::none) {
+    auto const why = m_is_draining ? wire::reason::router_draining
+        : !is_ready                ? wire::reason::router_not_ready
+                                   : check_admission(arrived, team, m_parts.reach, m_parts.queues, m_parts.settings);
+    if (why != wire::reason::none) {
         refuse_arrival(arrived, why, step);
         return;
     }
@@ -303,9 +253,7 @@
 void request_flow::refuse_arrival(caller_request const& arrived, wire::reason why, step_context& step)
 {
     step.emit(count_refusal { why });
-    auto const outcome = refused_outcome(arrived, why);
-    answer_whole answer { arrived.request, status_of(why), "application/json", refusal_body(outcome, why), outcome, why,
-        std::nullopt };
+    auto answer = make_refusal(arrived.request, refused_outcome(arrived, why), why);
     if (is_overload(why)) {
         auto const* team = m_parts.catalog.find_team_by_key_hash(arrived.key_hash);
         answer.retry_after
@@ -314,31 +262,6 @@
     step.emit(std::move(answer));
 }
 
-wire::reason request_flow::check_arrival(caller_request const& arrived, config::team const* team, bool is_ready) const
-{
-    if (m_is_draining)
-        return wire::reason::router_draining;
-    if (!is_ready)
-        return wire::reason::router_not_ready;
-    if (team == nullptr)
-        return wire::reason::unknown_key;
-    if (!arrived.is_repeatable && arrived.idempotency_key.empty())
-        return wire::reason::missing_idempotency_key;
-    if (!m_parts.reach.can_reach(team->name, arrived.pool))
-        return wire::reason::no_allowed_endpoint;
-    if (m_parts.queues.waiting_of(account_of(team->name, arrived.pool)) >= team->queue_bound)
-        return wire::reason::team_queue_full;
-    if (m_parts.queues.total() >= m_parts.settings.queue_bound)
-        return wire::reason::router_queue_full;
-    return wire::reason::none;
-}
-
-bool request_flow::is_overload(wire::reason why)
-{
-    auto const status = status_of(why);
-    return status == status_too_many || status == status_unavailable || status == status_gateway_timeout;
-}
-
 std::chrono::seconds request_flow::come_back_after(account_id account) const
 {
     constexpr std::chrono::seconds least { 1 };
@@ -506,8 +429,7 @@
     if (ended.has_answer_begun) {
         step.emit(answer_end { number, outcome, why });
     } else {
-        answer_whole answer { number, status_of(why), "application/json", refusal_body(outcome, why), outcome, why,
-            std::nullopt };
+        auto answer = make_refusal(number, outcome, why);
         if (is_overload(why))
             answer.retry_after = come_back_after(ended.account);
         step.emit(std::move(answer));
--- a/libraries/router/request_flow.h
+++ b/libraries/router/request_flow.h
@@ -57,9 +57,6 @@
 private:
     request* find_attempt(link const& from, request_number number, attempt_number attempt);
     void refuse_arrival(caller_request const& arrived, wire::reason why, step_context& step);
-    [[nodiscard]] wire::reason check_arrival(
-        caller_request const& arrived, config::team const* team, bool is_ready) const;
-    [[nodiscard]] static bool is_overload(wire::reason why);
     [[nodiscard]] std::chrono::seconds come_back_after(account_id account) const;
 
     void enqueue(request& queued, step_context& step);
--- a/meta/prove.sh
+++ b/meta/prove.sh
@@ -33,16 +33,17 @@
 }
 
 flow=libraries/router/request_flow.cpp
+refusals=libraries/router/refusals.cpp
 endpoint=libraries/endpoint/endpoint_reducer.cpp
 without "the rule that what may not be repeated is not sent again" $flow \
     's/lost.caller.is_repeatable \&\& //' what_may_not_be_repeated
 without "the check for gaps between chunks" $flow \
     's/if (received.sequence > receiver->next_sequence)/if (false)/; s/if (received.sequence != ended->next_sequence)/if (false)/' \
     an_answer_with_a_gap
-without "the outcome 'unknown' for refused repeats" $flow \
+without "the outcome 'unknown' for refused repeats" $refusals \
     's/return is_known ? wire::run_outcome::not_run : wire::run_outcome::unknown;/return wire::run_outcome::not_run;/' \
     a_repeat_that_is_refused
-without "the same rule, under the fuzzer" $flow \
+without "the same rule, under the fuzzer" $refusals \
     's/return is_known ? wire::run_outcome::not_run : wire::run_outcome::unknown;/return wire::run_outcome::not_run;/' \
     promises_hold
 without "the retry budget" $flow 's/if (!may_repeat || !m_retries.spend())/if (!may_repeat)/' retries_are_bounded
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // The daemon: reads its settings, becomes a router or an endpoint's process, and runs until it is stopped.
 #include "libraries/logging/log.h"
+#include "libraries/net/address.h"
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/settings/setting_table.h"
 #include "services/shedhilld/endpoint_daemon.h"
