router: Let an order run to its end when its caller leaves

Cause: a caller that left had its call cancelled, an order's too, while an endpoint that loses its router lets orders end. Half an order helps no one, and its key is spent in either case; the repeat is told 'unknown' as before. New test, which fails with the cancel.

--- a/libraries/router/request_flow.cpp
+++ b/libraries/router/request_flow.cpp
@@ -64,7 +64,9 @@
     auto& gone = found->second;
     step.emit(count_refusal { wire::reason::caller_gone });
     if (gone.phase == request_phase::running) {
-        cancel_attempt(gone, step);
+        // What may not be repeated runs to its end: half an order helps no one, and its key is spent.
+        if (gone.caller.is_repeatable)
+            cancel_attempt(gone, step);
         gone.may_have_run = true;
     }
     // While the claim is on its way the answer to it decides whether there is anything to give back.
--- a/tests/joined/outcomes_test.cpp
+++ b/tests/joined/outcomes_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(a_deadline_in_the_queue_is_answered_at_once_as_not_run);
     CPPUNIT_TEST(a_full_queue_refuses_at_once_and_says_when_to_come_back);
     CPPUNIT_TEST(a_caller_that_leaves_frees_its_slot);
+    CPPUNIT_TEST(an_order_whose_caller_leaves_runs_to_its_end);
     CPPUNIT_TEST(a_draining_router_refuses_what_waits_and_ends_what_runs);
     CPPUNIT_TEST(unknown_keys_and_missing_idempotency_keys_are_refused);
     CPPUNIT_TEST_SUITE_END();
@@ -386,6 +387,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.busy_slots());
     }
 
+    void an_order_whose_caller_leaves_runs_to_its_end()
+    {
+        ready_fleet fleet;
+        auto const number = fleet.submit(plan("clutch", "order-1"));
+        fleet.advance(milliseconds(60));
+        CPPUNIT_ASSERT_EQUAL(1, runs_of(fleet, "clutch"));
+        fleet.leave(0, number);
+        fleet.advance(milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, fleet.counts().at("runs_whole"));
+        CPPUNIT_ASSERT(!fleet.counts().contains("runs_cancelled"));
+        auto const again = fleet.submit(plan("clutch", "order-1", 1));
+        fleet.advance(milliseconds(5000));
+        assert_refused(fleet.caller(1, again), wire::run_outcome::unknown, wire::reason::claim_taken);
+    }
+
     void a_draining_router_refuses_what_waits_and_ends_what_runs()
     {
         ready_fleet fleet;
