shedhilld, tests: Let go of a caller that does not read

Cause: what waits for a caller was to be bounded by 4 MiB, but the bound was looked at only between writes: a write to a caller that reads nothing lasts up to 30 s, and the queue grew all that time. The caller is given up as the bound is passed, its call is cancelled, and nothing more is kept for it. New test: a caller that never reads an endless answer; its engine is free again. Ruled out: a shorter limit for writes, which would cut off slow but honest callers.

--- a/services/shedhilld/router_daemon.cpp
+++ b/services/shedhilld/router_daemon.cpp
@@ -280,6 +280,8 @@
     if (found == m_callers.end())
         return;
     auto& waiting = *found->second;
+    if (waiting.has_gone)
+        return;
     if (std::holds_alternative<router::answer_start>(answer))
         m_host.metrics().observe(
             "shedhill_first_chunk_ms", static_cast<double>((m_host.now() - waiting.arrived_at).count()));
@@ -290,8 +292,14 @@
         waiting.last_chunk_at = m_host.now();
     }
     waiting.queued_bytes += bytes;
-    waiting.has_gone = waiting.has_gone || waiting.queued_bytes > most_queued_bytes + bytes;
     waiting.answers.push_back(std::move(answer));
+    if (waiting.queued_bytes > most_queued_bytes + bytes) {
+        // The caller's fiber may be in a write that does not end for long: nothing more is kept for it meanwhile.
+        waiting.has_gone = true;
+        waiting.answers.clear();
+        m_host.metrics().add("shedhill_slow_callers_total");
+        net::start_fiber([this, number] { post(router::caller_gone { number }); });
+    }
     waiting.changed.set();
 }
 
--- a/tests/processes/fleet_test.cpp
+++ b/tests/processes/fleet_test.cpp
@@ -4,6 +4,9 @@
 #include "tests/harness/fleet.h"
 #include "tests/harness/parallel.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace shedhill::harness {
@@ -20,6 +23,8 @@
     CPPUNIT_TEST(a_platform_that_is_down_stops_orders_only);
     CPPUNIT_TEST(a_restarted_router_serves_with_the_platform_down);
     CPPUNIT_TEST(a_vanished_caller_frees_the_engine);
+    CPPUNIT_TEST(a_caller_that_does_not_read_is_let_go);
+    CPPUNIT_TEST(a_slow_first_token_is_tried_elsewhere_and_answered_once);
     CPPUNIT_TEST_SUITE_END();
 
     static fleet start(fleet_shape const& shape)
@@ -47,7 +52,7 @@
     {
         std::uint64_t busy = 0;
         for (auto const& engine : running.engines())
-            busy += get_json(engine.address("http"), "/load").value().at("running").to_number<std::uint64_t>();
+            busy += get_json(engine.address("http"), "/now").value().at("running").to_number<std::uint64_t>();
         return busy;
     }
 
@@ -246,6 +251,56 @@
         CPPUNIT_ASSERT(ask(running.http(1), key(0), "cook", "stew", 5).is_whole);
     }
 
+    void a_slow_first_token_is_tried_elsewhere_and_answered_once()
+    {
+        auto shape = small_shape();
+        shape.router_settings = { "--first-chunk-limit-ms=500" };
+        auto running = start(shape);
+        // Two of three engines take far too long before they begin.
+        for (std::size_t slow = 0; slow < 2; ++slow) {
+            CPPUNIT_ASSERT(post_json(
+                running.engines().at(slow).address("http"), "/control", { { "mode", "ok" }, { "delay_ms", 5000 } }));
+        }
+        int ended = 0;
+        int whole = 0;
+        fiber_group callers;
+        for (std::size_t index = 0; index < 8; ++index) {
+            callers.start([&, index] {
+                auto const text = "q" + std::to_string(index);
+                auto const answer = ask(running.http(0), key(index % 4), "cook", text, 5);
+                auto const is_own = answer.is_whole && answer.text == expected_text(text, 5);
+                whole += is_own ? 1 : 0;
+                ended += is_own || answer.status >= 500 ? 1 : 0;
+            });
+        }
+        callers.join();
+        CPPUNIT_ASSERT_EQUAL(8, ended);
+        CPPUNIT_ASSERT(whole > 0);
+    }
+
+    // The answer is larger than what sockets and the router keep for a caller, and has no end in the test's time.
+    void a_caller_that_does_not_read_is_let_go()
+    {
+        auto shape = small_shape();
+        shape.token_interval_ms = 0;
+        auto running = start(shape);
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::socket silent(io);
+        auto const address = running.http(0);
+        silent.connect({ boost::asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))) });
+        std::string const body = R"({"model":"cook","stream":true,"max_tokens":100000000,"messages":[{"content":")"
+            + std::string(2000, 'x') + R"("}]})";
+        std::string const request = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer " + key(0)
+            + "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        boost::asio::write(silent, boost::asio::buffer(request));
+        CPPUNIT_ASSERT(wait_until([&] {
+            auto const counters = running.metrics(running.routers().front()).value();
+            return counters.contains("shedhill_slow_callers_total");
+        }));
+        CPPUNIT_ASSERT(wait_until([&] { return running_at_engines(running) == 0; }));
+    }
+
     void a_vanished_caller_frees_the_engine()
     {
         auto shape = small_shape();
--- a/tests/stand_ins/engine.cpp
+++ b/tests/stand_ins/engine.cpp
@@ -30,7 +30,7 @@
     else if (target == "/control")
         control(exchange);
     else
-        (void)exchange.respond(json_response(load()));
+        (void)exchange.respond(json_response(target == "/load" ? lagging_load() : boost::json::serialize(load())));
 }
 
 void engine::serve_chat(net::http_exchange& exchange)
@@ -70,6 +70,7 @@
 
 void engine::stream(net::http_exchange& exchange, std::string const& text, std::int64_t tokens)
 {
+    boost::this_fiber::sleep_for(m_delay);
     if (!exchange.start_stream(200, "text/event-stream", {}))
         return;
     for (std::int64_t index = 0; index < tokens; ++index) {
@@ -99,13 +100,26 @@
     m_mode = std::string(body.at("mode").as_string());
     auto const* after = body.as_object().if_contains("after");
     m_fault_after = after == nullptr ? 0 : after->to_number<std::int64_t>();
+    auto const* delay = body.as_object().if_contains("delay_ms");
+    m_delay = std::chrono::milliseconds(delay == nullptr ? 0 : delay->to_number<std::int64_t>());
     (void)exchange.respond(json_response("{}"));
 }
 
-std::string engine::load() const
+boost::json::object engine::load() const
 {
-    return boost::json::serialize(boost::json::object { { "running", m_running }, { "most_running", m_most_running },
-        { "started", m_started }, { "whole", m_whole }, { "tokens", m_tokens } });
+    return { { "running", m_running }, { "most_running", m_most_running }, { "started", m_started },
+        { "whole", m_whole }, { "tokens", m_tokens } };
+}
+
+std::string engine::lagging_load()
+{
+    constexpr std::chrono::milliseconds lag { 500 };
+    auto const now = std::chrono::steady_clock::now();
+    if (now - m_reported_at >= lag) {
+        m_reported_load = boost::json::serialize(load());
+        m_reported_at = now;
+    }
+    return m_reported_load;
 }
 
 } // namespace shedhill::stand_ins
--- a/tests/stand_ins/engine.h
+++ b/tests/stand_ins/engine.h
@@ -20,14 +20,17 @@
     {
     }
 
-    // POST /v1/chat/completions, POST /control {"mode": "ok" | "stall" | "cut" | "twice", "after": N}, GET /load.
+    // POST /v1/chat/completions, POST /control {"mode": "ok" | "stall" | "cut" | "twice", "after": N,
+    // "delay_ms": N}, GET /now, and GET /load, which tells how
+    // things stood up to half a second ago.
     void serve(net::http_exchange& exchange);
 
 private:
     void serve_chat(net::http_exchange& exchange);
     void stream(net::http_exchange& exchange, std::string const& text, std::int64_t tokens);
     void control(net::http_exchange& exchange);
-    [[nodiscard]] std::string load() const;
+    [[nodiscard]] boost::json::object load() const;
+    std::string lagging_load();
 
     std::size_t m_slots;
     std::chrono::milliseconds m_token_interval;
@@ -38,6 +41,10 @@
     std::uint64_t m_tokens { 0 };
     std::string m_mode { "ok" };
     std::int64_t m_fault_after { 0 };
+    // Before the first token.
+    std::chrono::milliseconds m_delay { 0 };
+    std::string m_reported_load;
+    std::chrono::steady_clock::time_point m_reported_at {};
     boost::fibers::mutex m_mutex;
     boost::fibers::condition_variable m_slot_freed;
 };
--- a/utilities/benchmarks/fleet_bench.cpp
+++ b/utilities/benchmarks/fleet_bench.cpp
@@ -213,7 +213,7 @@
         m_gaps.push_back(most - least);
         std::uint64_t running = 0;
         for (auto const& engine : m_fleet->engines())
-            running += get_json(engine.address("http"), "/load").value().at("running").to_number<std::uint64_t>();
+            running += get_json(engine.address("http"), "/now").value().at("running").to_number<std::uint64_t>();
         m_used.push_back(static_cast<double>(running) / static_cast<double>(m_slots));
     }
 
