--- a/libraries/operations/config_session.cpp
+++ b/libraries/operations/config_session.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int most_tries = 8;
-constexpr char const* snapshot_object = "config-snapshot";
 
 std::string json_of(config::object const& declared) { return boost::json::serialize(config::to_json(declared)); }
 
@@ -54,7 +53,7 @@
     config::catalog loaded;
     auto const head = TRY(platform.read_head());
     // A missing or old snapshot costs reads, nothing else.
-    if (auto const snapshot = platform.get_object(snapshot_object); snapshot && !snapshot->empty())
+    if (auto const snapshot = platform.get_object(platform::snapshot_object); snapshot && !snapshot->empty())
         TRY(loaded.load_snapshot(*snapshot));
     while (loaded.current_revision() < head) {
         auto const before = loaded.current_revision();
--- a/libraries/platform/records.h
+++ b/libraries/platform/records.h
@@ -14,6 +14,10 @@
 using wire::vm_state;
 using vm_role = wire::process_role;
 
+// The object that holds the latest snapshot of the configuration. Routers write it; routers and operators' tools read
+// it.
+constexpr char const* snapshot_object = "config-snapshot";
+
 struct numbered_change {
     shedhill::revision revision {};
     config::change change;
--- a/services/shedhilld/router_daemon.cpp
+++ b/services/shedhilld/router_daemon.cpp
@@ -15,7 +15,6 @@
 constexpr std::chrono::milliseconds connect_limit { 2000 };
 // What may wait for a caller that reads slowly.
 constexpr std::size_t most_queued_bytes = std::size_t { 4 } << 20;
-constexpr char const* snapshot_object = "config-snapshot";
 
 std::vector<net::http_header> outcome_headers(wire::run_outcome outcome, wire::reason why)
 {
@@ -165,7 +164,7 @@
 {
     net::start_fiber([this] {
         // Without a snapshot the changes are read from the first one on.
-        auto snapshot = m_platform.get_object(snapshot_object);
+        auto snapshot = m_platform.get_object(platform::snapshot_object);
         post(router::snapshot_read { snapshot.value_or(std::string()) });
     });
 }
@@ -173,7 +172,7 @@
 void router_daemon::run(router::write_snapshot& effect)
 {
     net::start_fiber([this, text = std::move(effect.snapshot)] {
-        if (!m_platform.put_object(snapshot_object, text))
+        if (!m_platform.put_object(platform::snapshot_object, text))
             m_host.metrics().add("shedhill_platform_failures_total{step=\"write_snapshot\"}");
     });
 }
