--- /dev/null
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// From a request's arrival to its being sent: route, team, queue, the choice of an endpoint, and the early refusal.
+#include "libraries/dispatch/dispatch_reducer.h"
+#include "libraries/dispatch/log_fields.h"
+
+#include <algorithm>
+
+namespace shedhill::dispatch {
+
+namespace {
+
+// A request waits at a router for this part of its objective at most; then it is refused, so that it can come back.
+constexpr double waiting_part_of_objective = 0.23;
+constexpr milliseconds longest_wait { 110 };
+// While fewer places than this are taken a request is sent rather than refused.
+constexpr double sending_occupancy = 0.55;
+constexpr milliseconds least_silence { 1000 };
+constexpr std::int64_t silence_objectives = 4;
+constexpr std::int64_t silence_pauses = 6;
+constexpr milliseconds least_return { 700 };
+constexpr std::uint64_t return_spread_ms = 900;
+constexpr std::uint16_t status_unauthorized = 401;
+constexpr std::uint16_t status_not_found = 404;
+constexpr std::uint16_t status_too_many_requests = 429;
+constexpr std::uint16_t status_unavailable = 503;
+
+} // namespace
+
+void dispatch_reducer::handle(request_arrived const& arrived, step_context& step)
+{
+    step.effects.emplace_back(count_event { counted::requests, {} });
+    if (!m_routes.has_configuration())
+        return refuse_unknown(arrived, status_unavailable, refusal_reason::no_configuration, step);
+    auto const* route = m_routes.find_route(arrived.host, arrived.path);
+    if (route == nullptr)
+        return refuse_unknown(arrived, status_not_found, refusal_reason::no_route, step);
+    team_settings const* team = nullptr;
+    if (!route->is_public && m_routes.current().has_teams) {
+        team = m_routes.find_team(arrived.key);
+        if (team == nullptr)
+            return refuse_unknown(arrived, status_unauthorized, refusal_reason::unknown_key, step);
+    }
+    auto const* pool = route_table::choose_pool(*route, step.draw);
+    if (pool == nullptr)
+        return refuse_unknown(arrived, status_unavailable, refusal_reason::no_endpoint, step);
+    auto const* pool_declared = m_routes.find_pool(*pool);
+
+    active_request request;
+    request.caller_id = arrived.caller_id;
+    if (team != nullptr)
+        request.team = team->name;
+    request.pool = *pool;
+    request.cost = arrived.cost;
+    request.form = route->form;
+    request.repeat = route->repeat;
+    request.objective = route->objective;
+    request.pause_objective = route->pause_objective;
+    request.priority = team != nullptr && team->priority ? *team->priority : route->priority;
+    request.most_attempts = std::max(route->most_attempts, 1U);
+    request.is_engine = pool_declared != nullptr && pool_declared->is_engine();
+    request.arrived = step.now;
+    auto const caller_time = arrived.time_left.value_or(m_options.default_deadline);
+    auto const route_time = route->time_limit.count() > 0 ? route->time_limit : m_options.default_deadline;
+    request.deadline = step.now + std::min(caller_time, route_time);
+    request.ends_at_route_limit = route_time <= caller_time;
+    m_retries.note_request(*pool, step.now);
+    admit(arrived.request, std::move(request), step);
+}
+
+void dispatch_reducer::admit(request_number number, active_request request, step_context& step)
+{
+    auto& kept = m_requests.insert_or_assign(number, std::move(request)).first->second;
+    // Who waits already goes first, unless the newcomer's team was given less.
+    if (m_waiting.empty() && try_to_send(number, kept, step))
+        return;
+    m_waiting.push_back(number);
+    if (m_waiting.size() > 1)
+        serve_waiting(step);
+}
+
+endpoint_choice dispatch_reducer::choose(active_request const& request, step_context const& step)
+{
+    choice_request wanted;
+    wanted.pool = request.pool;
+    wanted.cost = &request.cost;
+    wanted.excluded = &request.tried;
+    wanted.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
+    wanted.is_engine = request.is_engine;
+    wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
+    return m_board.choose(wanted, step.now);
+}
+
+bool dispatch_reducer::try_to_send(request_number number, active_request& request, step_context& step)
+{
+    auto const chosen = choose(request, step);
+    if (chosen.endpoint == nullptr || !chosen.is_in_time)
+        return false;
+    send(number, request, chosen, step);
+    return true;
+}
+
+void dispatch_reducer::send(
+    request_number number, active_request& request, endpoint_choice const& chosen, step_context& step)
+{
+    auto& endpoint = *chosen.endpoint;
+    request.at = phase::running;
+    request.attempt = attempt_number(request.attempt.value() + 1);
+    request.endpoint = endpoint.entry.name;
+    request.tried.push_back(request.endpoint);
+    request.sent_at = step.now;
+    request.expected_ms = chosen.expected_ms;
+    request.unread = request.is_engine ? chosen.unkept : 0;
+    ++endpoint.running;
+    endpoint.unread += request.unread;
+    if (endpoint.health.is_ejected())
+        endpoint.health.note_probe_sent();
+    for (std::size_t index = 0; request.is_engine && index + 1 < request.cost.parts.size(); ++index) {
+        auto const part = request.cost.parts[index].id;
+        endpoint.places.note(part, step.now);
+        m_placed.push_back({ request.endpoint, part });
+    }
+    if (request.charged == 0 && !request.team.value().empty() && request.is_engine) {
+        request.charged = request.cost.weighted();
+        m_ledger.charge(request.team, step.now, request.charged);
+    }
+    auto const silence
+        = request.has_answer_begun ? request.pause_objective * silence_pauses : request.objective * silence_objectives;
+    send_attempt sent;
+    sent.request = number;
+    sent.attempt = request.attempt;
+    sent.endpoint = request.endpoint;
+    sent.address = endpoint.entry.address;
+    sent.team = request.team;
+    sent.form = request.form;
+    sent.time_left = std::max(request.deadline - step.now, milliseconds(1));
+    sent.connection = request.repeat == repetition::never ? connection_choice::fresh : connection_choice::any;
+    sent.silence_limit = std::max(silence, least_silence);
+    step.effects.emplace_back(std::move(sent));
+    step.effects.emplace_back(log_line { severity::detail, "sent",
+        log_fields()
+            .add("id", request.caller_id)
+            .add("attempt", request.attempt.value())
+            .add("endpoint", request.endpoint.value())
+            .add("team", request.team.value())
+            .add("waited_ms", (step.now - request.arrived).count())
+            .add("running", endpoint.all_running())
+            .add("unread", endpoint.all_unread())
+            .add("unkept", chosen.unkept)
+            .add("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
+            .add("revision", m_routes.current().revision)
+            .take() });
+}
+
+void dispatch_reducer::serve_waiting(step_context& step)
+{
+    struct candidate {
+        request_number number;
+        std::uint32_t priority;
+        token_count level;
+    };
+    std::vector<candidate> order;
+    order.reserve(m_waiting.size());
+    for (auto const number : m_waiting) {
+        auto const& request = m_requests.at(number);
+        order.push_back({ number, request.priority, m_ledger.level(request.team, step.now) });
+    }
+    std::ranges::stable_sort(order, {}, [](candidate const& entry) { return std::pair(entry.priority, entry.level); });
+    for (auto const& entry : order) {
+        auto& request = m_requests.at(entry.number);
+        auto const limit = std::min(longest_wait,
+            milliseconds(
+                static_cast<std::int64_t>(static_cast<double>(request.objective.count()) * waiting_part_of_objective)));
+        if (try_to_send(entry.number, request, step))
+            std::erase(m_waiting, entry.number);
+        else if (step.now - request.arrived >= limit)
+            end_of_wait(entry.number, request, step);
+    }
+}
+
+void dispatch_reducer::end_of_wait(request_number number, active_request& request, step_context& step)
+{
+    std::erase(m_waiting, number);
+    auto const occupied = m_board.occupancy_of(request.pool);
+    bool const has_room = static_cast<double>(occupied.taken) < sending_occupancy * occupied.places;
+    if (has_room || request.arrivals > 0) {
+        if (auto const chosen = choose(request, step); chosen.endpoint != nullptr)
+            return send(number, request, chosen, step);
+    }
+    auto const reason = m_board.has_endpoints(request.pool) ? refusal_reason::no_place : refusal_reason::no_endpoint;
+    if (request.has_answer_begun || request.may_have_run)
+        return finish_failed(number, request, reason, step);
+    auto const status
+        = reason == refusal_reason::no_place && request.is_engine ? status_too_many_requests : status_unavailable;
+    refuse(number, request, status, reason, step);
+}
+
+milliseconds dispatch_reducer::come_back_after(active_request const& request, step_context const& step) const
+{
+    // Clients wait up to a third of the time that they have left.
+    constexpr std::int64_t waited_part = 4;
+    auto const wanted = least_return + milliseconds(static_cast<std::int64_t>(step.draw % return_spread_ms));
+    return std::max(std::min(wanted, (request.deadline - step.now) / waited_part), milliseconds(1));
+}
+
+void dispatch_reducer::refuse_unknown(
+    request_arrived const& arrived, std::uint16_t status, refusal_reason reason, step_context& step)
+{
+    answer_refusal refused { arrived.request, status, reason, std::nullopt };
+    if (status == status_unavailable)
+        refused.retry_after = least_return;
+    step.effects.emplace_back(refused);
+    step.effects.emplace_back(count_event { counted::refusals, name_of(reason) });
+    step.effects.emplace_back(log_line { severity::failure, "refused",
+        log_fields()
+            .add("id", arrived.caller_id)
+            .add("status", status)
+            .add("reason", name_of(reason))
+            .add("host", arrived.host)
+            .add("path", arrived.path)
+            .add("revision", m_routes.current().revision)
+            .take() });
+}
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The whole of a router's decisions where endpoints have no process of ours beside them: the router itself keeps their
+// places and queues. Takes one event after another and returns what to do. No clock, no input or output, no randomness
+// but what comes with the event.
+#pragma once
+
+#include "libraries/dispatch/effects.h"
+#include "libraries/dispatch/endpoint_board.h"
+#include "libraries/dispatch/events.h"
+#include "libraries/dispatch/fleet_retry_budget.h"
+#include "libraries/dispatch/route_table.h"
+#include "libraries/dispatch/team_ledger.h"
+
+#include <list>
+#include <unordered_map>
+
+namespace shedhill::dispatch {
+
+struct dispatch_options {
+    vm_name vm;
+    failure_domain domain;
+    retry_bounds retries;
+    // Over which the teams' shares are kept.
+    milliseconds share_window { 4000 };
+    // A request that did not say how long it waits, on a route without a limit.
+    milliseconds default_deadline { 15000 };
+};
+
+class dispatch_reducer {
+public:
+    explicit dispatch_reducer(dispatch_options options);
+
+    effect_list reduce(event const& happened);
+
+    [[nodiscard]] route_table const& routes() const { return m_routes; }
+    [[nodiscard]] bool is_ready() const { return m_is_ready; }
+    [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
+    [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
+    [[nodiscard]] endpoint_board const& board() const { return m_board; }
+
+    // What the other routers are to know. The parts placed are those since the last call.
+    [[nodiscard]] peer_reported take_own_report(instant now);
+
+private:
+    enum class phase { waiting, running };
+
+    struct active_request {
+        std::string caller_id;
+        team_name team;
+        pool_name pool;
+        request_cost cost;
+        // Copied from the route: a later configuration does not change a request under way.
+        answer_form form { answer_form::whole };
+        repetition repeat { repetition::never };
+        milliseconds objective { 0 };
+        milliseconds pause_objective { 0 };
+        std::uint32_t priority { 0 };
+        std::uint32_t most_attempts { 1 };
+        bool is_engine { false };
+        instant arrived {};
+        // Whichever is first, the caller's deadline or the route's limit.
+        instant deadline {};
+        bool ends_at_route_limit { false };
+
+        phase at { phase::waiting };
+        // Counts the attempts, also those of which nothing was sent.
+        attempt_number attempt {};
+        // Attempts that reached an endpoint.
+        std::uint32_t arrivals { 0 };
+        std::uint32_t failed_sends { 0 };
+        std::vector<endpoint_name> tried;
+        endpoint_name endpoint;
+        instant sent_at {};
+        double expected_ms { 0 };
+        // Prompt tokens counted at the endpoint as unread.
+        token_count unread { 0 };
+        token_count charged { 0 };
+        std::uint32_t events_passed { 0 };
+        bool has_answer_begun { false };
+        // An earlier attempt may have run: nothing can be called "not run" any more.
+        bool may_have_run { false };
+    };
+
+    struct step_context {
+        instant now {};
+        std::uint64_t draw { 0 };
+        effect_list effects;
+    };
+
+    void handle(request_arrived const& arrived, step_context& step);
+    void handle(caller_left const& left, step_context& step);
+    void handle(answer_began const& began, step_context& step);
+    void handle(attempt_ended const& ended, step_context& step);
+    void handle(attempt_stalled const& stalled, step_context& step);
+    void handle(configuration_learned const& learned, step_context& step);
+    void handle(endpoints_listed const& listed, step_context& step);
+    void handle(peer_reported const& report, step_context& step);
+    void handle(peer_lost const& lost, step_context& step);
+    void handle(drain_requested const& requested, step_context& step);
+    void handle(tick const& ticked, step_context& step);
+
+    // Admission.
+    void admit(request_number number, active_request request, step_context& step);
+    bool try_to_send(request_number number, active_request& request, step_context& step);
+    void send(request_number number, active_request& request, endpoint_choice const& chosen, step_context& step);
+    void serve_waiting(step_context& step);
+    void end_of_wait(request_number number, active_request& request, step_context& step);
+    [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
+    [[nodiscard]] milliseconds come_back_after(active_request const& request, step_context const& step) const;
+
+    // After an attempt.
+    void leave_endpoint(active_request& request, attempt_verdict const* verdict, step_context& step);
+    void settle_charge(active_request& request, step_context& step);
+    void try_again_or_end(request_number number, active_request& request, attempt_end end, step_context& step);
+    [[nodiscard]] refusal_reason why_not_again(active_request const& request, attempt_end end) const;
+    void finish_failed(request_number number, active_request& request, refusal_reason reason, step_context& step);
+    void refuse(request_number number, active_request& request, std::uint16_t status, refusal_reason reason,
+        step_context& step);
+    void refuse_unknown(
+        request_arrived const& arrived, std::uint16_t status, refusal_reason reason, step_context& step);
+    void end_at_deadline(request_number number, active_request& request, step_context& step);
+    void forget(request_number number);
+
+    void update_ready(step_context& step);
+    void stop_if_drained(step_context& step);
+
+    dispatch_options m_options;
+    route_table m_routes;
+    endpoint_board m_board;
+    team_ledger m_ledger;
+    fleet_retry_budget m_retries;
+    std::unordered_map<request_number, active_request> m_requests;
+    // Requests in phase waiting, in order of arrival.
+    std::list<request_number> m_waiting;
+    std::unordered_map<vm_name, instant> m_peers;
+    std::vector<part_placed> m_placed;
+    instant m_deadlines_checked {};
+    instant m_parts_checked {};
+    bool m_has_list { false };
+    bool m_is_ready { false };
+    bool m_is_draining { false };
+    bool m_is_stopped { false };
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/endpoint_board.h
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The endpoints of all pools: what is listed, what runs there by this router and by others, how they fare, and which of
+// them suits a request best.
+#pragma once
+
+#include "libraries/dispatch/endpoint_health.h"
+#include "libraries/dispatch/events.h"
+#include "libraries/dispatch/prompt_places.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace shedhill::dispatch {
+
+struct endpoint_state {
+    endpoint_entry entry;
+    endpoint_health health;
+    prompt_places places;
+    // Attempts of this router under way, and the prompt tokens among them that were not yet read.
+    std::uint32_t running { 0 };
+    token_count unread { 0 };
+    // The same of all other routers together, as they last told.
+    std::uint32_t others_running { 0 };
+    token_count others_unread { 0 };
+    // How much longer first events take here than foreseen.
+    double slowness { 1 };
+
+    [[nodiscard]] std::uint32_t all_running() const { return running + others_running; }
+    [[nodiscard]] token_count all_unread() const { return unread + others_unread; }
+};
+
+// What a choice is weighed on, for the log and for tests.
+struct endpoint_choice {
+    endpoint_state* endpoint { nullptr };
+    token_count unkept { 0 };
+    // Foreseen time to the first event or the answer.
+    double expected_ms { 0 };
+    // A place is free, and the answer would begin within the objective.
+    bool is_in_time { false };
+};
+
+struct choice_request {
+    pool_name pool;
+    request_cost const* cost { nullptr };
+    // Endpoints that this request was sent to before.
+    std::vector<endpoint_name> const* excluded { nullptr };
+    // What is left of the objective.
+    double time_left_ms { 0 };
+    bool is_engine { false };
+    // May be the one that probes an ejected endpoint.
+    bool may_probe { false };
+};
+
+class endpoint_board {
+public:
+    explicit endpoint_board(failure_domain own)
+        : m_own_domain(std::move(own))
+    {
+    }
+
+    // Replaces the list. Endpoints that are gone stay known while attempts run there, but get nothing new.
+    void take_list(std::vector<endpoint_entry> const& entries);
+    // The address answers for another endpoint: nothing more is sent there until a list shows it anew.
+    void retire(endpoint_name const& name);
+
+    [[nodiscard]] endpoint_state* find(endpoint_name const& name);
+    [[nodiscard]] bool has_endpoints(pool_name const& pool) const;
+    // The best endpoint; none if all are excluded, gone or ejected.
+    [[nodiscard]] endpoint_choice choose(choice_request const& wanted, instant now);
+    // Places of the pool, and how many are taken.
+    struct occupancy {
+        std::uint32_t places { 0 };
+        std::uint32_t taken { 0 };
+    };
+    [[nodiscard]] occupancy occupancy_of(pool_name const& pool) const;
+
+    // The time that a plain service takes, learnt from its answers.
+    void note_service_time(pool_name const& pool, double took_ms);
+    // How long the first event took against what was foreseen.
+    static void note_first_event(endpoint_state& endpoint, double took_ms, double expected_ms);
+
+    void take_report(peer_reported const& report, instant now);
+    void forget_peer(vm_name const& peer);
+    void forget_old_parts(instant now);
+
+    [[nodiscard]] std::vector<endpoint_load> own_loads() const;
+
+private:
+    [[nodiscard]] double expected_time(
+        endpoint_state const& endpoint, choice_request const& wanted, token_count unkept) const;
+    [[nodiscard]] std::size_t ejected_in(pool_name const& pool) const;
+
+    failure_domain m_own_domain;
+    std::unordered_map<endpoint_name, std::unique_ptr<endpoint_state>> m_endpoints;
+    // Those of a pool that may get new work.
+    std::unordered_map<pool_name, std::vector<endpoint_state*>> m_open;
+    std::unordered_map<vm_name, std::vector<endpoint_load>> m_reports;
+    std::unordered_map<pool_name, double> m_service_time_ms;
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/events.h
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Everything that can happen to the dispatcher. It sees nothing else of the world.
+#pragma once
+
+#include "libraries/dispatch/types.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace shedhill::dispatch {
+
+// A caller's request, read whole.
+struct request_arrived {
+    request_number request {};
+    // The caller's own id of the request, for the log.
+    std::string caller_id;
+    std::string host;
+    std::string path;
+    std::string key;
+    request_cost cost;
+    // How long the caller waits; none where it did not say.
+    std::optional<milliseconds> time_left;
+};
+
+struct caller_left {
+    request_number request {};
+};
+
+// The first event of a stream, or the answer's head where it is no stream, was passed on.
+struct answer_began {
+    request_number request {};
+    attempt_number attempt {};
+};
+
+struct attempt_ended {
+    request_number request {};
+    attempt_number attempt {};
+    attempt_end end { attempt_end::broken };
+    // The endpoint's status where a head was read, or 0.
+    std::uint16_t status { 0 };
+    // Events of the answer passed on by this attempt.
+    std::uint32_t events { 0 };
+    // Something of an answer reached the caller, by this attempt or an earlier one.
+    bool has_answer_begun { false };
+};
+
+// Nothing came from the endpoint for the attempt's silence limit. The attempt goes on unless it is cancelled.
+struct attempt_stalled {
+    request_number request {};
+    attempt_number attempt {};
+    bool has_answer_begun { false };
+};
+
+struct configuration_learned {
+    configuration learned;
+};
+
+struct endpoints_listed {
+    std::vector<endpoint_entry> entries;
+};
+
+// What another router has under way at an endpoint.
+struct endpoint_load {
+    endpoint_name endpoint;
+    std::uint32_t running { 0 };
+    // Prompt tokens sent there and not yet read.
+    token_count unread { 0 };
+};
+
+struct team_usage {
+    team_name team;
+    // Weighted tokens admitted within the sliding window.
+    token_count admitted { 0 };
+};
+
+// A prompt part that a router has sent to an endpoint since its last word.
+struct part_placed {
+    endpoint_name endpoint;
+    std::uint64_t part { 0 };
+};
+
+// The whole of what another router tells of itself, each time anew.
+struct peer_reported {
+    vm_name peer;
+    std::vector<endpoint_load> loads;
+    std::vector<team_usage> teams;
+    std::vector<part_placed> parts;
+};
+
+struct peer_lost {
+    vm_name peer;
+};
+
+struct drain_requested { };
+
+struct tick { };
+
+using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
+    configuration_learned, endpoints_listed, peer_reported, peer_lost, drain_requested, tick>;
+
+struct event {
+    instant now {};
+    // A random number for whatever choice this step makes.
+    std::uint64_t draw { 0 };
+    event_body body;
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/prompt_places.cpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Parts by their last use.
+#include "libraries/dispatch/prompt_places.h"
+
+namespace shedhill::dispatch {
+
+namespace {
+
+// How long a part that is not asked for is thought to stay.
+constexpr milliseconds keeping_time { 12000 };
+
+} // namespace
+
+token_count prompt_places::unkept_tokens(request_cost const& cost, instant now) const
+{
+    auto unkept = cost.prompt;
+    // The last part belongs to the request itself.
+    for (std::size_t index = 0; index + 1 < cost.parts.size(); ++index) {
+        auto const found = m_used_at.find(cost.parts[index].id);
+        if (found == m_used_at.end() || now - found->second > keeping_time)
+            break;
+        unkept -= cost.parts[index].tokens;
+    }
+    return std::max<token_count>(unkept, 0);
+}
+
+void prompt_places::forget_old(instant now)
+{
+    std::erase_if(m_used_at, [now](auto const& entry) { return now - entry.second > keeping_time; });
+}
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/prompt_places.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Which shared parts of prompts an endpoint is thought to keep: those that were sent there of late, by this router or
+// another. Advisory: the endpoint alone knows.
+#pragma once
+
+#include "libraries/dispatch/types.h"
+
+#include <unordered_map>
+
+namespace shedhill::dispatch {
+
+class prompt_places {
+public:
+    void note(std::uint64_t part, instant now) { m_used_at[part] = now; }
+    // Tokens of the prompt that would have to be read anew. A part is of use only if all before it are kept too.
+    [[nodiscard]] token_count unkept_tokens(request_cost const& cost, instant now) const;
+    void forget_old(instant now);
+    void clear() { m_used_at.clear(); }
+
+private:
+    std::unordered_map<std::uint64_t, instant> m_used_at;
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/table_follower.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Reading, following and backing off.
+#include "libraries/dispatch/table_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedhill::dispatch {
+
+namespace {
+
+constexpr milliseconds first_back_off { 100 };
+constexpr milliseconds longest_back_off { 800 };
+// A read that was out of date is repeated after this time.
+constexpr milliseconds out_of_date_pause { 300 };
+
+} // namespace
+
+table_follower::next_call table_follower::take_next(instant now)
+{
+    if (m_is_calling || now < m_next_at)
+        return {};
+    m_is_calling = true;
+    m_called = m_must_read ? call_kind::read : call_kind::follow;
+    m_next_at = now + m_options.pace;
+    next_call call { m_called, {}, m_version, m_options.wait };
+    if (m_must_read && !m_reading.empty())
+        call.after_key = m_reading.rbegin()->first;
+    return call;
+}
+
+table_follower::page_outcome table_follower::take_page(
+    std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now)
+{
+    m_is_calling = false;
+    m_back_off = milliseconds(0);
+    if (m_called == call_kind::read)
+        return take_read_page(rows, version, has_more, now);
+    if (version < m_version)
+        return page_outcome::out_of_date;
+    m_confirmed_at = now;
+    m_version = version;
+    bool is_changed = false;
+    for (auto const& changed : rows) {
+        auto const known = m_rows.find(changed.key);
+        if (known != m_rows.end() && known->second.version >= changed.version)
+            continue;
+        is_changed = true;
+        if (changed.is_gone)
+            m_rows.erase(changed.key);
+        else
+            m_rows[changed.key] = { changed.value, changed.version };
+    }
+    return is_changed ? page_outcome::changed : page_outcome::nothing_new;
+}
+
+table_follower::page_outcome table_follower::take_read_page(
+    std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now)
+{
+    for (auto const& read : rows)
+        m_reading[read.key] = { read.value, read.version };
+    if (m_reading_version == 0)
+        m_reading_version = version;
+    if (has_more) {
+        m_next_at = now;
+        return page_outcome::nothing_new;
+    }
+    // NOTE: Pages of one read may be of different moments. The feed goes on from the first one's, and tells the rest.
+    auto const read = std::exchange(m_reading, {});
+    auto const read_version = std::exchange(m_reading_version, 0);
+    if (read_version < m_version) {
+        m_next_at = now + out_of_date_pause;
+        return page_outcome::out_of_date;
+    }
+    m_must_read = false;
+    m_has_rows = true;
+    m_rows = read;
+    m_version = read_version;
+    m_confirmed_at = now;
+    return page_outcome::changed;
+}
+
+void table_follower::take_failure(failure what, instant now, std::uint64_t draw)
+{
+    m_is_calling = false;
+    m_reading.clear();
+    m_reading_version = 0;
+    if (what == failure::history_gone) {
+        m_must_read = true;
+        m_next_at = now;
+        return;
+    }
+    m_back_off = std::clamp(m_back_off * 2, first_back_off, longest_back_off);
+    auto const spread = static_cast<std::uint64_t>(m_back_off.count());
+    m_next_at = now + m_back_off / 2 + milliseconds(static_cast<std::int64_t>(draw % spread));
+}
+
+table_follower::page_outcome table_follower::take_told(std::map<std::string, row> rows, std::uint64_t version)
+{
+    if (version <= m_version)
+        return page_outcome::out_of_date;
+    m_rows = std::move(rows);
+    m_version = version;
+    m_has_rows = true;
+    // A read from before this would be out of date; the feed goes on from here.
+    m_must_read = false;
+    return page_outcome::changed;
+}
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/table_follower.h
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Decides how a table of the store is followed: read whole once, then by its feed, with back-off while the store does
+// not answer, and anew when its history is gone. What is older than what is known is never taken.
+#pragma once
+
+#include "base/units.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shedhill::dispatch {
+
+struct follower_options {
+    // The least time between two calls of the feed: changes that come often are taken together.
+    milliseconds pace { 0 };
+    // How long the store may hold a call that has nothing to tell.
+    milliseconds wait { 1500 };
+};
+
+class table_follower {
+public:
+    enum class call_kind { none, read, follow };
+
+    struct next_call {
+        call_kind kind { call_kind::none };
+        // Where reading goes on.
+        std::string after_key;
+        std::uint64_t since { 0 };
+        milliseconds wait { 0 };
+    };
+
+    struct row {
+        std::string value;
+        std::uint64_t version { 0 };
+    };
+
+    struct changed_row {
+        std::string key;
+        std::string value;
+        std::uint64_t version { 0 };
+        bool is_gone { false };
+    };
+
+    enum class failure { no_answer, history_gone };
+    enum class page_outcome { nothing_new, changed, out_of_date };
+
+    explicit table_follower(follower_options options)
+        : m_options(options)
+    {
+    }
+
+    // What to call now, if anything. It counts as under way until its page or failure is taken.
+    [[nodiscard]] next_call take_next(instant now);
+    page_outcome take_page(std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
+    void take_failure(failure what, instant now, std::uint64_t draw);
+
+    // The rows as another router told them, while the store itself does not answer here.
+    page_outcome take_told(std::map<std::string, row> rows, std::uint64_t version);
+
+    [[nodiscard]] std::map<std::string, row> const& rows() const { return m_rows; }
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    // Whether the rows were ever known.
+    [[nodiscard]] bool has_rows() const { return m_has_rows; }
+    // When the store last confirmed them.
+    [[nodiscard]] instant confirmed_at() const { return m_confirmed_at; }
+    [[nodiscard]] bool is_failing() const { return m_back_off.count() > 0; }
+
+private:
+    page_outcome take_read_page(
+        std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
+
+    follower_options m_options;
+    bool m_is_calling { false };
+    call_kind m_called { call_kind::none };
+    bool m_must_read { true };
+    std::map<std::string, row> m_rows;
+    bool m_has_rows { false };
+    // Of the store, up to which m_rows is complete. Never decreases.
+    std::uint64_t m_version { 0 };
+    // Pages of a read that is not yet whole.
+    std::map<std::string, row> m_reading;
+    std::uint64_t m_reading_version { 0 };
+    instant m_next_at {};
+    instant m_confirmed_at {};
+    milliseconds m_back_off { 0 };
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/logging/event_log.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One JSON object a line on standard output, by Boost.Log. The volume is bounded, failures are kept before successes,
+// and a reader that does not read never holds the process up: lines are dropped then, and counted.
+#pragma once
+
+#include "base/units.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace shedhill::logging {
+
+enum class event_level { detail, failure, state };
+
+struct event_log_options {
+    std::uint32_t details_per_second { 400 };
+    std::uint32_t failures_per_second { 400 };
+};
+
+struct event_log_counts {
+    std::uint64_t written { 0 };
+    std::uint64_t over_budget { 0 };
+    std::uint64_t pipe_full { 0 };
+};
+
+class event_log {
+public:
+    event_log(std::string vm, event_log_options options);
+
+    // Fields are JSON members without the braces. A line of the level state is never over the budget.
+    void write(event_level level, std::string_view event, std::string_view fields, instant now);
+    [[nodiscard]] event_log_counts const& counts() const { return m_counts; }
+
+private:
+    [[nodiscard]] bool take_from_budget(event_level level, instant now);
+    void write_line(std::string const& line);
+
+    std::string m_vm;
+    event_log_options m_options;
+    event_log_counts m_counts;
+    std::int64_t m_second { 0 };
+    std::uint32_t m_details { 0 };
+    std::uint32_t m_failures { 0 };
+};
+
+} // namespace shedhill::logging
--- /dev/null
+++ b/libraries/peering/peer_message.cpp
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The codec. What comes from outside is verified before it is read.
+#include "libraries/peering/peer_message.h"
+
+#include "libraries/peering/generated/peer_message_generated.h"
+
+namespace shedhill::peering {
+
+namespace {
+
+constexpr unsigned bits_per_byte = 8;
+
+std::string text_of(flatbuffers::String const* text) { return text == nullptr ? std::string() : text->str(); }
+
+result<document_kind> kind_of(std::uint8_t number)
+{
+    if (number >= static_cast<std::uint8_t>(document_kind::count))
+        return fail("decode peer message", {}, "unknown document");
+    return static_cast<document_kind>(number);
+}
+
+flatbuffers::Offset<fbs::State> encode(flatbuffers::FlatBufferBuilder& builder, state_message const& state)
+{
+    std::vector<flatbuffers::Offset<fbs::Load>> loads;
+    for (auto const& load : state.report.loads)
+        loads.push_back(
+            fbs::CreateLoad(builder, builder.CreateSharedString(load.endpoint.value()), load.running, load.unread));
+    std::vector<flatbuffers::Offset<fbs::Usage>> teams;
+    for (auto const& usage : state.report.teams)
+        teams.push_back(fbs::CreateUsage(builder, builder.CreateString(usage.team.value()), usage.admitted));
+    std::vector<flatbuffers::Offset<fbs::Placed>> parts;
+    for (auto const& placed : state.report.parts)
+        parts.push_back(fbs::CreatePlaced(builder, builder.CreateSharedString(placed.endpoint.value()), placed.part));
+    std::vector<flatbuffers::Offset<fbs::DocumentVersion>> documents;
+    for (auto const& document : state.documents)
+        documents.push_back(fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(document.kind),
+            document.version, static_cast<std::uint64_t>(document.age.count())));
+    auto const vm = builder.CreateString(state.report.peer.value());
+    auto const address = builder.CreateString(state.address);
+    auto const peers = builder.CreateVectorOfStrings(state.peers);
+    return fbs::CreateState(builder, vm, address, builder.CreateVector(loads), builder.CreateVector(teams),
+        builder.CreateVector(parts), builder.CreateVector(documents), peers);
+}
+
+result<state_message> decode(fbs::State const& state)
+{
+    state_message made;
+    made.report.peer = vm_name(text_of(state.vm()));
+    made.address = text_of(state.address());
+    if (state.loads() != nullptr) {
+        for (auto const* load : *state.loads())
+            made.report.loads.push_back({ endpoint_name(text_of(load->endpoint())), load->running(), load->unread() });
+    }
+    if (state.teams() != nullptr) {
+        for (auto const* usage : *state.teams())
+            made.report.teams.push_back({ team_name(text_of(usage->team())), usage->admitted() });
+    }
+    if (state.parts() != nullptr) {
+        for (auto const* placed : *state.parts())
+            made.report.parts.push_back({ endpoint_name(text_of(placed->endpoint())), placed->part() });
+    }
+    if (state.documents() != nullptr) {
+        for (auto const* document : *state.documents()) {
+            auto const kind = TRY(kind_of(document->kind()));
+            made.documents.push_back(
+                { kind, document->version(), milliseconds(static_cast<std::int64_t>(document->age_ms())) });
+        }
+    }
+    if (state.peers() != nullptr) {
+        for (auto const* peer : *state.peers())
+            made.peers.push_back(text_of(peer));
+    }
+    return made;
+}
+
+struct message_encoder {
+    flatbuffers::FlatBufferBuilder& builder;
+
+    flatbuffers::Offset<fbs::Message> operator()(state_message const& state) const
+    {
+        auto const encoded = encode(builder, state);
+        return fbs::CreateMessage(builder, encoded);
+    }
+
+    flatbuffers::Offset<fbs::Message> operator()(document_message const& document) const
+    {
+        std::vector<flatbuffers::Offset<fbs::Row>> rows;
+        for (auto const& [key, row] : document.rows)
+            rows.push_back(
+                fbs::CreateRow(builder, builder.CreateString(key), builder.CreateString(row.value), row.version));
+        auto const text = builder.CreateString(document.text);
+        auto const encoded = fbs::CreateDocument(
+            builder, static_cast<std::uint8_t>(document.kind), document.version, text, builder.CreateVector(rows));
+        return fbs::CreateMessage(builder, 0, encoded);
+    }
+
+    flatbuffers::Offset<fbs::Message> operator()(document_wanted const& wanted) const
+    {
+        auto const address = builder.CreateString(wanted.address);
+        auto const encoded
+            = fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(wanted.kind), wanted.version);
+        return fbs::CreateMessage(builder, 0, 0, encoded, address);
+    }
+};
+
+} // namespace
+
+std::string encode_frame(peer_message const& message)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(std::visit(message_encoder { builder }, message));
+    auto const size = builder.GetSize();
+    std::string frame;
+    frame.reserve(frame_head_size + size);
+    for (unsigned index = 0; index < frame_head_size; ++index)
+        frame += static_cast<char>((size >> (bits_per_byte * index)) & 0xFFU);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the library gives unsigned bytes
+    frame.append(reinterpret_cast<char const*>(builder.GetBufferPointer()), size);
+    return frame;
+}
+
+std::optional<std::size_t> frame_size(std::string_view bytes)
+{
+    if (bytes.size() < frame_head_size)
+        return std::nullopt;
+    std::size_t size = 0;
+    for (unsigned index = 0; index < frame_head_size; ++index)
+        size |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[index])) << (bits_per_byte * index);
+    return frame_head_size + size;
+}
+
+result<peer_message> decode_body(std::string_view body)
+{
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the library takes unsigned bytes
+    auto const* bytes = reinterpret_cast<std::uint8_t const*>(body.data());
+    if (flatbuffers::Verifier verifier(bytes, body.size()); !fbs::VerifyMessageBuffer(verifier))
+        return fail("decode peer message", {}, "is not well formed");
+    auto const* message = fbs::GetMessage(bytes);
+    if (message->state() != nullptr)
+        return peer_message(TRY(decode(*message->state())));
+    if (auto const* document = message->document()) {
+        auto const kind = TRY(kind_of(document->kind()));
+        document_message made { kind, document->version(), text_of(document->text()), {} };
+        if (document->rows() != nullptr) {
+            for (auto const* row : *document->rows())
+                made.rows[text_of(row->key())] = { text_of(row->value()), row->version() };
+        }
+        return peer_message(std::move(made));
+    }
+    if (auto const* wanted = message->wanted()) {
+        auto const kind = TRY(kind_of(wanted->kind()));
+        return peer_message(document_wanted { kind, wanted->version(), text_of(message->wanted_by()) });
+    }
+    return fail("decode peer message", {}, "has no part");
+}
+
+} // namespace shedhill::peering
--- /dev/null
+++ b/libraries/peering/peer_message.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What routers tell each other: their loads and charges, and documents that one of them could not read from the store.
+#pragma once
+
+#include "base/error.h"
+#include "libraries/dispatch/events.h"
+#include "libraries/dispatch/table_follower.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace shedhill::peering {
+
+// Documents that a router passes on to others that cannot hear the store.
+enum class document_kind : std::uint8_t { configuration, endpoints, count };
+
+struct document_version {
+    document_kind kind { document_kind::configuration };
+    std::uint64_t version { 0 };
+    // Since the store last confirmed it, at the sender.
+    milliseconds age { 0 };
+};
+
+struct state_message {
+    dispatch::peer_reported report;
+    std::string address;
+    std::vector<document_version> documents;
+    std::vector<std::string> peers;
+};
+
+struct document_message {
+    document_kind kind { document_kind::configuration };
+    std::uint64_t version { 0 };
+    // The configuration as it was declared.
+    std::string text;
+    // The list of endpoints, row by row.
+    std::map<std::string, dispatch::table_follower::row> rows;
+};
+
+struct document_wanted {
+    document_kind kind { document_kind::configuration };
+    // What the asking router has.
+    std::uint64_t version { 0 };
+    std::string address;
+};
+
+using peer_message = std::variant<state_message, document_message, document_wanted>;
+
+// A frame is the size of what follows, four bytes with the lowest first, and a FlatBuffers message.
+constexpr std::size_t frame_head_size = 4;
+constexpr std::size_t most_frame_size = 8U << 20U;
+
+std::string encode_frame(peer_message const& message);
+result<peer_message> decode_body(std::string_view body);
+// The size of the frame that the bytes begin with, its head included; none while the head is not whole.
+std::optional<std::size_t> frame_size(std::string_view bytes);
+
+} // namespace shedhill::peering
--- /dev/null
+++ b/libraries/relay/deployment.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What a router process is told of its place: addresses, failure domain, the store, and the bounds it is held to.
+#pragma once
+
+#include "base/identifiers.h"
+#include "base/units.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace shedhill::relay {
+
+struct deployment_settings {
+    vm_name vm;
+    failure_domain domain;
+    // Where callers connect, where readiness is asked for, and where other routers connect.
+    std::string caller_address;
+    std::string ready_address;
+    std::string peer_address;
+    // Where counters are served; empty for nowhere.
+    std::string metrics_address;
+    std::string store_address;
+    // Peer addresses of some routers; perhaps out of date.
+    std::vector<std::string> seeds;
+    // From the request to stop until the process is ended.
+    milliseconds stop_time { 8000 };
+    // Retries of the whole fleet within a window: a share of the requests, and some more.
+    double retry_ratio { 0.1 };
+    double retry_slack { 10 };
+    milliseconds retry_window { 10000 };
+    // Over which teams' shares are judged.
+    milliseconds share_window { 4000 };
+    std::size_t descriptors { 1024 };
+
+    bool operator==(deployment_settings const&) const = default;
+};
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/event_loop.cpp
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The loop by epoll.
+#include "libraries/relay/event_loop.h"
+
+#include "base/verify.h"
+
+#include <cerrno>
+#include <chrono>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <utility>
+
+namespace shedhill::relay {
+
+namespace {
+
+constexpr std::size_t events_per_round = 128;
+constexpr unsigned slot_bits = 32;
+
+std::uint32_t to_epoll(interest wanted)
+{
+    std::uint32_t events = EPOLLRDHUP;
+    if ((static_cast<std::uint32_t>(wanted) & static_cast<std::uint32_t>(interest::reading)) != 0)
+        events |= EPOLLIN;
+    if ((static_cast<std::uint32_t>(wanted) & static_cast<std::uint32_t>(interest::writing)) != 0)
+        events |= EPOLLOUT;
+    return events;
+}
+
+std::uint64_t to_data(watch_id watched)
+{
+    return (static_cast<std::uint64_t>(watched.generation) << slot_bits) | watched.slot;
+}
+
+std::int64_t steady_ns() { return std::chrono::steady_clock::now().time_since_epoch() / std::chrono::nanoseconds(1); }
+
+} // namespace
+
+event_loop::event_loop()
+    : m_poll(epoll_create1(EPOLL_CLOEXEC))
+    , m_started_ns(steady_ns())
+{
+    verify(m_poll >= 0, "the system gives a poll descriptor");
+    refresh_now();
+}
+
+event_loop::~event_loop() { close(m_poll); }
+
+void event_loop::refresh_now()
+{
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    constexpr std::int64_t first_ms = 1000;
+    m_now = instant(milliseconds((steady_ns() - m_started_ns) / ns_per_ms + first_ms));
+}
+
+watch_id event_loop::watch(int descriptor, io_handler& handler, interest wanted)
+{
+    if (m_free_slots.empty()) {
+        m_free_slots.push_back(static_cast<std::uint32_t>(m_slots.size()));
+        m_slots.emplace_back();
+    }
+    auto const index = m_free_slots.back();
+    m_free_slots.pop_back();
+    auto& slot = m_slots[index];
+    slot.handler = &handler;
+    watch_id const watched { index, slot.generation };
+    epoll_event event {};
+    event.events = to_epoll(wanted);
+    event.data.u64 = to_data(watched);
+    epoll_ctl(m_poll, EPOLL_CTL_ADD, descriptor, &event);
+    return watched;
+}
+
+void event_loop::change(watch_id watched, int descriptor, interest wanted)
+{
+    epoll_event event {};
+    event.events = to_epoll(wanted);
+    event.data.u64 = to_data(watched);
+    epoll_ctl(m_poll, EPOLL_CTL_MOD, descriptor, &event);
+}
+
+void event_loop::forget(watch_id watched, int descriptor)
+{
+    auto& slot = m_slots[watched.slot];
+    verify(slot.generation == watched.generation, "a socket is forgotten once");
+    slot.handler = nullptr;
+    ++slot.generation;
+    m_free_slots.push_back(watched.slot);
+    epoll_event event {};
+    epoll_ctl(m_poll, EPOLL_CTL_DEL, descriptor, &event);
+}
+
+void event_loop::run_once(milliseconds limit)
+{
+    std::array<epoll_event, events_per_round> events {};
+    auto const count = epoll_wait(m_poll, events.data(), events_per_round, static_cast<int>(limit.count()));
+    refresh_now();
+    for (int index = 0; index < count; ++index) {
+        auto const& event = events[static_cast<std::size_t>(index)];
+        auto const& slot = m_slots[static_cast<std::uint32_t>(event.data.u64)];
+        if (slot.handler == nullptr || slot.generation != event.data.u64 >> slot_bits)
+            continue;
+        readiness ready;
+        ready.is_readable = (event.events & EPOLLIN) != 0;
+        ready.is_writable = (event.events & EPOLLOUT) != 0;
+        ready.is_closed = (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+        slot.handler->on_ready(ready);
+    }
+    while (!m_at_end.empty()) {
+        auto const actions = std::exchange(m_at_end, {});
+        for (auto const& action : actions)
+            action();
+    }
+}
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/event_loop.h
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Waits for many sockets at once, on one thread. Level-triggered, and without a system call for a socket whose interest
+// does not change: events of streams are the most frequent thing a router handles (docs/PLATFORM.md has the figures).
+#pragma once
+
+#include "base/error.h"
+#include "base/units.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace shedhill::relay {
+
+// What a socket is waited for.
+enum class interest : std::uint32_t {
+    nothing = 0,
+    reading = 1,
+    writing = 2,
+    reading_and_writing = 3,
+};
+
+struct readiness {
+    bool is_readable { false };
+    bool is_writable { false };
+    // The peer has closed its end, or the connection failed.
+    bool is_closed { false };
+};
+
+class io_handler {
+public:
+    virtual ~io_handler() = default;
+    virtual void on_ready(readiness ready) = 0;
+};
+
+// Names one watched socket. A number is used again only with another generation.
+struct watch_id {
+    std::uint32_t slot { 0 };
+    std::uint32_t generation { 0 };
+};
+
+class event_loop {
+public:
+    static constexpr std::size_t read_buffer_size = 65536;
+
+    event_loop();
+    ~event_loop();
+    event_loop(event_loop const&) = delete;
+    event_loop& operator=(event_loop const&) = delete;
+
+    watch_id watch(int descriptor, io_handler& handler, interest wanted);
+    void change(watch_id watched, int descriptor, interest wanted);
+    // Must be called before the descriptor is closed. Events of this round that were not yet handled are dropped.
+    void forget(watch_id watched, int descriptor);
+
+    // Waits at most so long and handles what is ready.
+    void run_once(milliseconds limit);
+    // Called at the end of the round, once. Actions that other actions ask for come in the same round.
+    void at_end_of_round(std::function<void()> action) { m_at_end.push_back(std::move(action)); }
+
+    // Time since the loop was made, plus one second, so that no event carries the instant that means "never".
+    [[nodiscard]] instant now() const { return m_now; }
+    void refresh_now();
+
+    // One buffer for all reads: what is read is handled before the next read.
+    [[nodiscard]] std::array<char, read_buffer_size>& read_buffer() { return m_read_buffer; }
+
+private:
+    struct watched_slot {
+        io_handler* handler { nullptr };
+        std::uint32_t generation { 0 };
+    };
+
+    int m_poll { -1 };
+    std::int64_t m_started_ns { 0 };
+    instant m_now {};
+    std::vector<watched_slot> m_slots;
+    std::vector<std::uint32_t> m_free_slots;
+    std::vector<std::function<void()>> m_at_end;
+    std::array<char, read_buffer_size> m_read_buffer {};
+};
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/exchange.h
@@ -0,0 +1,235 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One caller's request while it is served: what is sent to an endpoint, and what comes back and is passed on. Which
+// endpoint, whether again, and what a failure means is the dispatcher's.
+#pragma once
+
+#include "libraries/dispatch/effects.h"
+#include "libraries/dispatch/events.h"
+#include "libraries/relay/call_connection.h"
+#include "libraries/relay/event_stream.h"
+#include "libraries/relay/protocol.h"
+
+#include <memory>
+
+namespace shedhill::relay {
+
+// What an exchange tells its owner.
+class exchange_owner {
+public:
+    virtual ~exchange_owner() = default;
+    virtual void on_event(dispatch::event_body happened) = 0;
+    // The endpoint's connection is free again.
+    virtual void on_connection_free(dispatch::send_attempt const& attempt, std::shared_ptr<call_connection> connection)
+        = 0;
+    // The answer has ended, well or badly; the exchange is to be dropped.
+    virtual void on_exchange_over(request_number request) = 0;
+};
+
+template <caller_protocol Binding>
+class exchange final : public call_listener {
+public:
+    exchange(event_loop& loop, exchange_owner& owner, request_number number, caller_request request,
+        std::shared_ptr<caller_connection> caller)
+        : m_loop(loop)
+        , m_owner(owner)
+        , m_number(number)
+        , m_request(std::move(request))
+        , m_caller(std::move(caller))
+    {
+    }
+    ~exchange() override { drop_attempt(); }
+    exchange(exchange const&) = delete;
+    exchange& operator=(exchange const&) = delete;
+
+    [[nodiscard]] caller_connection& caller() { return *m_caller; }
+
+    void start(dispatch::send_attempt attempt, std::shared_ptr<call_connection> connection)
+    {
+        drop_attempt();
+        m_attempt = std::move(attempt);
+        m_connection = std::move(connection);
+        m_events_of_attempt = 0;
+        m_body.clear();
+        m_stream.drop_partial();
+        m_started_at = m_loop.now();
+        m_progress_at = m_started_at;
+        m_has_stalled = false;
+        std::string call;
+        attempt_fields fields { m_attempt.endpoint, m_attempt.team, m_attempt.time_left, {}, m_request.body().size() };
+        if (m_has_head_passed)
+            fields.resume_after = m_stream.last_id();
+        Binding::append_call(call, m_request, fields);
+        call += m_request.body();
+        m_connection->start(m_attempt.address, std::move(call), *this);
+    }
+
+    // Drops what is under way. The connection is closed: the endpoint stops its work.
+    void drop_attempt()
+    {
+        if (m_connection)
+            m_connection->abandon();
+        m_connection.reset();
+    }
+
+    void refuse(dispatch::answer_refusal const& refusal)
+    {
+        refusal_fields const fields { refusal.status, dispatch::name_of(refusal.reason), refusal.retry_after,
+            m_caller->closes_after_answer() };
+        Binding::append_refusal(m_caller->out(), fields, m_request);
+        m_caller->finish_answer();
+        m_owner.on_exchange_over(m_number);
+    }
+
+    void break_off()
+    {
+        m_caller->break_off();
+        m_owner.on_exchange_over(m_number);
+    }
+
+    // Looks for connections that do not come up and endpoints that have fallen silent.
+    void check_time(instant now, milliseconds connect_limit)
+    {
+        if (!m_connection)
+            return;
+        if (m_connection->is_connecting()) {
+            if (now - m_started_at >= connect_limit) {
+                drop_attempt();
+                end_attempt(dispatch::attempt_end::not_sent);
+            }
+            return;
+        }
+        if (m_has_stalled || now - m_progress_at < m_attempt.silence_limit)
+            return;
+        m_has_stalled = true;
+        m_owner.on_event(dispatch::attempt_stalled { m_number, m_attempt.attempt, m_has_head_passed });
+    }
+
+private:
+    head_choice on_head(answer_head const& head) override
+    {
+        m_status = static_cast<std::uint16_t>(head.result_int());
+        m_kind = Binding::kind_of(head, m_request);
+        if (m_kind == answer_kind::other_call)
+            return head_choice::skip;
+        if (m_kind == answer_kind::invalid)
+            return head_choice::refuse;
+        m_progress_at = m_loop.now();
+        m_head = head;
+        m_is_stream = m_kind == answer_kind::answer && m_status < first_status_not_good
+            && field_of(head, "Content-Type").starts_with("text/event-stream");
+        // A stream that was begun goes on only with more of a stream.
+        if (m_has_head_passed && !m_is_stream && m_kind == answer_kind::answer)
+            return head_choice::refuse;
+        return head_choice::take;
+    }
+
+    void on_data(std::string_view data) override
+    {
+        m_progress_at = m_loop.now();
+        m_has_stalled = false;
+        if (!m_is_stream) {
+            m_body += data;
+            return;
+        }
+        m_whole_events.clear();
+        auto const events = m_stream.take(data, m_whole_events);
+        if (events == 0)
+            return;
+        if (m_stream.has_gap()) {
+            drop_attempt();
+            return end_attempt(dispatch::attempt_end::broken);
+        }
+        bool const is_first = m_events_of_attempt == 0;
+        m_events_of_attempt += events;
+        if (!m_has_head_passed) {
+            m_has_head_passed = true;
+            append_head("Transfer-Encoding", "chunked");
+        }
+        append_chunk(m_caller->out(), m_whole_events);
+        if (is_first)
+            m_owner.on_event(dispatch::answer_began { m_number, m_attempt.attempt });
+    }
+
+    void on_call_end(call_end end) override
+    {
+        if (end == call_end::not_sent)
+            return end_attempt(dispatch::attempt_end::not_sent);
+        if (end == call_end::broken)
+            return end_attempt(dispatch::attempt_end::broken);
+        auto connection = std::exchange(m_connection, nullptr);
+        if (connection->is_idle())
+            m_owner.on_connection_free(m_attempt, std::move(connection));
+        if (m_kind == answer_kind::not_run)
+            return end_attempt(dispatch::attempt_end::not_run);
+        if (m_kind == answer_kind::wrong_endpoint)
+            return end_attempt(dispatch::attempt_end::wrong_endpoint);
+        finish_answer();
+    }
+
+    void finish_answer()
+    {
+        if (m_is_stream) {
+            if (!m_has_head_passed) {
+                m_has_head_passed = true;
+                append_head("Transfer-Encoding", "chunked");
+            }
+            if (!m_stream.partial().empty())
+                append_chunk(m_caller->out(), m_stream.partial());
+            append_last_chunk(m_caller->out());
+        } else {
+            append_head("Content-Length", std::to_string(m_body.size()));
+            m_caller->out() += m_body;
+        }
+        m_caller->finish_answer();
+        end_attempt(dispatch::attempt_end::complete);
+        m_owner.on_exchange_over(m_number);
+    }
+
+    void append_head(std::string_view framing_name, std::string_view framing)
+    {
+        auto& out = m_caller->out();
+        append_status_line(out, m_status, to_view(m_head.reason()));
+        for (auto const& field : m_head) {
+            if (!concerns_connection(field))
+                append_field(out, to_view(field.name_string()), to_view(field.value()));
+        }
+        append_field(out, framing_name, framing);
+        if (m_caller->closes_after_answer())
+            append_field(out, "Connection", "close");
+        out += "\r\n";
+    }
+
+    void end_attempt(dispatch::attempt_end end)
+    {
+        m_connection.reset();
+        m_owner.on_event(dispatch::attempt_ended {
+            m_number, m_attempt.attempt, end, m_status, std::exchange(m_events_of_attempt, 0), m_has_head_passed });
+    }
+
+    static constexpr std::uint16_t first_status_not_good = 300;
+
+    event_loop& m_loop;
+    exchange_owner& m_owner;
+    request_number m_number;
+    caller_request m_request;
+    std::shared_ptr<caller_connection> m_caller;
+
+    dispatch::send_attempt m_attempt;
+    std::shared_ptr<call_connection> m_connection;
+    instant m_started_at {};
+    instant m_progress_at {};
+    bool m_has_stalled { false };
+    answer_kind m_kind { answer_kind::invalid };
+    std::uint16_t m_status { 0 };
+    answer_head m_head;
+    bool m_is_stream { false };
+    std::uint32_t m_events_of_attempt { 0 };
+    event_stream m_stream;
+    std::string m_whole_events;
+    // The body of an answer that is no stream, kept back until it is whole.
+    std::string m_body;
+    // Invariant: once true, the head is never written again.
+    bool m_has_head_passed { false };
+};
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/http_message.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// HTTP heads as Boost.Beast reads them, and how they are written on: without the fields that concern one connection.
+#pragma once
+
+#include <boost/beast/http.hpp>
+#include <string>
+#include <string_view>
+
+namespace shedhill::relay {
+
+namespace http = boost::beast::http;
+
+using request_head = http::request_header<>;
+using answer_head = http::response_header<>;
+
+inline std::string_view to_view(boost::beast::string_view text) { return { text.data(), text.size() }; }
+
+// The value of a field, empty where there is none.
+inline std::string_view field_of(http::fields const& fields, std::string_view name)
+{
+    auto const found = fields.find(boost::beast::string_view(name.data(), name.size()));
+    return found == fields.end() ? std::string_view() : to_view(found->value());
+}
+
+// Fields that concern one connection, and those that frame a body: they are never passed on.
+bool concerns_connection(http::fields::value_type const& field);
+
+void append_field(std::string& out, std::string_view name, std::string_view value);
+void append_status_line(std::string& out, unsigned status, std::string_view reason);
+
+// One piece of a chunked body, or its end.
+void append_chunk(std::string& out, std::string_view data);
+void append_last_chunk(std::string& out);
+
+// A body that is handed out in pieces as it comes.
+struct piece_body {
+    struct value_type {
+        std::string pieces;
+    };
+
+    class reader {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields>&, value_type& value)
+            : m_value(value)
+        {
+        }
+
+        void init(boost::optional<std::uint64_t> const&, boost::system::error_code& failure) { failure = {}; }
+
+        template <typename ConstBufferSequence>
+        std::size_t put(ConstBufferSequence const& buffers, boost::system::error_code& failure)
+        {
+            failure = {};
+            std::size_t taken = 0;
+            for (auto const& buffer : boost::beast::buffers_range_ref(buffers)) {
+                m_value.pieces.append(static_cast<char const*>(buffer.data()), buffer.size());
+                taken += buffer.size();
+            }
+            return taken;
+        }
+
+        void finish(boost::system::error_code& failure) { failure = {}; }
+
+    private:
+        value_type& m_value;
+    };
+};
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/peer_mesh.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Connections between routers. Each router speaks over the connections that it opened and listens on those that others
+// opened to it, so that two routers have two, and neither has to be told apart from the other.
+#pragma once
+
+#include "libraries/peering/peer_directory.h"
+#include "libraries/peering/peer_message.h"
+#include "libraries/relay/socket.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace shedhill::relay {
+
+class peer_mesh {
+public:
+    using message_function = std::function<void(peering::peer_message message)>;
+
+    peer_mesh(event_loop& loop, std::string own_address, message_function on_message);
+    ~peer_mesh();
+    peer_mesh(peer_mesh const&) = delete;
+    peer_mesh& operator=(peer_mesh const&) = delete;
+
+    result<void> open();
+    void tick(std::uint64_t draw);
+
+    // To all routers that are connected; those that do not read fast enough are left out.
+    void tell_all(std::string const& frame);
+    void tell(std::string const& address, std::string const& frame);
+
+    [[nodiscard]] peering::peer_directory& directory() { return m_directory; }
+    [[nodiscard]] std::string const& own_address() const { return m_own_address; }
+    [[nodiscard]] bool has_listeners() const { return !m_outgoing.empty(); }
+
+private:
+    class outgoing_link;
+    class incoming_link;
+
+    void accept(int descriptor);
+
+    event_loop& m_loop;
+    std::string m_own_address;
+    message_function m_on_message;
+    peering::peer_directory m_directory;
+    listener_socket m_listener;
+    std::uint64_t m_last_number { 0 };
+    std::uint64_t m_draw { 0 };
+    std::unordered_map<std::string, std::shared_ptr<outgoing_link>> m_outgoing;
+    std::unordered_map<std::uint64_t, std::shared_ptr<incoming_link>> m_incoming;
+};
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/socket.cpp
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Sockets by the system's calls.
+#include "libraries/relay/socket.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace shedhill::relay {
+
+namespace {
+
+// Bytes that the peer has not acknowledged for so long mean that it is gone.
+constexpr unsigned unacknowledged_limit_ms = 1200;
+constexpr int accept_backlog = 512;
+// What was written is dropped from the front of the buffer once it is so large.
+constexpr std::size_t compacted_size = 65536;
+
+std::optional<sockaddr_in> to_system_address(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    sockaddr_in made {};
+    made.sin_family = AF_INET;
+    std::uint16_t port = 0;
+    auto const* const last = address.data() + address.size();
+    if (std::from_chars(address.data() + colon + 1, last, port).ptr != last)
+        return std::nullopt;
+    made.sin_port = htons(port);
+    if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &made.sin_addr) != 1)
+        return std::nullopt;
+    return made;
+}
+
+template <typename Value>
+void set_option(int descriptor, int level, int name, Value value)
+{
+    setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+void set_common_options(int descriptor)
+{
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
+sockaddr* as_generic(sockaddr_in& address)
+{
+    return reinterpret_cast<sockaddr*>(&address); // NOLINT: the system's own idiom
+}
+
+} // namespace
+
+bool socket::connect(std::string const& address)
+{
+    auto target = to_system_address(address);
+    if (!target)
+        return false;
+    auto const descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return false;
+    set_common_options(descriptor);
+    if (::connect(descriptor, as_generic(*target), sizeof(*target)) != 0 && errno != EINPROGRESS) {
+        ::close(descriptor);
+        return false;
+    }
+    m_descriptor = descriptor;
+    m_is_connecting = true;
+    m_interest = interest::writing;
+    m_watch = m_loop.watch(descriptor, m_handler, m_interest);
+    return true;
+}
+
+void socket::adopt(int descriptor)
+{
+    set_common_options(descriptor);
+    m_descriptor = descriptor;
+    m_interest = interest::reading;
+    m_watch = m_loop.watch(descriptor, m_handler, m_interest);
+}
+
+bool socket::has_connected()
+{
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    if (getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0)
+        return false;
+    m_is_connecting = false;
+    update_interest();
+    return true;
+}
+
+read_outcome socket::read()
+{
+    auto& buffer = m_loop.read_buffer();
+    auto const count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count > 0)
+        return { std::string_view(buffer.data(), static_cast<std::size_t>(count)), read_end::drained };
+    if (count == 0)
+        return { {}, read_end::closed };
+    bool const would_block = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return { {}, would_block ? read_end::drained : read_end::failed };
+}
+
+bool socket::flush()
+{
+    while (has_unwritten()) {
+        auto const count
+            = ::send(m_descriptor, m_out.data() + m_written, m_out.size() - m_written, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0) {
+            if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+                return false;
+            m_is_blocked = true;
+            update_interest();
+            if (m_written > compacted_size) {
+                m_out.erase(0, m_written);
+                m_written = 0;
+            }
+            return true;
+        }
+        m_written += static_cast<std::size_t>(count);
+    }
+    m_out.clear();
+    if (m_out.capacity() > compacted_size)
+        m_out.shrink_to_fit();
+    m_written = 0;
+    if (m_is_blocked) {
+        m_is_blocked = false;
+        update_interest();
+    }
+    return true;
+}
+
+void socket::set_reading(bool is_reading)
+{
+    m_is_reading = is_reading;
+    update_interest();
+}
+
+void socket::update_interest()
+{
+    if (!is_open())
+        return;
+    bool const is_writing = m_is_connecting || m_is_blocked;
+    auto wanted = m_is_reading ? interest::reading : interest::nothing;
+    if (is_writing)
+        wanted = m_is_reading && !m_is_connecting ? interest::reading_and_writing : interest::writing;
+    if (wanted == m_interest)
+        return;
+    m_interest = wanted;
+    m_loop.change(m_watch, m_descriptor, wanted);
+}
+
+void socket::close()
+{
+    if (!is_open())
+        return;
+    m_loop.forget(m_watch, m_descriptor);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+void socket::reset()
+{
+    if (!is_open())
+        return;
+    set_option(m_descriptor, SOL_SOCKET, SO_LINGER, linger { 1, 0 });
+    close();
+}
+
+result<void> listener_socket::open(std::string const& address)
+{
+    auto target = to_system_address(address);
+    if (!target)
+        return fail("listen", address, "is not an IP number and a port");
+    m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_descriptor < 0)
+        return fail("listen", address, std::strerror(errno));
+    set_option(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(m_descriptor, as_generic(*target), sizeof(*target)) != 0
+        || ::listen(m_descriptor, accept_backlog) != 0) {
+        auto const reason = std::string(std::strerror(errno));
+        ::close(m_descriptor);
+        m_descriptor = -1;
+        return fail("listen", address, reason);
+    }
+    m_watch = m_loop.watch(m_descriptor, *this, interest::reading);
+    return {};
+}
+
+std::uint16_t listener_socket::port() const
+{
+    sockaddr_in bound {};
+    socklen_t size = sizeof(bound);
+    getsockname(m_descriptor, as_generic(bound), &size);
+    return ntohs(bound.sin_port);
+}
+
+void listener_socket::close()
+{
+    if (m_descriptor < 0)
+        return;
+    m_loop.forget(m_watch, m_descriptor);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+void listener_socket::on_ready(readiness)
+{
+    constexpr int most_at_once = 16;
+    for (int accepted = 0; accepted < most_at_once; ++accepted) {
+        auto const descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+            return;
+        m_on_accept(descriptor);
+    }
+}
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/libraries/relay/status_server.cpp
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One short answer for each request.
+#include "libraries/relay/status_server.h"
+
+namespace shedhill::relay {
+
+void status_server::accept(int descriptor)
+{
+    auto const number = ++m_last_number;
+    auto const made
+        = std::make_shared<caller_connection>(m_loop, number, static_cast<caller_listener&>(*this), read_limits {});
+    m_connections.emplace(number, made);
+    made->open(descriptor);
+}
+
+void status_server::on_request(caller_connection& connection, caller_request request)
+{
+    auto const target = to_view(request.target());
+    answer(connection, m_answer(target.substr(0, target.find('?'))));
+}
+
+void status_server::on_bad_request(caller_connection& connection, unsigned status)
+{
+    answer(connection, { status, "bad request\n" });
+}
+
+void status_server::answer(caller_connection& connection, status_answer const& given)
+{
+    auto& out = connection.out();
+    append_status_line(out, given.status, to_view(http::obsolete_reason(static_cast<http::status>(given.status))));
+    append_field(out, "Content-Type", "text/plain");
+    append_field(out, "Content-Length", std::to_string(given.body.size()));
+    if (connection.closes_after_answer())
+        append_field(out, "Connection", "close");
+    out += "\r\n";
+    out += given.body;
+    connection.finish_answer();
+}
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/services/shedhilld/direct_main.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Settings, signals and bindings of the direct router.
+#include "services/shedhilld/direct_main.h"
+
+#include "platform/caller_binding.h"
+#include "platform/settings_file.h"
+#include "platform/table_binding.h"
+#include "services/shedhilld/direct_router.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace shedhill::daemon {
+
+namespace {
+
+signal_flags g_signals; // NOLINT: a signal handler reaches nothing else
+
+void note_signal(int signal)
+{
+    if (signal == SIGHUP)
+        g_signals.reload = 1;
+    else
+        g_signals.stop = 1;
+}
+
+void install_signals()
+{
+    struct sigaction action { };
+    action.sa_handler = note_signal; // NOLINT: the system's own idiom
+    for (auto const signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaction(signal, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+} // namespace
+
+int run_direct_router(bool is_check)
+{
+    install_signals();
+    auto const path = platform_binding::settings_path();
+    auto const settings = platform_binding::read_settings_file(path);
+    if (!settings) {
+        std::cerr << settings.error().to_string() << '\n';
+        return 2;
+    }
+    if (is_check) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    direct_router<platform_binding::caller_binding, platform_binding::table_binding> router(
+        *settings, [path] { return platform_binding::read_settings_file(path); });
+    if (auto const opened = router.open(); !opened) {
+        std::cerr << opened.error().to_string() << '\n';
+        return EXIT_FAILURE;
+    }
+    router.run(g_signals);
+    return EXIT_SUCCESS;
+}
+
+} // namespace shedhill::daemon
--- /dev/null
+++ b/services/shedhilld/direct_main.h
@@ -0,0 +1,13 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The router on the users' platform: the direct router with the platform's bindings.
+#pragma once
+
+#include <string>
+
+namespace shedhill::daemon {
+
+// Runs until the process is stopped; the exit status is the process's. With `is_check` the settings are read and told
+// good or bad, and nothing is run.
+int run_direct_router(bool is_check);
+
+} // namespace shedhill::daemon
--- /dev/null
+++ b/services/shedhilld/direct_router.h
@@ -0,0 +1,588 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// A router before endpoints that have no process of ours beside them: carries the dispatcher's effects out on sockets
+// and tells it what happened. The bindings say in whose manner callers, endpoints and the store speak.
+#pragma once
+
+#include "libraries/dispatch/dispatch_reducer.h"
+#include "libraries/dispatch/log_fields.h"
+#include "libraries/logging/event_log.h"
+#include "libraries/metrics/registry.h"
+#include "libraries/relay/deployment.h"
+#include "libraries/relay/exchange.h"
+#include "libraries/relay/peer_mesh.h"
+#include "libraries/relay/status_server.h"
+#include "libraries/relay/store_session.h"
+#include "services/shedhilld/endpoint_connections.h"
+
+#include <array>
+#include <csignal>
+#include <deque>
+#include <random>
+
+namespace shedhill::daemon {
+
+// Set by the signal handlers.
+struct signal_flags {
+    volatile std::sig_atomic_t stop { 0 };
+    volatile std::sig_atomic_t reload { 0 };
+};
+
+template <relay::caller_protocol CallerBinding, relay::table_protocol TableBinding>
+class direct_router final : relay::caller_listener, relay::exchange_owner {
+public:
+    using reload_function = std::function<result<relay::deployment_settings>()>;
+
+    direct_router(relay::deployment_settings settings, reload_function reload)
+        : m_settings(std::move(settings))
+        , m_reload(std::move(reload))
+        , m_random(std::random_device {}())
+        , m_log(m_settings.vm.value(), {})
+        , m_reducer(make_options(m_settings))
+        , m_connections(m_loop)
+        , m_caller_listener(m_loop, [this](int descriptor) { accept(descriptor); })
+        , m_ready_server(m_loop, [this](std::string_view) { return answer_readiness(); })
+        , m_metrics_server(m_loop,
+              [this](std::string_view) {
+                  return relay::status_answer { 200, metrics_text() };
+              })
+        , m_peers(m_loop, m_settings.peer_address, [this](peering::peer_message message) { take(std::move(message)); })
+        , m_configuration(m_loop, m_settings.store_address, relay::table_name::configuration, {},
+              [this] { take_configuration_rows(); })
+        , m_endpoints(m_loop, m_settings.store_address, relay::table_name::endpoints, { list_pace, feed_wait },
+              [this] { take_endpoint_rows(); })
+        , m_routers(m_loop, m_settings.store_address, relay::table_name::routers, { list_pace, feed_wait },
+              [this] { take_router_rows(); })
+        , m_writer(
+              m_loop, m_settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
+    {
+    }
+
+    result<void> open()
+    {
+        TRY_VOID(m_caller_listener.open(m_settings.caller_address));
+        TRY_VOID(m_ready_server.open(m_settings.ready_address));
+        if (!m_settings.metrics_address.empty())
+            TRY_VOID(m_metrics_server.open(m_settings.metrics_address));
+        if (!m_settings.peer_address.empty()) {
+            TRY_VOID(m_peers.open());
+            for (auto const& seed : m_settings.seeds)
+                m_peers.directory().add_seed(seed);
+        }
+        log_state("started", dispatch::log_fields().add("callers", m_settings.caller_address).take());
+        return {};
+    }
+
+    // Until a stop was asked for and everything has ended.
+    void run(signal_flags& signals)
+    {
+        while (!m_is_over) {
+            m_loop.run_once(round_limit);
+            auto const now = m_loop.now();
+            if (now - m_ticked_at >= tick_interval) {
+                m_ticked_at = now;
+                tick(now, signals);
+            }
+        }
+        log_state("stopped", {});
+    }
+
+private:
+    using exchange = relay::exchange<CallerBinding>;
+
+    static constexpr milliseconds round_limit { 10 };
+    static constexpr milliseconds tick_interval { 8 };
+    static constexpr milliseconds check_interval { 24 };
+    static constexpr milliseconds peer_interval { 100 };
+    static constexpr milliseconds connect_limit { 160 };
+    static constexpr milliseconds list_pace { 450 };
+    static constexpr milliseconds feed_wait { 1500 };
+    // The balancer asks each second and leaves a router out after two bad answers.
+    static constexpr milliseconds balancer_notice { 2700 };
+    static constexpr milliseconds stop_margin { 700 };
+    // What a peer knows is asked for once the store has not confirmed our own for so long.
+    static constexpr milliseconds out_of_date { 900 };
+    static constexpr milliseconds want_interval { 400 };
+
+    static dispatch::dispatch_options make_options(relay::deployment_settings const& settings)
+    {
+        dispatch::dispatch_options options;
+        options.vm = settings.vm;
+        options.domain = settings.domain;
+        options.retries = { settings.retry_ratio, settings.retry_window, settings.retry_slack, 1 };
+        options.share_window = settings.share_window;
+        return options;
+    }
+
+    // Callers.
+
+    void accept(int descriptor)
+    {
+        auto const number = ++m_last_caller;
+        auto const& limits = m_reducer.routes().current().limits;
+        auto const made = std::make_shared<relay::caller_connection>(m_loop, number,
+            static_cast<relay::caller_listener&>(*this), relay::read_limits { limits.header_bytes, limits.body_bytes });
+        m_callers.emplace(number, made);
+        made->open(descriptor);
+    }
+
+    void on_request(relay::caller_connection& connection, relay::caller_request request) override
+    {
+        if (m_stop_asked_at != instant {})
+            connection.close_after_answer();
+        dispatch::request_arrived arrived;
+        arrived.request = request_number(++m_last_request);
+        if (!CallerBinding::read_request(request, arrived)) {
+            CallerBinding::append_refusal(connection.out(),
+                { status_bad_request, dispatch::name_of(dispatch::refusal_reason::bad_request), {},
+                    connection.closes_after_answer() },
+                request);
+            m_metrics.add("shedhill_refusals_total{reason=\"bad_request\"}");
+            return connection.finish_answer();
+        }
+        m_request_of_caller[connection.number()] = arrived.request;
+        m_exchanges.emplace(arrived.request,
+            std::make_unique<exchange>(m_loop, static_cast<relay::exchange_owner&>(*this), arrived.request,
+                std::move(request), connection.shared_from_this()));
+        on_event(std::move(arrived));
+    }
+
+    void on_bad_request(relay::caller_connection& connection, unsigned status) override
+    {
+        CallerBinding::append_refusal(connection.out(),
+            { static_cast<std::uint16_t>(status), dispatch::name_of(dispatch::refusal_reason::bad_request), {}, true },
+            {});
+        m_metrics.add("shedhill_refusals_total{reason=\"bad_request\"}");
+        connection.finish_answer();
+    }
+
+    void on_caller_gone(relay::caller_connection& connection) override
+    {
+        auto const number = connection.number();
+        if (auto const found = m_request_of_caller.find(number); found != m_request_of_caller.end()) {
+            on_event(dispatch::caller_left { found->second });
+            m_over.push_back(found->second);
+            m_request_of_caller.erase(found);
+        }
+        m_loop.at_end_of_round([this, number] { m_callers.erase(number); });
+    }
+
+    // Exchanges. What they tell is taken up at the end of the round: they are on the stack now.
+
+    void on_event(dispatch::event_body happened) override
+    {
+        m_events.push_back(std::move(happened));
+        if (std::exchange(m_is_drain_scheduled, true))
+            return;
+        m_loop.at_end_of_round([this] {
+            m_is_drain_scheduled = false;
+            take_events();
+        });
+    }
+
+    void on_connection_free(
+        dispatch::send_attempt const& attempt, std::shared_ptr<relay::call_connection> connection) override
+    {
+        m_connections.keep(attempt.endpoint, std::move(connection));
+    }
+
+    void on_exchange_over(request_number request) override { m_over.push_back(request); }
+
+    void take_events()
+    {
+        while (!m_events.empty()) {
+            auto happened = std::move(m_events.front());
+            m_events.pop_front();
+            reduce(std::move(happened));
+        }
+        for (auto const request : std::exchange(m_over, {})) {
+            auto const found = m_exchanges.find(request);
+            if (found == m_exchanges.end())
+                continue;
+            auto const caller = m_request_of_caller.find(found->second->caller().number());
+            if (caller != m_request_of_caller.end() && caller->second == request)
+                m_request_of_caller.erase(caller);
+            m_exchanges.erase(found);
+        }
+    }
+
+    void reduce(dispatch::event_body happened)
+    {
+        auto effects = m_reducer.reduce({ m_loop.now(), m_random(), std::move(happened) });
+        for (auto& effect : effects)
+            std::visit([this](auto& body) { carry_out(body); }, effect);
+    }
+
+    exchange* find_exchange(request_number request)
+    {
+        auto const found = m_exchanges.find(request);
+        return found == m_exchanges.end() ? nullptr : found->second.get();
+    }
+
+    void carry_out(dispatch::send_attempt& sent)
+    {
+        auto* const served = find_exchange(sent.request);
+        if (served == nullptr)
+            return;
+        auto connection = m_connections.take(sent.endpoint, sent.connection, m_loop.now());
+        m_metrics.add(
+            connection->is_idle() ? "shedhill_connections_reused_total" : "shedhill_connections_opened_total");
+        served->start(std::move(sent), std::move(connection));
+    }
+
+    void carry_out(dispatch::cancel_attempt const& cancelled)
+    {
+        if (auto* const served = find_exchange(cancelled.request))
+            served->drop_attempt();
+    }
+
+    void carry_out(dispatch::answer_refusal const& refusal)
+    {
+        if (auto* const served = find_exchange(refusal.request))
+            served->refuse(refusal);
+    }
+
+    void carry_out(dispatch::break_answer const& broken)
+    {
+        if (auto* const served = find_exchange(broken.request))
+            served->break_off();
+    }
+
+    void carry_out(dispatch::set_ready const& changed) { m_is_ready = changed.is_ready; }
+
+    void carry_out(dispatch::stop_process const&) { }
+
+    void carry_out(dispatch::log_line const& line)
+    {
+        auto const level
+            = line.level == dispatch::severity::detail ? logging::event_level::detail : logging::event_level::failure;
+        m_log.write(level, line.event, line.fields, m_loop.now());
+    }
+
+    void carry_out(dispatch::count_event const& happened) { m_metrics.add(counter_name(happened)); }
+
+    static std::string counter_name(dispatch::count_event const& happened)
+    {
+        auto const with_reason
+            = [&](char const* name) { return std::string(name) + "{reason=\"" + std::string(happened.reason) + "\"}"; };
+        switch (happened.which) {
+        case dispatch::counted::requests:
+            return "shedhill_requests_total";
+        case dispatch::counted::answers:
+            return "shedhill_answers_total";
+        case dispatch::counted::refusals:
+            return with_reason("shedhill_refusals_total");
+        case dispatch::counted::retries:
+            return with_reason("shedhill_retries_total");
+        case dispatch::counted::ejections:
+            return "shedhill_ejections_total";
+        case dispatch::counted::cancelled:
+            break;
+        }
+        return "shedhill_cancelled_total";
+    }
+
+    // Time.
+
+    void tick(instant now, signal_flags& signals)
+    {
+        if (signals.stop != 0 && m_stop_asked_at == instant {})
+            begin_stop(now);
+        if (signals.reload != 0) {
+            signals.reload = 0;
+            reload();
+        }
+        reduce(dispatch::tick {});
+        take_events();
+        auto const draw = m_random();
+        m_configuration.tick(now, draw);
+        m_endpoints.tick(now, draw);
+        m_routers.tick(now, draw);
+        m_writer.check_time(now);
+        if (now - m_checked_at >= check_interval) {
+            m_checked_at = now;
+            check_times(now);
+        }
+        if (!m_settings.peer_address.empty() && now - m_told_at >= peer_interval) {
+            m_told_at = now;
+            m_peers.tick(draw);
+            tell_peers(now);
+            keep_own_row(now);
+        }
+        if (m_stop_asked_at != instant {})
+            go_on_stopping(now);
+    }
+
+    void check_times(instant now)
+    {
+        for (auto const& [number, served] : m_exchanges)
+            served->check_time(now, connect_limit);
+        take_events();
+        m_connections.close_old(now);
+        auto const& limits = m_reducer.routes().current().limits;
+        std::vector<std::shared_ptr<relay::caller_connection>> idle;
+        for (auto const& [number, caller] : m_callers) {
+            auto const rest = now - caller->last_activity();
+            auto const limit = caller->has_begun_request() ? limits.header_time : limits.idle_time;
+            if (!caller->is_answering() && rest > limit)
+                idle.push_back(caller);
+        }
+        for (auto const& caller : idle)
+            caller->close_idle();
+    }
+
+    // Stopping.
+
+    void begin_stop(instant now)
+    {
+        m_stop_asked_at = now;
+        log_state("stop_requested", dispatch::log_fields().add("open", m_exchanges.size()).take());
+        reduce(dispatch::drain_requested {});
+    }
+
+    void go_on_stopping(instant now)
+    {
+        auto const since = now - m_stop_asked_at;
+        bool const is_last_moment = since >= m_settings.stop_time - stop_margin;
+        if (since < balancer_notice && !is_last_moment)
+            return;
+        if (!m_exchanges.empty() && !is_last_moment)
+            return;
+        bool const has_half_a_request
+            = std::ranges::any_of(m_callers, [](auto const& entry) { return entry.second->has_begun_request(); });
+        m_is_over = is_last_moment || !has_half_a_request;
+    }
+
+    void reload()
+    {
+        auto const read = m_reload();
+        if (!read)
+            return log_state("reload_refused", dispatch::log_fields().add("reason", read.error().to_string()).take());
+        m_settings.stop_time = read->stop_time;
+        m_settings.seeds = read->seeds;
+        for (auto const& seed : m_settings.seeds)
+            m_peers.directory().add_seed(seed);
+        log_state("reloaded", {});
+    }
+
+    // The store.
+
+    void take_configuration_rows()
+    {
+        auto const& rows = m_configuration.follower().rows();
+        auto const found = rows.find(std::string(TableBinding::configuration_key()));
+        if (found != rows.end())
+            take_configuration_text(found->second.value);
+    }
+
+    void take_configuration_text(std::string const& text)
+    {
+        auto parsed = TableBinding::parse_configuration(text);
+        if (!parsed) {
+            m_metrics.add("shedhill_bad_documents_total");
+            return log_state(
+                "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
+        }
+        if (parsed->revision > m_reducer.routes().current().revision)
+            m_configuration_text = text;
+        reduce(dispatch::configuration_learned { std::move(*parsed) });
+    }
+
+    void take_endpoint_rows()
+    {
+        dispatch::endpoints_listed listed;
+        for (auto const& [key, row] : m_endpoints.follower().rows()) {
+            if (auto entry = TableBinding::parse_endpoint(key, row.value))
+                listed.entries.push_back(std::move(*entry));
+            else
+                m_metrics.add("shedhill_bad_documents_total");
+        }
+        if (listed.entries == m_listed)
+            return;
+        m_listed = listed.entries;
+        reduce(std::move(listed));
+        take_events();
+    }
+
+    void take_router_rows()
+    {
+        std::map<std::string, std::string> rows;
+        for (auto const& [key, row] : m_routers.follower().rows())
+            rows.emplace(key, row.value);
+        m_peers.directory().take_table(rows);
+    }
+
+    // The own row is written where it is missing, and rows of the dead are removed: one call at a time.
+    void keep_own_row(instant now)
+    {
+        if (m_writer.is_calling() || now < m_write_again_at || !m_routers.follower().has_rows())
+            return;
+        auto const& rows = m_routers.follower().rows();
+        auto const own = rows.find(m_settings.vm.value());
+        if (m_stop_asked_at == instant {} && (own == rows.end() || own->second.value != m_settings.peer_address)) {
+            m_write_again_at = now + write_interval;
+            return m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
+                                      m_settings.vm.value(), m_settings.peer_address),
+                write_limit);
+        }
+        for (auto const& dead : m_peers.directory().rows_of_the_dead(now)) {
+            auto const row = rows.find(dead);
+            if (row == rows.end())
+                continue;
+            m_write_again_at = now + write_interval;
+            return m_writer.start(TableBinding::remove_call(
+                                      m_settings.store_address, relay::table_name::routers, dead, row->second.version),
+                write_limit);
+        }
+    }
+
+    void take_written(unsigned status)
+    {
+        if (status == 0 || TableBinding::verdict_of(status) == relay::store_verdict::failed)
+            m_metrics.add("shedhill_store_write_failures_total");
+    }
+
+    // Peers.
+
+    void tell_peers(instant now)
+    {
+        peering::state_message state;
+        state.report = m_reducer.take_own_report(now);
+        if (!m_peers.has_listeners())
+            return;
+        state.address = m_peers.own_address();
+        state.peers = m_peers.directory().connected();
+        state.documents.push_back({ peering::document_kind::configuration, m_reducer.routes().current().revision,
+            now - m_configuration.follower().confirmed_at() });
+        state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().version(),
+            now - m_endpoints.follower().confirmed_at() });
+        m_peers.tell_all(peering::encode_frame(std::move(state)));
+    }
+
+    void take(peering::peer_message message)
+    {
+        std::visit([this](auto& body) { take_part(body); }, message);
+    }
+
+    void take_part(peering::state_message& state)
+    {
+        auto const now = m_loop.now();
+        m_peers.directory().add_told(state.address, now);
+        for (auto const& address : state.peers)
+            m_peers.directory().add_told(address, now);
+        for (auto const& document : state.documents)
+            want_if_later(document, state.address, now);
+        reduce(std::move(state.report));
+        take_events();
+    }
+
+    void want_if_later(peering::document_version const& told, std::string const& address, instant now)
+    {
+        bool const is_configuration = told.kind == peering::document_kind::configuration;
+        auto& follower = is_configuration ? m_configuration.follower() : m_endpoints.follower();
+        auto const own = is_configuration ? m_reducer.routes().current().revision : follower.version();
+        if (told.version <= own || now - follower.confirmed_at() < out_of_date || now < m_want_again_at)
+            return;
+        m_want_again_at = now + want_interval;
+        m_peers.tell(
+            address, peering::encode_frame(peering::document_wanted { told.kind, own, m_peers.own_address() }));
+    }
+
+    void take_part(peering::document_wanted const& wanted)
+    {
+        peering::document_message answer { wanted.kind, 0, {}, {} };
+        if (wanted.kind == peering::document_kind::configuration) {
+            answer.version = m_reducer.routes().current().revision;
+            answer.text = m_configuration_text;
+        } else {
+            answer.version = m_endpoints.follower().version();
+            answer.rows = m_endpoints.follower().rows();
+        }
+        if (answer.version > wanted.version)
+            m_peers.tell(wanted.address, peering::encode_frame(std::move(answer)));
+    }
+
+    void take_part(peering::document_message& document)
+    {
+        if (document.kind == peering::document_kind::configuration)
+            return take_configuration_text(document.text);
+        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date)
+            return;
+        if (m_endpoints.follower().take_told(std::move(document.rows), document.version)
+            == dispatch::table_follower::page_outcome::changed)
+            take_endpoint_rows();
+    }
+
+    // Readiness and counters.
+
+    relay::status_answer answer_readiness() const
+    {
+        return m_is_ready ? relay::status_answer { 200, "ready\n" } : relay::status_answer { 503, "not ready\n" };
+    }
+
+    std::string metrics_text()
+    {
+        m_metrics.set("shedhill_ready", m_is_ready ? 1 : 0);
+        m_metrics.set("shedhill_configuration_revision", static_cast<double>(m_reducer.routes().current().revision));
+        m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
+        m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
+        auto const age = [this](auto& session) {
+            return static_cast<double>((m_loop.now() - session.follower().confirmed_at()).count());
+        };
+        m_metrics.set("shedhill_configuration_age_ms", age(m_configuration));
+        m_metrics.set("shedhill_endpoint_list_age_ms", age(m_endpoints));
+        m_metrics.set("shedhill_log_lines_written", static_cast<double>(m_log.counts().written));
+        m_metrics.set("shedhill_log_lines_over_budget", static_cast<double>(m_log.counts().over_budget));
+        m_metrics.set("shedhill_log_lines_unread", static_cast<double>(m_log.counts().pipe_full));
+        return m_metrics.to_text();
+    }
+
+    void log_state(std::string_view event, std::string const& fields)
+    {
+        m_log.write(logging::event_level::state, event, fields, m_loop.now());
+    }
+
+    static constexpr std::uint16_t status_bad_request = 400;
+    static constexpr milliseconds write_interval { 1500 };
+    static constexpr milliseconds write_limit { 1200 };
+
+    relay::deployment_settings m_settings;
+    reload_function m_reload;
+    relay::event_loop m_loop;
+    std::mt19937_64 m_random;
+    logging::event_log m_log;
+    metrics::registry m_metrics;
+    dispatch::dispatch_reducer m_reducer;
+    endpoint_connections m_connections;
+
+    relay::listener_socket m_caller_listener;
+    relay::status_server m_ready_server;
+    relay::status_server m_metrics_server;
+    relay::peer_mesh m_peers;
+    relay::table_session<TableBinding> m_configuration;
+    relay::table_session<TableBinding> m_endpoints;
+    relay::table_session<TableBinding> m_routers;
+    relay::whole_call m_writer;
+
+    std::uint64_t m_last_caller { 0 };
+    std::uint64_t m_last_request { 0 };
+    std::unordered_map<std::uint64_t, std::shared_ptr<relay::caller_connection>> m_callers;
+    std::unordered_map<std::uint64_t, request_number> m_request_of_caller;
+    std::unordered_map<request_number, std::unique_ptr<exchange>> m_exchanges;
+    std::deque<dispatch::event_body> m_events;
+    std::vector<request_number> m_over;
+    bool m_is_drain_scheduled { false };
+
+    // The text of the configuration in force, to be passed on to routers that cannot hear the store.
+    std::string m_configuration_text;
+    std::vector<dispatch::endpoint_entry> m_listed;
+    bool m_is_ready { false };
+    bool m_is_over { false };
+    instant m_stop_asked_at {};
+    instant m_ticked_at {};
+    instant m_checked_at {};
+    instant m_told_at {};
+    instant m_write_again_at {};
+    instant m_want_again_at {};
+};
+
+} // namespace shedhill::daemon
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -4,6 +4,7 @@
 #include "libraries/net/address.h"
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/settings/setting_table.h"
+#include "services/shedhilld/direct_main.h"
 #include "services/shedhilld/endpoint_daemon.h"
 #include "services/shedhilld/router_daemon.h"
 
@@ -20,6 +21,8 @@
 {
     settings::setting_table table("shedhilld");
     table.add_choice("role", { "none", "router", "endpoint" }, "What this process is: router or endpoint.");
+    table.add_choice("binding", { "own", "platform" },
+        "Whose protocols are spoken: the product's own, or the users' platform's, whose settings file holds the rest.");
     table.add_text("vm", "", "The name of this VM in the platform's list.");
     table.add_text("failure-domain", "default", "The failure domain of this VM.");
     table.add_text("fleet-key", "", "The key that all processes of the fleet share; at least 16 characters.");
@@ -180,6 +183,8 @@
         std::cout << table.help();
         return EXIT_SUCCESS;
     }
+    if (values && values->text("binding") == "platform")
+        return daemon::run_direct_router(values->has_flag("check-settings"));
     auto const checked = values ? check(*values) : result<void>(tl::unexpected<error>(values.error()));
     if (!checked) {
         std::cerr << checked.error().to_string() << '\n';
