dispatch, shedhilld: Share by water filling, prize kept parts, end a stop in time

Change: (1) once the balancer has noticed (2.7 s) idle callers are closed and later requests told 503 with a close. (2) routers tell each other what teams asked for, got and were refused; the max-min share of the owed rate is filled up each 100 ms; past it a request is let in only to 0.8 of the places, 0.6 while a team was refused that got much less. (3) of the endpoints that are in time the one with the least to read anew is taken, at four times its reading time.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -14,6 +14,11 @@
 constexpr milliseconds longest_wait { 110 };
 // While fewer places than this are taken a request is sent rather than refused.
 constexpr double sending_occupancy = 0.55;
+// What is past a team's share is let in only where room is left for what is not.
+constexpr double load_past_share = 0.8;
+constexpr double load_beside_refused = 0.6;
+constexpr double past_share_time = 0.7;
+constexpr double tolerated_lead = 1.25;
 constexpr milliseconds least_silence { 1000 };
 constexpr std::int64_t silence_objectives = 4;
 constexpr std::int64_t silence_pauses = 6;
@@ -64,6 +69,8 @@
     request.deadline = step.now + std::min(caller_time, route_time);
     request.ends_at_route_limit = route_time <= caller_time;
     m_retries.note_request(*pool, step.now);
+    if (request.is_engine)
+        m_ledger.note_asked(request.team, step.now, request.cost.weighted());
     admit(arrived.request, std::move(request), step);
 }
 
@@ -86,10 +93,26 @@
     wanted.excluded = &request.tried;
     wanted.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
     wanted.is_engine = request.is_engine;
+    wanted.most_load = most_load_for(request, step);
+    if (wanted.most_load < 1)
+        wanted.time_left_ms *= past_share_time;
     wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
     return m_board.choose(wanted, step.now);
 }
 
+double dispatch_reducer::most_load_for(active_request const& request, step_context const& step)
+{
+    if (!request.is_engine || request.team.value().empty())
+        return 1;
+    auto const level = m_ledger.level(request.team, step.now);
+    if (level <= m_ledger.share())
+        return 1;
+    // Others were refused who were given much less.
+    if (static_cast<double>(level) > tolerated_lead * static_cast<double>(m_ledger.least_refused_level()))
+        return load_beside_refused;
+    return load_past_share;
+}
+
 bool dispatch_reducer::try_to_send(request_number number, active_request& request, step_context& step)
 {
     auto const chosen = choose(request, step);
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -245,6 +245,8 @@
             .add("after_ms", (step.now - request.arrived).count())
             .add("peers", m_peers.size())
             .take() });
+    if (request.is_engine)
+        m_ledger.note_refused(request.team, step.now, request.cost.weighted());
     if (request.charged != 0 && !request.may_have_run)
         m_ledger.charge(request.team, step.now, -request.charged);
     forget(number);
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds peer_silence_limit { 1500 };
 constexpr milliseconds deadline_interval { 40 };
 constexpr milliseconds parts_interval { 2000 };
+constexpr milliseconds shares_interval { 100 };
 
 } // namespace
 
@@ -82,6 +83,10 @@
 
 void dispatch_reducer::handle(tick const&, step_context& step)
 {
+    if (step.now - m_shares_updated >= shares_interval) {
+        m_shares_updated = step.now;
+        m_ledger.update_shares(m_routes.current().limits.tokens_per_second, step.now);
+    }
     if (!m_waiting.empty())
         serve_waiting(step);
     if (step.now - m_deadlines_checked >= deadline_interval) {
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -106,6 +106,8 @@
     void serve_waiting(step_context& step);
     void end_of_wait(request_number number, active_request& request, step_context& step);
     [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
+    // How much of an endpoint a request may fill, by its team's share.
+    [[nodiscard]] double most_load_for(active_request const& request, step_context const& step);
     [[nodiscard]] milliseconds come_back_after(active_request const& request, step_context const& step) const;
 
     // After an attempt.
@@ -136,6 +138,7 @@
     std::vector<part_placed> m_placed;
     instant m_deadlines_checked {};
     instant m_parts_checked {};
+    instant m_shares_updated {};
     bool m_has_list { false };
     bool m_is_ready { false };
     bool m_is_draining { false };
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -19,12 +19,13 @@
 // A first event takes this long with nothing to read.
 constexpr double least_first_event_ms = 25;
 constexpr double first_service_time_ms = 40;
-// Reading a prompt anew holds up all that run beside it.
-constexpr double weight_of_reading = 1.0;
+// Reading shared parts anew costs much more than the time until the first event: it holds up all that run there, and
+// drives other parts out.
+constexpr double weight_of_reading = 4.0;
 constexpr double full_endpoint_ms = 40;
 constexpr double other_domain_ms = 4;
 // Spreads first places of parts over the endpoints, the same way at all routers.
-constexpr double placement_spread_ms = 12;
+constexpr double placement_spread_ms = 60;
 constexpr double margin_of_the_objective = 0.85;
 // Few unread tokens never keep a prompt away, however large it is.
 constexpr token_count always_allowed_unread = 1500;
@@ -116,7 +117,7 @@
     auto const ignores_ejection = ejected_in(wanted.pool) * 2 > found->second.size();
     auto const key = placement_key(*wanted.cost);
     auto least_cost = std::numeric_limits<double>::max();
-    bool is_best_free = false;
+    std::pair<bool, bool> best_rank { false, false };
     for (auto* state : found->second) {
         if (std::ranges::find(*wanted.excluded, state->entry.name) != wanted.excluded->end())
             continue;
@@ -127,7 +128,9 @@
         auto const expected = expected_time(*state, wanted, unkept);
         auto const slots = std::max(state->entry.slots, 1U);
         auto const load = static_cast<double>(state->all_running()) / slots;
-        bool const is_free = wanted.is_engine ? state->all_running() < slots : true;
+        bool const is_free = !wanted.is_engine || state->all_running() < wanted.most_load * slots;
+        bool const is_quick = expected <= wanted.time_left_ms * margin_of_the_objective
+            || (wanted.is_engine && state->all_unread() <= always_allowed_unread);
         auto cost = expected + full_endpoint_ms * load * load;
         if (wanted.is_engine)
             cost += weight_of_reading * static_cast<double>(unkept) / read_rate_per_ms;
@@ -137,12 +140,11 @@
             cost += placement_spread_ms * placement_share(key, state->entry.name);
         if (is_probe)
             cost = 0;
-        if (std::pair(is_free, -cost) <= std::pair(is_best_free, -least_cost) && best.endpoint != nullptr)
+        std::pair const rank { is_free && is_quick, is_free };
+        if (best.endpoint != nullptr && (rank < best_rank || (rank == best_rank && cost >= least_cost)))
             continue;
         least_cost = cost;
-        is_best_free = is_free;
-        bool const is_quick = expected <= wanted.time_left_ms * margin_of_the_objective
-            || (wanted.is_engine && state->all_unread() <= always_allowed_unread);
+        best_rank = rank;
         best = { state, unkept, expected, is_free && is_quick };
     }
     return best;
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -47,6 +47,8 @@
     std::vector<endpoint_name> const* excluded { nullptr };
     // What is left of the objective.
     double time_left_ms { 0 };
+    // The part of an endpoint's places that may be taken for this request to be let in.
+    double most_load { 1 };
     bool is_engine { false };
     // May be the one that probes an ejected endpoint.
     bool may_probe { false };
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -70,8 +70,10 @@
 
 struct team_usage {
     team_name team;
-    // Weighted tokens admitted within the sliding window.
+    // Weighted tokens asked for and admitted within the sliding window, and refused just now.
+    token_count asked { 0 };
     token_count admitted { 0 };
+    token_count refused { 0 };
 };
 
 // A prompt part that a router has sent to an endpoint since its last word.
--- a/libraries/dispatch/team_ledger.cpp
+++ b/libraries/dispatch/team_ledger.cpp
@@ -1,22 +1,82 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Charges by team, own and reported.
+// Sums by team, own and reported, and the water filling that gives the share.
 #include "libraries/dispatch/team_ledger.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace shedhill::dispatch {
 
+namespace {
+
+// Refusals older than this say nothing of who is short now.
+constexpr milliseconds refusal_window { 1600 };
+constexpr std::int64_t ms_per_second = 1000;
+
+void add(team_usage& sum, team_usage const& usage, int sign)
+{
+    sum.asked += sign * usage.asked;
+    sum.admitted += sign * usage.admitted;
+    sum.refused += sign * usage.refused;
+}
+
+// The level up to which all demands are filled so that together they use up the amount.
+token_count fill(std::vector<token_count> demands, token_count amount)
+{
+    std::ranges::sort(demands);
+    auto left = static_cast<token_count>(demands.size());
+    for (auto const demand : demands) {
+        if (demand * left >= amount)
+            return amount / left;
+        amount -= demand;
+        --left;
+    }
+    return std::numeric_limits<token_count>::max();
+}
+
+} // namespace
+
+team_ledger::own_sums::own_sums(milliseconds window)
+    : asked(window)
+    , admitted(window)
+    , refused(refusal_window)
+{
+}
+
+team_ledger::team_ledger(milliseconds window)
+    : m_window(window)
+    , m_share(std::numeric_limits<token_count>::max())
+    , m_least_refused_level(std::numeric_limits<token_count>::max())
+{
+}
+
+team_ledger::own_sums& team_ledger::sums_of(team_name const& team)
+{
+    return m_own.try_emplace(team, m_window).first->second;
+}
+
+void team_ledger::note_asked(team_name const& team, instant now, token_count amount)
+{
+    sums_of(team).asked.add(now, amount);
+}
+
+void team_ledger::note_refused(team_name const& team, instant now, token_count amount)
+{
+    sums_of(team).refused.add(now, amount);
+}
+
 void team_ledger::charge(team_name const& team, instant now, token_count amount)
 {
-    auto const [found, _] = m_own.try_emplace(team, m_window);
-    found->second.add(now, amount);
+    sums_of(team).admitted.add(now, amount);
 }
 
 token_count team_ledger::level(team_name const& team, instant now)
 {
     token_count level = 0;
     if (auto const own = m_own.find(team); own != m_own.end())
-        level += own->second.sum(now);
+        level += own->second.admitted.sum(now);
     if (auto const others = m_others.find(team); others != m_others.end())
-        level += others->second;
+        level += others->second.admitted;
     return level;
 }
 
@@ -24,7 +84,7 @@
 {
     forget_peer(peer);
     for (auto const& usage : teams)
-        m_others[usage.team] += usage.admitted;
+        add(m_others[usage.team], usage, 1);
     m_reports[peer] = teams;
 }
 
@@ -34,16 +94,33 @@
     if (reported == m_reports.end())
         return;
     for (auto const& usage : reported->second)
-        m_others[usage.team] -= usage.admitted;
+        add(m_others[usage.team], usage, -1);
     m_reports.erase(reported);
 }
 
+void team_ledger::update_shares(token_count tokens_per_second, instant now)
+{
+    auto all = m_others;
+    for (auto const& usage : own_usage(now))
+        add(all[usage.team], usage, 1);
+    std::vector<token_count> demands;
+    m_least_refused_level = std::numeric_limits<token_count>::max();
+    for (auto const& [team, usage] : all) {
+        demands.push_back(usage.asked);
+        if (usage.refused > 0)
+            m_least_refused_level = std::min(m_least_refused_level, usage.admitted);
+    }
+    m_share = tokens_per_second > 0 ? fill(std::move(demands), tokens_per_second * m_window.count() / ms_per_second)
+                                    : std::numeric_limits<token_count>::max();
+}
+
 std::vector<team_usage> team_ledger::own_usage(instant now)
 {
     std::vector<team_usage> usage;
-    for (auto& [team, charged] : m_own) {
-        if (auto const sum = charged.sum(now); sum != 0)
-            usage.push_back({ team, sum });
+    for (auto& [team, sums] : m_own) {
+        team_usage const told { team, sums.asked.sum(now), sums.admitted.sum(now), sums.refused.sum(now) };
+        if (told.asked != 0 || told.admitted != 0 || told.refused != 0)
+            usage.push_back(told);
     }
     return usage;
 }
--- a/libraries/dispatch/team_ledger.h
+++ b/libraries/dispatch/team_ledger.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// What each team was given of late, here and at the other routers: the level by which waiting requests are ordered.
-// Serving the lowest level first leads to max-min shares of whatever the endpoints can do.
+// What each team asked for and was given of late, here and at the other routers: its level, by which waiting requests
+// are ordered, and the max-min share of what all endpoints produce.
 #pragma once
 
 #include "libraries/dispatch/events.h"
@@ -13,30 +13,47 @@
 
 class team_ledger {
 public:
-    explicit team_ledger(milliseconds window)
-        : m_window(window)
-    {
-    }
+    explicit team_ledger(milliseconds window);
 
+    void note_asked(team_name const& team, instant now, token_count amount);
+    void note_refused(team_name const& team, instant now, token_count amount);
     // Charges the expected cost at admission; a negative amount corrects it at the end.
     void charge(team_name const& team, instant now, token_count amount);
     [[nodiscard]] token_count level(team_name const& team, instant now);
 
-    // Another router's charges within the window replace what it told before.
+    // Another router's sums within the window replace what it told before.
     void take_report(vm_name const& peer, std::vector<team_usage> const& teams);
     void forget_peer(vm_name const& peer);
 
-    // This router's own charges, for the others.
+    // Computes the shares anew from what all teams ask for, at the rate that is owed to all together.
+    void update_shares(token_count tokens_per_second, instant now);
+    // What a team may have within a window; without a limit while none was computed.
+    [[nodiscard]] token_count share() const { return m_share; }
+    // The least level among teams that were refused of late; without a limit where there is none.
+    [[nodiscard]] token_count least_refused_level() const { return m_least_refused_level; }
+
+    // This router's own sums, for the others.
     [[nodiscard]] std::vector<team_usage> own_usage(instant now);
 
 private:
     static constexpr std::size_t window_spans = 16;
 
+    struct own_sums {
+        explicit own_sums(milliseconds window);
+        sliding_sum<window_spans> asked;
+        sliding_sum<window_spans> admitted;
+        sliding_sum<window_spans> refused;
+    };
+
+    own_sums& sums_of(team_name const& team);
+
     milliseconds m_window;
-    std::unordered_map<team_name, sliding_sum<window_spans>> m_own;
+    std::unordered_map<team_name, own_sums> m_own;
     std::unordered_map<vm_name, std::vector<team_usage>> m_reports;
-    // Derived from m_reports: their sum for each team.
-    std::unordered_map<team_name, token_count> m_others;
+    // Derived from m_reports: their sums for each team.
+    std::unordered_map<team_name, team_usage> m_others;
+    token_count m_share;
+    token_count m_least_refused_level;
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -138,6 +138,7 @@
     answer_unknown,
     answer_broken,
     time_limit,
+    stopping,
     count,
 };
 
@@ -172,6 +173,8 @@
         return "answer_broken";
     case refusal_reason::time_limit:
         return "time_limit";
+    case refusal_reason::stopping:
+        return "stopping";
     case refusal_reason::count:
         break;
     }
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -27,7 +27,8 @@
             fbs::CreateLoad(builder, builder.CreateSharedString(load.endpoint.value()), load.running, load.unread));
     std::vector<flatbuffers::Offset<fbs::Usage>> teams;
     for (auto const& usage : state.report.teams)
-        teams.push_back(fbs::CreateUsage(builder, builder.CreateString(usage.team.value()), usage.admitted));
+        teams.push_back(fbs::CreateUsage(
+            builder, builder.CreateString(usage.team.value()), usage.asked, usage.admitted, usage.refused));
     std::vector<flatbuffers::Offset<fbs::Placed>> parts;
     for (auto const& placed : state.report.parts)
         parts.push_back(fbs::CreatePlaced(builder, builder.CreateSharedString(placed.endpoint.value()), placed.part));
@@ -53,7 +54,8 @@
     }
     if (state.teams() != nullptr) {
         for (auto const* usage : *state.teams())
-            made.report.teams.push_back({ team_name(text_of(usage->team())), usage->admitted() });
+            made.report.teams.push_back(
+                { team_name(text_of(usage->team())), usage->asked(), usage->admitted(), usage->refused() });
     }
     if (state.parts() != nullptr) {
         for (auto const* placed : *state.parts())
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -129,6 +129,13 @@
     {
         if (m_stop_asked_at != instant {})
             connection.close_after_answer();
+        if (m_is_closing) {
+            CallerBinding::append_refusal(connection.out(),
+                { status_unavailable, dispatch::name_of(dispatch::refusal_reason::stopping), stopping_return, true },
+                request);
+            m_metrics.add("shedhill_refusals_total{reason=\"stopping\"}");
+            return connection.finish_answer();
+        }
         dispatch::request_arrived arrived;
         arrived.request = request_number(++m_last_request);
         if (!CallerBinding::read_request(request, arrived)) {
@@ -342,6 +349,8 @@
     void go_on_stopping(instant now)
     {
         auto const since = now - m_stop_asked_at;
+        if (since >= balancer_notice && !std::exchange(m_is_closing, true))
+            close_idle_callers();
         bool const is_last_moment = since >= m_settings.stop_time - stop_margin;
         if (since < balancer_notice && !is_last_moment)
             return;
@@ -352,6 +361,16 @@
         m_is_over = is_last_moment || !has_half_a_request;
     }
 
+    void close_idle_callers()
+    {
+        m_caller_listener.close();
+        auto const callers = m_callers;
+        for (auto const& [number, caller] : callers) {
+            if (!caller->has_begun_request())
+                caller->close_idle();
+        }
+    }
+
     void reload()
     {
         auto const read = m_reload();
@@ -542,6 +561,9 @@
     }
 
     static constexpr std::uint16_t status_bad_request = 400;
+    static constexpr std::uint16_t status_unavailable = 503;
+    // Another router takes the request at once.
+    static constexpr milliseconds stopping_return { 20 };
     static constexpr milliseconds write_interval { 1500 };
     static constexpr milliseconds write_limit { 1200 };
 
@@ -577,6 +599,8 @@
     std::vector<dispatch::endpoint_entry> m_listed;
     bool m_is_ready { false };
     bool m_is_over { false };
+    // The balancer has noticed the stop: nothing new is taken any more.
+    bool m_is_closing { false };
     instant m_stop_asked_at {};
     instant m_ticked_at {};
     instant m_checked_at {};
