dispatch: Model what an engine has to read, and judge teams by the even level

Cause: half of the choices moved a prompt away from the endpoint that keeps its shared parts, since all unread tokens counted in full until the first event, and nobody waited for that endpoint. Change: for each endpoint the time until which it reads what was sent (own sends, others' as told), corrected by first events; the rate is learnt. A request waits up to 60 ms for the endpoint that keeps its parts. A team past its share is ahead if it has more than the even level (what was admitted, shared by water filling).

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -16,9 +16,14 @@
 constexpr double sending_occupancy = 0.55;
 // What is past a team's share is let in only where room is left for what is not.
 constexpr double load_past_share = 0.8;
-constexpr double load_beside_refused = 0.6;
+constexpr double load_when_ahead = 0.6;
 constexpr double past_share_time = 0.7;
-constexpr double tolerated_lead = 1.25;
+// Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request within its team's share
+// goes where they are not kept after some patience only; one past it only while there is much room.
+constexpr token_count bearable_loss = 300;
+constexpr milliseconds most_patience { 60 };
+constexpr std::int64_t objective_parts_of_patience = 8;
+constexpr double load_that_allows_loss = 0.5;
 constexpr milliseconds least_silence { 1000 };
 constexpr std::int64_t silence_objectives = 4;
 constexpr std::int64_t silence_pauses = 6;
@@ -63,6 +68,8 @@
     request.priority = team != nullptr && team->priority ? *team->priority : route->priority;
     request.most_attempts = std::max(route->most_attempts, 1U);
     request.is_engine = pool_declared != nullptr && pool_declared->is_engine();
+    if (request.is_engine)
+        request.tokens_per_event = pool_declared->tokens_per_event;
     request.arrived = step.now;
     auto const caller_time = arrived.time_left.value_or(m_options.default_deadline);
     auto const route_time = route->time_limit.count() > 0 ? route->time_limit : m_options.default_deadline;
@@ -93,24 +100,33 @@
     wanted.excluded = &request.tried;
     wanted.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
     wanted.is_engine = request.is_engine;
-    wanted.most_load = most_load_for(request, step);
-    if (wanted.most_load < 1)
+    wanted.tokens_per_event = request.tokens_per_event;
+    auto const stands = standing_of(request, step);
+    if (stands != standing::within_share) {
+        wanted.most_load = stands == standing::past_share ? load_past_share : load_when_ahead;
         wanted.time_left_ms *= past_share_time;
+    }
     wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
     return m_board.choose(wanted, step.now);
 }
 
-double dispatch_reducer::most_load_for(active_request const& request, step_context const& step)
+dispatch_reducer::standing dispatch_reducer::standing_of(active_request const& request, step_context const& step)
 {
     if (!request.is_engine || request.team.value().empty())
-        return 1;
+        return standing::within_share;
     auto const level = m_ledger.level(request.team, step.now);
     if (level <= m_ledger.share())
-        return 1;
-    // Others were refused who were given much less.
-    if (static_cast<double>(level) > tolerated_lead * static_cast<double>(m_ledger.least_refused_level()))
-        return load_beside_refused;
-    return load_past_share;
+        return standing::within_share;
+    return level > m_ledger.even_level() ? standing::ahead : standing::past_share;
+}
+
+bool dispatch_reducer::may_lose_parts(active_request const& request, step_context const& step)
+{
+    auto const patience = std::min(most_patience, request.objective / objective_parts_of_patience);
+    if (standing_of(request, step) != standing::ahead && step.now - request.arrived >= patience)
+        return true;
+    auto const occupied = m_board.occupancy_of(request.pool);
+    return static_cast<double>(occupied.taken) < load_that_allows_loss * occupied.places;
 }
 
 bool dispatch_reducer::try_to_send(request_number number, active_request& request, step_context& step)
@@ -118,6 +134,9 @@
     auto const chosen = choose(request, step);
     if (chosen.endpoint == nullptr || !chosen.is_in_time)
         return false;
+    // Another endpoint keeps much of the prompt: it may have room soon.
+    if (chosen.lost > bearable_loss && !may_lose_parts(request, step))
+        return false;
     send(number, request, chosen, step);
     return true;
 }
@@ -132,9 +151,10 @@
     request.tried.push_back(request.endpoint);
     request.sent_at = step.now;
     request.expected_ms = chosen.expected_ms;
-    request.unread = request.is_engine ? chosen.unkept : 0;
+    request.unkept = chosen.unkept;
     ++endpoint.running;
-    endpoint.unread += request.unread;
+    if (request.is_engine)
+        m_board.note_sent(endpoint, chosen.unkept, step.now);
     if (endpoint.health.is_ejected())
         endpoint.health.note_probe_sent();
     for (std::size_t index = 0; request.is_engine && index + 1 < request.cost.parts.size(); ++index) {
@@ -166,9 +186,14 @@
             .add("endpoint", request.endpoint.value())
             .add("team", request.team.value())
             .add("waited_ms", (step.now - request.arrived).count())
+            .add("level", m_ledger.level(request.team, step.now))
+            .add("share", m_ledger.share())
+            .add("even_level", m_ledger.even_level())
             .add("running", endpoint.all_running())
-            .add("unread", endpoint.all_unread())
             .add("unkept", chosen.unkept)
+            .add("lost", chosen.lost)
+            .add("prompt", request.cost.prompt)
+            .add("part", request.cost.parts.size() < 2 ? 0 : request.cost.parts[request.cost.parts.size() - 2].id)
             .add("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
             .add("revision", m_routes.current().revision)
             .take() });
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -68,9 +68,7 @@
         return;
     auto const took = static_cast<double>((step.now - request.sent_at).count());
     if (request.is_engine)
-        endpoint_board::note_first_event(*endpoint, took, request.expected_ms);
-    endpoint->unread -= request.unread;
-    request.unread = 0;
+        m_board.note_first_event(*endpoint, request.unkept, took, request.expected_ms);
     if (!m_waiting.empty())
         serve_waiting(step);
 }
@@ -143,8 +141,6 @@
     if (endpoint == nullptr)
         return;
     --endpoint->running;
-    endpoint->unread -= request.unread;
-    request.unread = 0;
     if (verdict == nullptr)
         return endpoint->health.note_probe_over();
     if (!endpoint->health.note(*verdict, step.now))
@@ -245,8 +241,6 @@
             .add("after_ms", (step.now - request.arrived).count())
             .add("peers", m_peers.size())
             .take() });
-    if (request.is_engine)
-        m_ledger.note_refused(request.team, step.now, request.cost.weighted());
     if (request.charged != 0 && !request.may_have_run)
         m_ledger.charge(request.team, step.now, -request.charged);
     forget(number);
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -136,7 +136,7 @@
 {
     peer_reported report;
     report.peer = m_options.vm;
-    report.loads = m_board.own_loads();
+    report.loads = m_board.take_own_loads();
     report.teams = m_ledger.own_usage(now);
     report.parts = std::move(m_placed);
     m_placed.clear();
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -57,6 +57,7 @@
         std::uint32_t priority { 0 };
         std::uint32_t most_attempts { 1 };
         bool is_engine { false };
+        std::uint32_t tokens_per_event { 1 };
         instant arrived {};
         // Whichever is first, the caller's deadline or the route's limit.
         instant deadline {};
@@ -72,8 +73,8 @@
         endpoint_name endpoint;
         instant sent_at {};
         double expected_ms { 0 };
-        // Prompt tokens counted at the endpoint as unread.
-        token_count unread { 0 };
+        // Prompt tokens that the endpoint does not keep.
+        token_count unkept { 0 };
         token_count charged { 0 };
         std::uint32_t events_passed { 0 };
         bool has_answer_begun { false };
@@ -101,13 +102,21 @@
 
     // Admission.
     void admit(request_number number, active_request request, step_context& step);
+    // Whether a request may go where less of its prompt is kept than elsewhere.
+    [[nodiscard]] bool may_lose_parts(active_request const& request, step_context const& step);
     bool try_to_send(request_number number, active_request& request, step_context& step);
     void send(request_number number, active_request& request, endpoint_choice const& chosen, step_context& step);
     void serve_waiting(step_context& step);
     void end_of_wait(request_number number, active_request& request, step_context& step);
     [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
-    // How much of an endpoint a request may fill, by its team's share.
-    [[nodiscard]] double most_load_for(active_request const& request, step_context const& step);
+    // How a request's team stands against its share and the other teams.
+    enum class standing {
+        within_share,
+        past_share,
+        // Past its share, and given more than others that ask for as much.
+        ahead,
+    };
+    [[nodiscard]] standing standing_of(active_request const& request, step_context const& step);
     [[nodiscard]] milliseconds come_back_after(active_request const& request, step_context const& step) const;
 
     // After an attempt.
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -9,15 +9,24 @@
 #include <cmath>
 #include <limits>
 #include <unordered_set>
+#include <utility>
 
 namespace shedhill::dispatch {
 
 namespace {
 
-// Prompt tokens that an engine reads in a millisecond beside its running requests, before it was observed.
-constexpr double read_rate_per_ms = 90;
-// A first event takes this long with nothing to read.
-constexpr double least_first_event_ms = 25;
+// Before it was observed.
+constexpr double first_read_rate = 90;
+constexpr double least_read_rate = 10;
+constexpr double most_read_rate = 2000;
+// A first event with nothing to read takes this long, and a step for each of its tokens, longer the more run beside it.
+constexpr double least_first_event_ms = 22;
+constexpr double step_ms = 4;
+constexpr double step_ms_per_running = 0.06;
+// A prompt of so many tokens, read at once by an engine that had nothing else to read, shows the engine's rate.
+constexpr token_count telling_prompt = 2500;
+// The part of an error in what was foreseen by which the time of reading is corrected.
+constexpr double correction = 0.25;
 constexpr double first_service_time_ms = 40;
 // Reading shared parts anew costs much more than the time until the first event: it holds up all that run there, and
 // drives other parts out.
@@ -27,12 +36,14 @@
 // Spreads first places of parts over the endpoints, the same way at all routers.
 constexpr double placement_spread_ms = 60;
 constexpr double margin_of_the_objective = 0.85;
-// Few unread tokens never keep a prompt away, however large it is.
-constexpr token_count always_allowed_unread = 1500;
+// So little to read never keeps a prompt away, however large it is.
+constexpr double always_allowed_wait_ms = 15;
 constexpr double weight_of_the_newest_time = 0.1;
 constexpr double least_slowness = 0.4;
 constexpr double most_slowness = 8;
 
+double to_ms(instant now) { return static_cast<double>(now.time_since_epoch().count()); }
+
 std::uint64_t placement_key(request_cost const& cost)
 {
     // The last shared part; a prompt of one part is its own.
@@ -92,12 +103,21 @@
         std::ranges::count_if(found->second, [](auto const* state) { return state->health.is_ejected(); }));
 }
 
+double endpoint_board::read_time(endpoint_state const& endpoint, token_count tokens) const
+{
+    auto const learnt = m_read_rate.find(endpoint.entry.pool);
+    auto const rate = learnt == m_read_rate.end() ? first_read_rate : learnt->second;
+    return static_cast<double>(tokens) / rate * endpoint.slowness;
+}
+
 double endpoint_board::expected_time(
-    endpoint_state const& endpoint, choice_request const& wanted, token_count unkept) const
+    endpoint_state const& endpoint, choice_request const& wanted, token_count unkept, instant now) const
 {
     if (wanted.is_engine) {
-        auto const tokens = static_cast<double>(endpoint.all_unread() + unkept);
-        return (least_first_event_ms + tokens / read_rate_per_ms) * endpoint.slowness;
+        auto const waiting = std::max(endpoint.read_until_ms - to_ms(now), 0.0);
+        auto const step = step_ms + step_ms_per_running * endpoint.all_running();
+        auto const first_event = least_first_event_ms + step * wanted.tokens_per_event;
+        return waiting + first_event * endpoint.slowness + read_time(endpoint, unkept);
     }
     auto const learnt = m_service_time_ms.find(wanted.pool);
     auto const service_time = learnt == m_service_time_ms.end() ? first_service_time_ms : learnt->second;
@@ -118,6 +138,7 @@
     auto const key = placement_key(*wanted.cost);
     auto least_cost = std::numeric_limits<double>::max();
     std::pair<bool, bool> best_rank { false, false };
+    auto least_unkept = std::numeric_limits<token_count>::max();
     for (auto* state : found->second) {
         if (std::ranges::find(*wanted.excluded, state->entry.name) != wanted.excluded->end())
             continue;
@@ -125,15 +146,16 @@
         if (is_probe && !(wanted.may_probe && state->health.may_probe(now)))
             continue;
         auto const unkept = wanted.is_engine ? state->places.unkept_tokens(*wanted.cost, now) : 0;
-        auto const expected = expected_time(*state, wanted, unkept);
+        least_unkept = std::min(least_unkept, unkept);
+        auto const expected = expected_time(*state, wanted, unkept, now);
         auto const slots = std::max(state->entry.slots, 1U);
         auto const load = static_cast<double>(state->all_running()) / slots;
         bool const is_free = !wanted.is_engine || state->all_running() < wanted.most_load * slots;
         bool const is_quick = expected <= wanted.time_left_ms * margin_of_the_objective
-            || (wanted.is_engine && state->all_unread() <= always_allowed_unread);
+            || (wanted.is_engine && state->read_until_ms - to_ms(now) <= always_allowed_wait_ms);
         auto cost = expected + full_endpoint_ms * load * load;
         if (wanted.is_engine)
-            cost += weight_of_reading * static_cast<double>(unkept) / read_rate_per_ms;
+            cost += weight_of_reading * read_time(*state, unkept);
         if (state->entry.domain != m_own_domain)
             cost += other_domain_ms;
         if (key != 0)
@@ -145,8 +167,9 @@
             continue;
         least_cost = cost;
         best_rank = rank;
-        best = { state, unkept, expected, is_free && is_quick };
+        best = { state, unkept, expected, is_free && is_quick, 0 };
     }
+    best.lost = best.unkept - std::min(least_unkept, best.unkept);
     return best;
 }
 
@@ -169,11 +192,28 @@
     found->second += weight_of_the_newest_time * (took_ms - found->second);
 }
 
-void endpoint_board::note_first_event(endpoint_state& endpoint, double took_ms, double expected_ms)
+void endpoint_board::note_sent(endpoint_state& endpoint, token_count unkept, instant now)
 {
-    auto const foreseen = std::max(expected_ms / endpoint.slowness, 1.0);
-    endpoint.slowness += weight_of_the_newest_time * (took_ms / foreseen - endpoint.slowness);
+    endpoint.read_until_ms = std::max(endpoint.read_until_ms, to_ms(now)) + read_time(endpoint, unkept);
+    endpoint.sent_untold += unkept;
+}
+
+void endpoint_board::note_first_event(endpoint_state& endpoint, token_count unkept, double took_ms, double expected_ms)
+{
+    endpoint.slowness
+        *= 1 + weight_of_the_newest_time * std::clamp(took_ms / std::max(expected_ms, 1.0) - 1, -0.5, 1.0);
     endpoint.slowness = std::clamp(endpoint.slowness, least_slowness, most_slowness);
+    endpoint.read_until_ms += correction * (took_ms - expected_ms);
+    auto const reading = took_ms - least_first_event_ms;
+    if (unkept < telling_prompt || reading <= 0)
+        return;
+    // It waited for others too, so this is a lower bound; the estimate forgets upwards quickly and downwards slowly.
+    auto& rate = m_read_rate.try_emplace(endpoint.entry.pool, first_read_rate).first->second;
+    auto const seen = static_cast<double>(unkept) / reading;
+    constexpr double upwards = 0.02;
+    constexpr double downwards = 0.002;
+    rate += (seen > rate ? upwards : downwards) * (seen - rate);
+    rate = std::clamp(rate, least_read_rate, most_read_rate);
 }
 
 void endpoint_board::take_report(peer_reported const& report, instant now)
@@ -182,7 +222,7 @@
     for (auto const& load : report.loads) {
         if (auto* state = find(load.endpoint)) {
             state->others_running += load.running;
-            state->others_unread += load.unread;
+            state->read_until_ms = std::max(state->read_until_ms, to_ms(now)) + read_time(*state, load.sent);
         }
     }
     m_reports[report.peer] = report.loads;
@@ -200,13 +240,11 @@
     m_reports.erase(reported);
     for (auto& [name, state] : m_endpoints) {
         state->others_running = 0;
-        state->others_unread = 0;
     }
     for (auto const& [other, loads] : m_reports) {
         for (auto const& load : loads) {
             if (auto* state = find(load.endpoint)) {
                 state->others_running += load.running;
-                state->others_unread += load.unread;
             }
         }
     }
@@ -218,12 +256,13 @@
         state->places.forget_old(now);
 }
 
-std::vector<endpoint_load> endpoint_board::own_loads() const
+std::vector<endpoint_load> endpoint_board::take_own_loads()
 {
     std::vector<endpoint_load> loads;
     for (auto const& [name, state] : m_endpoints) {
-        if (state->running > 0)
-            loads.push_back({ name, state->running, state->unread });
+        auto const sent = std::exchange(state->sent_untold, 0);
+        if (state->running > 0 || sent > 0)
+            loads.push_back({ name, state->running, sent });
     }
     return loads;
 }
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -17,17 +17,17 @@
     endpoint_entry entry;
     endpoint_health health;
     prompt_places places;
-    // Attempts of this router under way, and the prompt tokens among them that were not yet read.
+    // Attempts under way: of this router, and of all others as they last told.
     std::uint32_t running { 0 };
-    token_count unread { 0 };
-    // The same of all other routers together, as they last told.
     std::uint32_t others_running { 0 };
-    token_count others_unread { 0 };
+    // Prompt tokens sent there since this router last told the others.
+    token_count sent_untold { 0 };
+    // When the engine will have read all prompts that were sent there, by this router or another, as far as is known.
+    double read_until_ms { 0 };
     // How much longer first events take here than foreseen.
     double slowness { 1 };
 
     [[nodiscard]] std::uint32_t all_running() const { return running + others_running; }
-    [[nodiscard]] token_count all_unread() const { return unread + others_unread; }
 };
 
 // What a choice is weighed on, for the log and for tests.
@@ -38,6 +38,8 @@
     double expected_ms { 0 };
     // A place is free, and the answer would begin within the objective.
     bool is_in_time { false };
+    // Tokens that would be read anew although another endpoint is thought to keep them.
+    token_count lost { 0 };
 };
 
 struct choice_request {
@@ -50,6 +52,7 @@
     // The part of an endpoint's places that may be taken for this request to be let in.
     double most_load { 1 };
     bool is_engine { false };
+    std::uint32_t tokens_per_event { 1 };
     // May be the one that probes an ejected endpoint.
     bool may_probe { false };
 };
@@ -79,18 +82,22 @@
 
     // The time that a plain service takes, learnt from its answers.
     void note_service_time(pool_name const& pool, double took_ms);
+    // The request's prompt joins what the engine has to read.
+    void note_sent(endpoint_state& endpoint, token_count unkept, instant now);
     // How long the first event took against what was foreseen.
-    static void note_first_event(endpoint_state& endpoint, double took_ms, double expected_ms);
+    void note_first_event(endpoint_state& endpoint, token_count unkept, double took_ms, double expected_ms);
 
     void take_report(peer_reported const& report, instant now);
     void forget_peer(vm_name const& peer);
     void forget_old_parts(instant now);
 
-    [[nodiscard]] std::vector<endpoint_load> own_loads() const;
+    // What the others are to know; prompt tokens are those since the last call.
+    [[nodiscard]] std::vector<endpoint_load> take_own_loads();
 
 private:
     [[nodiscard]] double expected_time(
-        endpoint_state const& endpoint, choice_request const& wanted, token_count unkept) const;
+        endpoint_state const& endpoint, choice_request const& wanted, token_count unkept, instant now) const;
+    [[nodiscard]] double read_time(endpoint_state const& endpoint, token_count tokens) const;
     [[nodiscard]] std::size_t ejected_in(pool_name const& pool) const;
 
     failure_domain m_own_domain;
@@ -99,6 +106,8 @@
     std::unordered_map<pool_name, std::vector<endpoint_state*>> m_open;
     std::unordered_map<vm_name, std::vector<endpoint_load>> m_reports;
     std::unordered_map<pool_name, double> m_service_time_ms;
+    // Prompt tokens that an engine of the pool reads in a millisecond beside its running requests.
+    std::unordered_map<pool_name, double> m_read_rate;
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -64,16 +64,15 @@
 struct endpoint_load {
     endpoint_name endpoint;
     std::uint32_t running { 0 };
-    // Prompt tokens sent there and not yet read.
-    token_count unread { 0 };
+    // Prompt tokens sent there since its last word that the endpoint does not keep.
+    token_count sent { 0 };
 };
 
 struct team_usage {
     team_name team;
-    // Weighted tokens asked for and admitted within the sliding window, and refused just now.
+    // Weighted tokens asked for and admitted within the sliding window.
     token_count asked { 0 };
     token_count admitted { 0 };
-    token_count refused { 0 };
 };
 
 // A prompt part that a router has sent to an endpoint since its last word.
--- a/libraries/dispatch/team_ledger.cpp
+++ b/libraries/dispatch/team_ledger.cpp
@@ -9,15 +9,12 @@
 
 namespace {
 
-// Refusals older than this say nothing of who is short now.
-constexpr milliseconds refusal_window { 1600 };
 constexpr std::int64_t ms_per_second = 1000;
 
 void add(team_usage& sum, team_usage const& usage, int sign)
 {
     sum.asked += sign * usage.asked;
     sum.admitted += sign * usage.admitted;
-    sum.refused += sign * usage.refused;
 }
 
 // The level up to which all demands are filled so that together they use up the amount.
@@ -39,14 +36,13 @@
 team_ledger::own_sums::own_sums(milliseconds window)
     : asked(window)
     , admitted(window)
-    , refused(refusal_window)
 {
 }
 
 team_ledger::team_ledger(milliseconds window)
     : m_window(window)
     , m_share(std::numeric_limits<token_count>::max())
-    , m_least_refused_level(std::numeric_limits<token_count>::max())
+    , m_even_level(std::numeric_limits<token_count>::max())
 {
 }
 
@@ -60,11 +56,6 @@
     sums_of(team).asked.add(now, amount);
 }
 
-void team_ledger::note_refused(team_name const& team, instant now, token_count amount)
-{
-    sums_of(team).refused.add(now, amount);
-}
-
 void team_ledger::charge(team_name const& team, instant now, token_count amount)
 {
     sums_of(team).admitted.add(now, amount);
@@ -104,12 +95,12 @@
     for (auto const& usage : own_usage(now))
         add(all[usage.team], usage, 1);
     std::vector<token_count> demands;
-    m_least_refused_level = std::numeric_limits<token_count>::max();
+    token_count admitted = 0;
     for (auto const& [team, usage] : all) {
         demands.push_back(usage.asked);
-        if (usage.refused > 0)
-            m_least_refused_level = std::min(m_least_refused_level, usage.admitted);
+        admitted += usage.admitted;
     }
+    m_even_level = fill(demands, admitted);
     m_share = tokens_per_second > 0 ? fill(std::move(demands), tokens_per_second * m_window.count() / ms_per_second)
                                     : std::numeric_limits<token_count>::max();
 }
@@ -118,8 +109,8 @@
 {
     std::vector<team_usage> usage;
     for (auto& [team, sums] : m_own) {
-        team_usage const told { team, sums.asked.sum(now), sums.admitted.sum(now), sums.refused.sum(now) };
-        if (told.asked != 0 || told.admitted != 0 || told.refused != 0)
+        team_usage const told { team, sums.asked.sum(now), sums.admitted.sum(now) };
+        if (told.asked != 0 || told.admitted != 0)
             usage.push_back(told);
     }
     return usage;
--- a/libraries/dispatch/team_ledger.h
+++ b/libraries/dispatch/team_ledger.h
@@ -16,7 +16,6 @@
     explicit team_ledger(milliseconds window);
 
     void note_asked(team_name const& team, instant now, token_count amount);
-    void note_refused(team_name const& team, instant now, token_count amount);
     // Charges the expected cost at admission; a negative amount corrects it at the end.
     void charge(team_name const& team, instant now, token_count amount);
     [[nodiscard]] token_count level(team_name const& team, instant now);
@@ -29,8 +28,9 @@
     void update_shares(token_count tokens_per_second, instant now);
     // What a team may have within a window; without a limit while none was computed.
     [[nodiscard]] token_count share() const { return m_share; }
-    // The least level among teams that were refused of late; without a limit where there is none.
-    [[nodiscard]] token_count least_refused_level() const { return m_least_refused_level; }
+    // What each team that asked for more would have, had all that was admitted within the window been shared evenly;
+    // without a limit where everyone got what it asked for.
+    [[nodiscard]] token_count even_level() const { return m_even_level; }
 
     // This router's own sums, for the others.
     [[nodiscard]] std::vector<team_usage> own_usage(instant now);
@@ -42,7 +42,6 @@
         explicit own_sums(milliseconds window);
         sliding_sum<window_spans> asked;
         sliding_sum<window_spans> admitted;
-        sliding_sum<window_spans> refused;
     };
 
     own_sums& sums_of(team_name const& team);
@@ -53,7 +52,7 @@
     // Derived from m_reports: their sums for each team.
     std::unordered_map<team_name, team_usage> m_others;
     token_count m_share;
-    token_count m_least_refused_level;
+    token_count m_even_level;
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -24,11 +24,11 @@
     std::vector<flatbuffers::Offset<fbs::Load>> loads;
     for (auto const& load : state.report.loads)
         loads.push_back(
-            fbs::CreateLoad(builder, builder.CreateSharedString(load.endpoint.value()), load.running, load.unread));
+            fbs::CreateLoad(builder, builder.CreateSharedString(load.endpoint.value()), load.running, load.sent));
     std::vector<flatbuffers::Offset<fbs::Usage>> teams;
     for (auto const& usage : state.report.teams)
-        teams.push_back(fbs::CreateUsage(
-            builder, builder.CreateString(usage.team.value()), usage.asked, usage.admitted, usage.refused));
+        teams.push_back(
+            fbs::CreateUsage(builder, builder.CreateString(usage.team.value()), usage.asked, usage.admitted));
     std::vector<flatbuffers::Offset<fbs::Placed>> parts;
     for (auto const& placed : state.report.parts)
         parts.push_back(fbs::CreatePlaced(builder, builder.CreateSharedString(placed.endpoint.value()), placed.part));
@@ -50,12 +50,11 @@
     made.address = text_of(state.address());
     if (state.loads() != nullptr) {
         for (auto const* load : *state.loads())
-            made.report.loads.push_back({ endpoint_name(text_of(load->endpoint())), load->running(), load->unread() });
+            made.report.loads.push_back({ endpoint_name(text_of(load->endpoint())), load->running(), load->sent() });
     }
     if (state.teams() != nullptr) {
         for (auto const* usage : *state.teams())
-            made.report.teams.push_back(
-                { team_name(text_of(usage->team())), usage->asked(), usage->admitted(), usage->refused() });
+            made.report.teams.push_back({ team_name(text_of(usage->team())), usage->asked(), usage->admitted() });
     }
     if (state.parts() != nullptr) {
         for (auto const* placed : *state.parts())
