--- /dev/null
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -0,0 +1,303 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The dispatcher's parts by themselves: routes, shares, retry budget, following of tables, places of prompts.
+#include "libraries/dispatch/endpoint_board.h"
+#include "libraries/dispatch/fleet_retry_budget.h"
+#include "libraries/dispatch/prompt_places.h"
+#include "libraries/dispatch/table_follower.h"
+#include "libraries/dispatch/team_ledger.h"
+#include "tests/dispatch/dispatch_driver.h"
+#include "tests/support/property.h"
+
+#include <limits>
+#include <numeric>
+
+namespace shedhill::dispatch {
+
+class dispatch_parts_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(dispatch_parts_test);
+    CPPUNIT_TEST(the_longest_prefix_of_the_host_wins);
+    CPPUNIT_TEST(pools_are_chosen_by_weight);
+    CPPUNIT_TEST(shares_are_max_min);
+    CPPUNIT_TEST(a_report_replaces_the_one_before);
+    CPPUNIT_TEST(what_is_old_leaves_the_window);
+    CPPUNIT_TEST(the_fleet_keeps_its_retry_budget);
+    CPPUNIT_TEST(a_table_is_read_and_then_followed);
+    CPPUNIT_TEST(a_lost_history_is_read_anew_and_never_goes_back);
+    CPPUNIT_TEST(a_store_that_is_away_is_asked_less_and_less);
+    CPPUNIT_TEST(rows_told_by_a_peer_are_followed_on);
+    CPPUNIT_TEST(a_part_counts_only_behind_kept_ones);
+    CPPUNIT_TEST(the_endpoint_that_keeps_the_parts_is_preferred);
+    CPPUNIT_TEST(a_full_endpoint_is_passed_over);
+    CPPUNIT_TEST(new_parts_go_to_the_same_place_from_all_routers);
+    CPPUNIT_TEST_SUITE_END();
+
+    static instant at(std::int64_t time) { return instant(milliseconds(time)); }
+
+    void the_longest_prefix_of_the_host_wins()
+    {
+        route_table table;
+        configuration declared;
+        declared.revision = 1;
+        declared.routes = { dispatch_driver::make_route("/a/", answer_form::whole, repetition::whole, "one"),
+            dispatch_driver::make_route("/a/b/", answer_form::whole, repetition::whole, "two") };
+        CPPUNIT_ASSERT(table.adopt(declared) == adoption::adopted);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.find_route("host", "/a/b/c")->path_prefix);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.find_route("host", "/a/bc")->path_prefix);
+        CPPUNIT_ASSERT(table.find_route("host", "/b/") == nullptr);
+        CPPUNIT_ASSERT(table.find_route("other", "/a/") == nullptr);
+        CPPUNIT_ASSERT(table.adopt(declared) == adoption::not_newer);
+    }
+
+    void pools_are_chosen_by_weight()
+    {
+        route from;
+        from.pools = { { pool_name("most"), 90 }, { pool_name("few"), 10 }, { pool_name("none"), 0 } };
+        int few = 0;
+        for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+            auto const* pool = route_table::choose_pool(from, draw);
+            CPPUNIT_ASSERT(pool->value() != "none");
+            few += pool->value() == "few" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(100, few);
+    }
+
+    // The oracle: no team has more than its demand; who has less than its demand has the share; all of it is given out.
+    void shares_are_max_min()
+    {
+        testing::check_property("water filling gives max-min shares", [] {
+            auto const demands = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 5000)));
+            auto const rate = *rc::gen::inRange(100, 20000);
+            team_ledger ledger(milliseconds(4000));
+            for (std::size_t index = 0; index < demands.size(); ++index)
+                ledger.note_asked(team_name(std::to_string(index)), at(5000), demands[index]);
+            ledger.update_shares(rate, at(5000));
+            auto const owed = static_cast<token_count>(rate) * 4;
+            auto const asked = std::accumulate(demands.begin(), demands.end(), token_count { 0 });
+            if (asked <= owed) {
+                for (auto const demand : demands)
+                    RC_ASSERT(ledger.share() >= demand);
+                return;
+            }
+            token_count given = 0;
+            for (auto const demand : demands)
+                given += std::min<token_count>(demand, ledger.share());
+            RC_ASSERT(given <= owed);
+            RC_ASSERT(given > owed - static_cast<token_count>(demands.size()));
+        });
+    }
+
+    void a_report_replaces_the_one_before()
+    {
+        team_ledger ledger(milliseconds(4000));
+        ledger.charge(team_name("red"), at(1000), 10);
+        ledger.take_report(vm_name("b"), { { team_name("red"), 500, 100 } });
+        ledger.take_report(vm_name("b"), { { team_name("red"), 600, 150 } });
+        CPPUNIT_ASSERT_EQUAL(token_count { 160 }, ledger.level(team_name("red"), at(1000)));
+        ledger.forget_peer(vm_name("b"));
+        CPPUNIT_ASSERT_EQUAL(token_count { 10 }, ledger.level(team_name("red"), at(1000)));
+    }
+
+    void what_is_old_leaves_the_window()
+    {
+        sliding_sum<4> sum(milliseconds(400));
+        sum.add(at(1000), 5);
+        sum.add(at(1200), 7);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 12 }, sum.sum(at(1399)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 7 }, sum.sum(at(1400)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, sum.sum(at(99000)));
+    }
+
+    // Routers that hear nothing of each other stay within the budget together, in every window.
+    void the_fleet_keeps_its_retry_budget()
+    {
+        testing::check_property("repeats stay within the budget of the fleet", [] {
+            constexpr std::size_t routers = 4;
+            auto const requests = *rc::gen::container<std::vector<std::pair<int, int>>>(
+                rc::gen::pair(rc::gen::inRange(0, static_cast<int>(routers)), rc::gen::inRange(0, 60)));
+            std::vector<fleet_retry_budget> budgets(
+                routers, fleet_retry_budget({ 0.2, milliseconds(10000), 20, routers }));
+            std::int64_t now = 1000;
+            std::vector<std::pair<std::int64_t, bool>> arrivals;
+            pool_name const pool("model");
+            for (auto const& [router, pause] : requests) {
+                now += pause;
+                budgets[static_cast<std::size_t>(router)].note_request(pool, at(now));
+                arrivals.emplace_back(now, false);
+                // Everything fails.
+                if (budgets[static_cast<std::size_t>(router)].spend(pool, at(now)))
+                    arrivals.emplace_back(now, true);
+            }
+            for (auto const& [end, _] : arrivals) {
+                double firsts = 0;
+                double repeats = 0;
+                for (auto const& [when, is_repeat] : arrivals) {
+                    if (when <= end && when > end - 10000)
+                        (is_repeat ? repeats : firsts) += 1;
+                }
+                RC_ASSERT(repeats <= 0.2 * firsts + 20);
+            }
+        });
+    }
+
+    void a_table_is_read_and_then_followed()
+    {
+        table_follower follower({ milliseconds(0), milliseconds(1500) });
+        auto call = follower.take_next(at(1000));
+        CPPUNIT_ASSERT(call.kind == table_follower::call_kind::read);
+        CPPUNIT_ASSERT(follower.take_next(at(1001)).kind == table_follower::call_kind::none);
+        follower.take_page({ { "a", "1", 3, false } }, 5, true, at(1002));
+        call = follower.take_next(at(1003));
+        CPPUNIT_ASSERT(call.kind == table_follower::call_kind::read);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), call.after_key);
+        CPPUNIT_ASSERT(follower.take_page({ { "b", "2", 4, false } }, 6, false, at(1004))
+            == table_follower::page_outcome::changed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, follower.rows().size());
+        call = follower.take_next(at(1005));
+        CPPUNIT_ASSERT(call.kind == table_follower::call_kind::follow);
+        // The first page's version: what changed while the others were read is told by the feed.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, call.since);
+        follower.take_page({ { "a", "", 7, true }, { "b", "3", 8, false } }, 8, false, at(1006));
+        CPPUNIT_ASSERT(!follower.rows().contains("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), follower.rows().at("b").value);
+    }
+
+    void a_lost_history_is_read_anew_and_never_goes_back()
+    {
+        table_follower follower({ milliseconds(0), milliseconds(1500) });
+        (void)follower.take_next(at(1000));
+        follower.take_page({ { "a", "new", 9, false } }, 9, false, at(1000));
+        (void)follower.take_next(at(1001));
+        follower.take_failure(table_follower::failure::history_gone, at(1002), 0);
+        CPPUNIT_ASSERT(follower.take_next(at(1002)).kind == table_follower::call_kind::read);
+        // A read that is seconds behind.
+        CPPUNIT_ASSERT(follower.take_page({ { "a", "old", 4, false } }, 5, false, at(1003))
+            == table_follower::page_outcome::out_of_date);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), follower.rows().at("a").value);
+        CPPUNIT_ASSERT(follower.take_next(at(2000)).kind == table_follower::call_kind::read);
+    }
+
+    void a_store_that_is_away_is_asked_less_and_less()
+    {
+        table_follower follower({ milliseconds(0), milliseconds(1500) });
+        int calls = 0;
+        for (std::int64_t now = 1000; now < 6000; ++now) {
+            if (follower.take_next(at(now)).kind == table_follower::call_kind::none)
+                continue;
+            ++calls;
+            follower.take_failure(table_follower::failure::no_answer, at(now), static_cast<std::uint64_t>(now));
+        }
+        CPPUNIT_ASSERT(calls > 4 && calls < 16);
+        CPPUNIT_ASSERT(follower.is_failing());
+    }
+
+    void rows_told_by_a_peer_are_followed_on()
+    {
+        table_follower follower({ milliseconds(0), milliseconds(1500) });
+        CPPUNIT_ASSERT(follower.take_told({ { "a", { "1", 3 } } }, 12) == table_follower::page_outcome::changed);
+        CPPUNIT_ASSERT(follower.take_told({}, 11) == table_follower::page_outcome::out_of_date);
+        auto const call = follower.take_next(at(1000));
+        CPPUNIT_ASSERT(call.kind == table_follower::call_kind::follow);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, call.since);
+    }
+
+    void a_part_counts_only_behind_kept_ones()
+    {
+        prompt_places places;
+        request_cost cost;
+        cost.prompt = 60;
+        cost.parts = { { 1, 10 }, { 2, 20 }, { 3, 30 } };
+        places.note(2, at(1000));
+        CPPUNIT_ASSERT_EQUAL(token_count { 60 }, places.unkept_tokens(cost, at(1001)));
+        places.note(1, at(1000));
+        CPPUNIT_ASSERT_EQUAL(token_count { 30 }, places.unkept_tokens(cost, at(1001)));
+        // The last part is the request's own, and what was long unused is gone.
+        places.note(3, at(1000));
+        CPPUNIT_ASSERT_EQUAL(token_count { 30 }, places.unkept_tokens(cost, at(1001)));
+        CPPUNIT_ASSERT_EQUAL(token_count { 60 }, places.unkept_tokens(cost, at(60000)));
+    }
+
+    static choice_request usual_choice(request_cost const& cost, std::vector<endpoint_name> const& excluded)
+    {
+        choice_request wanted;
+        wanted.pool = pool_name("model");
+        wanted.cost = &cost;
+        wanted.excluded = &excluded;
+        wanted.time_left_ms = 400;
+        wanted.is_engine = true;
+        return wanted;
+    }
+
+    static request_cost long_prompt(std::uint64_t subject)
+    {
+        request_cost cost;
+        cost.prompt = 6000;
+        cost.parts = { { 1, 500 }, { subject, 5000 }, { subject + 1000000, 500 } };
+        return cost;
+    }
+
+    void the_endpoint_that_keeps_the_parts_is_preferred()
+    {
+        endpoint_board board(failure_domain("north"));
+        std::vector<endpoint_entry> entries;
+        for (auto const* name : { "e1", "e2", "e3", "e4" })
+            entries.push_back(dispatch_driver::make_endpoint(name, "model", 8));
+        board.take_list(entries);
+        auto const cost = long_prompt(77);
+        std::vector<endpoint_name> const excluded;
+        for (auto const* name : { "e1", "e2", "e3", "e4" }) {
+            endpoint_board fresh(failure_domain("north"));
+            fresh.take_list(entries);
+            auto* const keeper = fresh.find(endpoint_name(name));
+            keeper->places.note(1, at(1000));
+            keeper->places.note(77, at(1000));
+            keeper->running = 3;
+            auto const chosen = fresh.choose(usual_choice(cost, excluded), at(1001));
+            CPPUNIT_ASSERT_EQUAL(std::string(name), chosen.endpoint->entry.name.value());
+            CPPUNIT_ASSERT_EQUAL(token_count { 500 }, chosen.unkept);
+        }
+    }
+
+    void a_full_endpoint_is_passed_over()
+    {
+        endpoint_board board(failure_domain("north"));
+        board.take_list(
+            { dispatch_driver::make_endpoint("e1", "model", 8), dispatch_driver::make_endpoint("e2", "model", 8) });
+        auto const cost = long_prompt(77);
+        std::vector<endpoint_name> const excluded;
+        auto* const keeper = board.find(endpoint_name("e1"));
+        keeper->places.note(1, at(1000));
+        keeper->places.note(77, at(1000));
+        // Another router's requests count too.
+        board.take_report({ vm_name("b"), { { endpoint_name("e1"), 8, 0 } }, {}, {} }, at(1000));
+        auto const chosen = board.choose(usual_choice(cost, excluded), at(1001));
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), chosen.endpoint->entry.name.value());
+        CPPUNIT_ASSERT_EQUAL(token_count { 5500 }, chosen.lost);
+        board.forget_peer(vm_name("b"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e1"), board.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name.value());
+    }
+
+    void new_parts_go_to_the_same_place_from_all_routers()
+    {
+        std::vector<endpoint_entry> entries;
+        for (auto const* name : { "e1", "e2", "e3", "e4", "e5" })
+            entries.push_back(dispatch_driver::make_endpoint(name, "model", 8));
+        std::vector<endpoint_name> const excluded;
+        std::map<std::string, int> places;
+        for (std::uint64_t subject = 100; subject < 200; ++subject) {
+            endpoint_board left(failure_domain("north"));
+            endpoint_board right(failure_domain("north"));
+            left.take_list(entries);
+            right.take_list(entries);
+            auto const cost = long_prompt(subject);
+            auto const chosen = left.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name;
+            CPPUNIT_ASSERT(chosen == right.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name);
+            ++places[chosen.value()];
+        }
+        CPPUNIT_ASSERT_EQUAL(entries.size(), places.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_parts_test);
+
+} // namespace shedhill::dispatch
