dispatch: Let a team fill less the further it is ahead

Change: the limit falls from 0.8 at the even level by 0.5 for each such level more, to 0.25. If only teams that are ahead ask, the even level rises to theirs, so no place idles for it. Ruled out: router load, descriptors (10 of 64 waiting at most), stale peers (4 of 4 heard).

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -16,7 +16,8 @@
 constexpr double sending_occupancy = 0.52;
 // What is past a team's share is let in only where room is left for what is not.
 constexpr double load_past_share = 0.8;
-constexpr double load_when_ahead = 0.6;
+constexpr double load_less_per_lead = 0.5;
+constexpr double load_far_ahead = 0.25;
 constexpr double past_share_time = 0.7;
 // Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request within its team's share
 // goes where they are not kept after some patience only; one past it only while there is much room.
@@ -34,6 +35,13 @@
 constexpr std::uint16_t status_too_many_requests = 429;
 constexpr std::uint16_t status_unavailable = 503;
 
+// The further a team is ahead of the even level, the less of an endpoint it may fill.
+double most_load_past_share(token_count level, token_count even_level)
+{
+    auto const lead = static_cast<double>(level) / static_cast<double>(std::max<token_count>(even_level, 1)) - 1;
+    return std::clamp(load_past_share - load_less_per_lead * lead, load_far_ahead, load_past_share);
+}
+
 } // namespace
 
 void dispatch_reducer::handle(request_arrived const& arrived, step_context& step)
@@ -103,7 +111,7 @@
     wanted.tokens_per_event = request.tokens_per_event;
     auto const stands = standing_of(request, step);
     if (stands != standing::within_share) {
-        wanted.most_load = stands == standing::past_share ? load_past_share : load_when_ahead;
+        wanted.most_load = most_load_past_share(m_ledger.level(request.team, step.now), m_ledger.even_level());
         wanted.time_left_ms *= past_share_time;
     }
     wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -36,7 +36,10 @@
     [[nodiscard]] bool is_ready() const { return m_is_ready; }
     [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
     [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
-    [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool) const { return m_board.occupancy_of(pool); }
+    [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool) const
+    {
+        return m_board.occupancy_of(pool);
+    }
 
     // What the other routers are to know. The parts placed are those since the last call.
     [[nodiscard]] peer_reported take_own_report(instant now);
