tests: Calls, callers, event streams, bindings and peers

Cause: the relay and platform/ had no tests. 37 tests: answers without a length, reset, cut, garbled, surplus and late ones, early answers, smuggled and cut requests, limits; heads, tables, documents and settings of the platform, good, bad and random.

--- /dev/null
+++ b/tests/platform/binding_test.cpp
@@ -0,0 +1,295 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The platform's manner of speaking: heads, tables, documents and settings, good and bad.
+#include "libraries/peering/peer_directory.h"
+#include "libraries/peering/peer_message.h"
+#include "platform/caller_binding.h"
+#include "platform/settings_file.h"
+#include "platform/table_binding.h"
+#include "tests/support/property.h"
+
+namespace shedhill::platform_binding {
+
+class binding_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(binding_test);
+    CPPUNIT_TEST(a_request_is_read_field_by_field);
+    CPPUNIT_TEST(a_bad_field_is_refused);
+    CPPUNIT_TEST(a_call_keeps_what_is_the_callers_and_hides_the_key);
+    CPPUNIT_TEST(a_resumed_call_names_the_last_event_once);
+    CPPUNIT_TEST(only_the_mark_proves_not_run);
+    CPPUNIT_TEST(an_answer_to_another_call_is_known_by_its_id);
+    CPPUNIT_TEST(a_refusal_says_when_to_come_back);
+    CPPUNIT_TEST(a_configuration_is_read_whole);
+    CPPUNIT_TEST(a_bad_configuration_is_refused_with_the_field);
+    CPPUNIT_TEST(an_endpoint_is_read);
+    CPPUNIT_TEST(rows_are_decoded);
+    CPPUNIT_TEST(any_bytes_are_read_without_harm);
+    CPPUNIT_TEST(settings_are_read_and_checked);
+    CPPUNIT_TEST(peer_messages_survive_the_wire);
+    CPPUNIT_TEST(peers_are_tried_with_back_off_and_forgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+    static relay::caller_request stream_request()
+    {
+        relay::caller_request request;
+        request.method(boost::beast::http::verb::post);
+        request.target("/lohu/2f?q=1");
+        request.set("Host", "Ficu.Example:80");
+        request.set("Shedhill-Request-Id", "9c41");
+        request.set("Shedhill-Token-Usage", "1460,80");
+        request.set("Shedhill-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+        request.set("Shedhill-Length-Hint", "33");
+        request.set("Shedhill-Deadline-Ms", "15000");
+        request.set("Authorization", "Bearer secret");
+        request.set("Shedhill-Tenant", "forged");
+        request.set("X-Own", "kept");
+        request.set("Connection", "keep-alive, X-Hop");
+        request.set("X-Hop", "dropped");
+        request.body() = "body";
+        return request;
+    }
+
+    void a_request_is_read_field_by_field()
+    {
+        dispatch::request_arrived arrived;
+        CPPUNIT_ASSERT(caller_binding::read_request(stream_request(), arrived));
+        CPPUNIT_ASSERT_EQUAL(std::string("ficu.example"), arrived.host);
+        CPPUNIT_ASSERT_EQUAL(std::string("/lohu/2f"), arrived.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), arrived.key);
+        CPPUNIT_ASSERT(arrived.time_left == milliseconds(15000));
+        CPPUNIT_ASSERT_EQUAL(dispatch::token_count { 1460 }, arrived.cost.prompt);
+        CPPUNIT_ASSERT_EQUAL(dispatch::token_count { 33 }, arrived.cost.made);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, arrived.cost.parts.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0x91bd3f06 }, arrived.cost.parts[1].id);
+        CPPUNIT_ASSERT_EQUAL(dispatch::token_count { 410 }, arrived.cost.parts[1].tokens);
+    }
+
+    void a_bad_field_is_refused()
+    {
+        for (auto const& [name, value] :
+            { std::pair("Shedhill-Deadline-Ms", "soon"), std::pair("Shedhill-Token-Usage", "12"),
+                std::pair("Shedhill-Prefix-Hash", "5c1e07a2"), std::pair("Shedhill-Token-Usage", "-5,2") }) {
+            auto request = stream_request();
+            request.set(name, value);
+            dispatch::request_arrived arrived;
+            CPPUNIT_ASSERT_MESSAGE(name, !caller_binding::read_request(request, arrived));
+        }
+    }
+
+    static std::string call_of(relay::caller_request const& request, std::string_view resume_after = {})
+    {
+        std::string call;
+        caller_binding::append_call(
+            call, request, { endpoint_name("i-7"), team_name("hule"), milliseconds(900), resume_after, 4 });
+        return call;
+    }
+
+    void a_call_keeps_what_is_the_callers_and_hides_the_key()
+    {
+        auto const call = call_of(stream_request());
+        CPPUNIT_ASSERT(call.starts_with("POST /lohu/2f?q=1 HTTP/1.1\r\n"));
+        for (auto const* kept : { "X-Own: kept\r\n", "Shedhill-Request-Id: 9c41\r\n", "Shedhill-Tenant: hule\r\n",
+                 "Shedhill-Deadline-Ms: 900\r\n", "Shedhill-Expect-Instance: i-7\r\n", "Content-Length: 4\r\n",
+                 "Host: Ficu.Example:80\r\n" })
+            CPPUNIT_ASSERT_MESSAGE(kept, call.find(kept) != std::string::npos);
+        for (auto const* hidden : { "secret", "forged", "15000", "X-Hop", "Connection" })
+            CPPUNIT_ASSERT_MESSAGE(hidden, call.find(hidden) == std::string::npos);
+    }
+
+    void a_resumed_call_names_the_last_event_once()
+    {
+        auto request = stream_request();
+        request.set("Last-Event-Id", "3");
+        CPPUNIT_ASSERT(call_of(request).find("Last-Event-Id: 3\r\n") != std::string::npos);
+        auto const resumed = call_of(request, "12");
+        CPPUNIT_ASSERT(resumed.find("Last-Event-Id: 12\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(resumed.find("Last-Event-Id: 3\r\n") == std::string::npos);
+    }
+
+    static relay::answer_kind kind_of(unsigned status, std::vector<std::pair<std::string, std::string>> const& fields)
+    {
+        relay::answer_head head;
+        head.result(status);
+        for (auto const& [name, value] : fields)
+            head.set(name, value);
+        return caller_binding::kind_of(head, stream_request());
+    }
+
+    void only_the_mark_proves_not_run()
+    {
+        using relay::answer_kind;
+        std::pair<std::string, std::string> const id("Shedhill-Request-Id", "9c41");
+        std::pair<std::string, std::string> const mark("Shedhill-Not-Executed", "1");
+        std::pair<std::string, std::string> const signature("Shedhill-Server-Signature", "3e");
+        CPPUNIT_ASSERT(kind_of(503, { id, mark }) == answer_kind::not_run);
+        CPPUNIT_ASSERT(kind_of(421, { id }) == answer_kind::wrong_endpoint);
+        for (auto const promise : { 408U, 429U, 503U })
+            CPPUNIT_ASSERT(kind_of(promise, { id, signature }) == answer_kind::invalid);
+        CPPUNIT_ASSERT(kind_of(500, { id, signature }) == answer_kind::answer);
+        CPPUNIT_ASSERT(kind_of(200, { id, signature }) == answer_kind::answer);
+        CPPUNIT_ASSERT(kind_of(200, { id }) == answer_kind::invalid);
+        CPPUNIT_ASSERT(kind_of(200, { signature }) == answer_kind::invalid);
+        CPPUNIT_ASSERT(kind_of(200, { id, signature, { "Content-Encoding", "gzip" } }) == answer_kind::invalid);
+    }
+
+    void an_answer_to_another_call_is_known_by_its_id()
+    {
+        CPPUNIT_ASSERT(kind_of(200, { { "Shedhill-Request-Id", "other" }, { "Shedhill-Server-Signature", "3e" } })
+            == relay::answer_kind::other_call);
+    }
+
+    void a_refusal_says_when_to_come_back()
+    {
+        std::string answer;
+        caller_binding::append_refusal(answer, { 429, "no_place", milliseconds(1050), true }, stream_request());
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 429 Too Many Requests\r\n"));
+        CPPUNIT_ASSERT(answer.find("Retry-After: 1.050\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(answer.find("Connection: close\r\n") != std::string::npos);
+    }
+
+    static std::string configuration_text()
+    {
+        return R"({"version":7,"unknown":1,"routes":[{"name":"r","hostname":"h.example","path_prefix":"/a/",
+            "route_type":"stream","timeout_ms":15000,"target_latency_ms":400,"priority":1,"max_attempts":2,
+            "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"stream_resume":true,
+            "gap_target_ms":200},{"hostname":"h.example","path_prefix":"/b/","route_type":"unsafe","service":"s1"}],
+            "services":[{"name":"s1","max_connections":300,"engine":{"capacity":48,"kv_tokens":9,"stride":6}}],
+            "limits":{"max_header_bytes":1000,"idle_timeout_ms":77,"tokens_per_s":600000},
+            "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
+    }
+
+    void a_configuration_is_read_whole()
+    {
+        auto const read = table_binding::parse_configuration(configuration_text());
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, read->revision);
+        CPPUNIT_ASSERT(read->routes[0].repeat == dispatch::repetition::resumable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, read->routes[0].pools.size());
+        CPPUNIT_ASSERT(read->routes[1].repeat == dispatch::repetition::never);
+        CPPUNIT_ASSERT(read->pools[0].is_engine());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1000 }, read->limits.header_bytes);
+        CPPUNIT_ASSERT(read->has_teams);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, read->teams[0].keys.size());
+    }
+
+    void a_bad_configuration_is_refused_with_the_field()
+    {
+        CPPUNIT_ASSERT(!table_binding::parse_configuration("{"));
+        CPPUNIT_ASSERT(!table_binding::parse_configuration("[]"));
+        auto const no_version = table_binding::parse_configuration(R"({"routes":[]})");
+        CPPUNIT_ASSERT(no_version.error().reason.find("version") != std::string::npos);
+        auto const bad_route
+            = table_binding::parse_configuration(R"({"version":1,"routes":[{"path_prefix":"/","route_type":"safe"}]})");
+        CPPUNIT_ASSERT(bad_route.error().reason.find("hostname") != std::string::npos);
+        CPPUNIT_ASSERT(!table_binding::parse_configuration(R"({"version":1,"routes":7})"));
+        CPPUNIT_ASSERT(!table_binding::parse_configuration(R"({"version":-4})"));
+    }
+
+    void an_endpoint_is_read()
+    {
+        auto const read = table_binding::parse_endpoint(
+            "i-7", R"({"service":"s","address":"10.0.0.9:80","zone":"north","capacity":48,"state":"draining"})");
+        CPPUNIT_ASSERT_EQUAL(std::string("i-7"), read->name.value());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 48 }, read->slots);
+        CPPUNIT_ASSERT(read->is_draining);
+        CPPUNIT_ASSERT(!table_binding::parse_endpoint("i-8", R"({"service":"s"})"));
+        CPPUNIT_ASSERT(!table_binding::parse_endpoint("i-9", "what"));
+    }
+
+    void rows_are_decoded()
+    {
+        auto const page = table_binding::parse_page(
+            R"({"rows":[{"table":"a","part":"","tls_key":"k","value":"bm9kZS0x","ver":412},)"
+            R"({"tls_key":"old","gone":true,"ver":413}],"more":true,"ver":530})");
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page->rows[0].value);
+        CPPUNIT_ASSERT(page->rows[1].is_gone);
+        CPPUNIT_ASSERT(page->has_more);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 530 }, page->version);
+        CPPUNIT_ASSERT(!table_binding::parse_page(R"({"rows":[{"tls_key":"k","value":"%%%"}],"ver":1})"));
+        auto const put = table_binding::put_call("s", relay::table_name::routers, "k", "node-1");
+        CPPUNIT_ASSERT(put.find("bm9kZS0x") != std::string::npos);
+    }
+
+    void any_bytes_are_read_without_harm()
+    {
+        testing::check_property("bad input is refused and nothing else happens", [] {
+            auto text = configuration_text();
+            auto const cut = *rc::gen::inRange<std::size_t>(0, text.size());
+            auto const letter = *rc::gen::arbitrary<char>();
+            text[cut] = letter;
+            (void)table_binding::parse_configuration(text);
+            (void)table_binding::parse_configuration(text.substr(0, cut));
+            (void)table_binding::parse_page(text);
+            (void)table_binding::parse_endpoint("x", text);
+            (void)parse_settings(text);
+            (void)peering::decode_body(text);
+        });
+    }
+
+    void settings_are_read_and_checked()
+    {
+        auto const read = parse_settings(R"({"node_name":"edge-1","zone":"north","ip":"10.1.0.33",
+            "listen":{"frontend":"10.1.0.33:8783","ready":"10.1.0.33:8780","control_plane":"10.1.0.33:8785"},
+            "port_range":[7400,7415],"seed_nodes":["10.2.0.18:8785"],"limits":{"max_fds":4200},
+            "bounds":{"grace_s":8,"retry_budget_ratio":0.2,"retry_slack":54,"retry_window_s":10},
+            "platform":{"address":"10.200.1.7:8781"},"data_dir":null})");
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.33:7400"), read->metrics_address);
+        CPPUNIT_ASSERT(read->stop_time == milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4200 }, read->descriptors);
+        auto const missing = parse_settings(R"({"node_name":"edge-1","zone":"north","listen":{}})");
+        CPPUNIT_ASSERT(missing.error().reason.find("frontend") != std::string::npos);
+        CPPUNIT_ASSERT(!parse_settings("no"));
+    }
+
+    void peer_messages_survive_the_wire()
+    {
+        peering::state_message state;
+        state.report.peer = vm_name("a");
+        state.report.loads = { { endpoint_name("e"), 3, 4000 } };
+        state.report.teams = { { team_name("red"), 700, 500 } };
+        state.report.parts = { { endpoint_name("e"), 77 } };
+        state.address = "10.0.0.1:1";
+        state.documents = { { peering::document_kind::endpoints, 9, milliseconds(30) } };
+        state.peers = { "10.0.0.2:1" };
+        auto const frame = peering::encode_frame(state);
+        CPPUNIT_ASSERT_EQUAL(frame.size(), *peering::frame_size(frame));
+        CPPUNIT_ASSERT(!peering::frame_size(frame.substr(0, 3)));
+        auto const read = peering::decode_body(std::string_view(frame).substr(peering::frame_head_size));
+        auto const& back = std::get<peering::state_message>(*read);
+        CPPUNIT_ASSERT_EQUAL(token_of(state), token_of(back));
+        peering::document_message document { peering::document_kind::endpoints, 9, "text", { { "k", { "v", 3 } } } };
+        auto const other = peering::encode_frame(document);
+        auto const document_back = peering::decode_body(std::string_view(other).substr(peering::frame_head_size));
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), std::get<peering::document_message>(*document_back).rows.at("k").value);
+    }
+
+    static std::string token_of(peering::state_message const& state)
+    {
+        return state.report.peer.value() + std::to_string(state.report.loads.at(0).sent)
+            + std::to_string(state.report.teams.at(0).admitted) + std::to_string(state.report.parts.at(0).part)
+            + state.address + std::to_string(state.documents.at(0).version) + state.peers.at(0);
+    }
+
+    void peers_are_tried_with_back_off_and_forgotten()
+    {
+        auto const at = [](std::int64_t time) { return instant(milliseconds(time)); };
+        peering::peer_directory directory("own:1");
+        directory.add_seed("own:1");
+        directory.take_table({ { "a", "a:1" }, { "me", "own:1" } });
+        CPPUNIT_ASSERT(directory.take_due(at(1000)) == std::vector<std::string> { "a:1" });
+        CPPUNIT_ASSERT(directory.take_due(at(1000)).empty());
+        directory.note_lost("a:1", at(1000), 0);
+        CPPUNIT_ASSERT(directory.take_due(at(1001)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.take_due(at(3000)).size());
+        directory.note_lost("a:1", at(3000), 0);
+        CPPUNIT_ASSERT(directory.rows_of_the_dead(at(10000)).empty());
+        CPPUNIT_ASSERT(directory.rows_of_the_dead(at(17000)) == std::vector<std::string> { "a" });
+        directory.take_table({});
+        CPPUNIT_ASSERT(directory.take_due(at(30000)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(binding_test);
+
+} // namespace shedhill::platform_binding
--- /dev/null
+++ b/tests/relay/call_connection_test.cpp
@@ -0,0 +1,219 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Calls to servers that keep, break or stretch the protocol.
+#include "libraries/relay/call_connection.h"
+
+#include "tests/relay/scripted_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <vector>
+
+namespace shedhill::relay {
+
+class call_connection_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(call_connection_test);
+    CPPUNIT_TEST(an_answer_with_a_length_keeps_the_connection);
+    CPPUNIT_TEST(a_chunked_answer_comes_in_pieces);
+    CPPUNIT_TEST(an_answer_without_a_length_ends_with_the_connection);
+    CPPUNIT_TEST(an_answer_without_a_length_that_is_reset_is_not_whole);
+    CPPUNIT_TEST(a_short_body_is_not_whole);
+    CPPUNIT_TEST(what_is_no_answer_breaks_the_call);
+    CPPUNIT_TEST(bytes_after_the_answer_end_the_connection);
+    CPPUNIT_TEST(a_second_answer_that_comes_late_is_skipped);
+    CPPUNIT_TEST(bytes_on_an_idle_connection_end_it);
+    CPPUNIT_TEST(a_dead_port_is_not_sent);
+    CPPUNIT_TEST(an_answer_that_comes_before_the_call_was_read_ends_the_connection);
+    CPPUNIT_TEST(a_close_is_heeded);
+    CPPUNIT_TEST(an_abandoned_call_says_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    class collected_call final : public call_listener {
+    public:
+        head_choice on_head(answer_head const& head) override
+        {
+            statuses.push_back(head.result_int());
+            auto const id = field_of(head, "Id");
+            return wanted_id.empty() || id == wanted_id ? head_choice::take : head_choice::skip;
+        }
+        void on_data(std::string_view data) override { body += data; }
+        void on_call_end(call_end ended) override { end = ended; }
+
+        std::string wanted_id;
+        std::vector<unsigned> statuses;
+        std::string body;
+        std::optional<call_end> end;
+    };
+
+    static constexpr char const* question = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    event_loop m_loop;
+
+    void run_until_ended(collected_call const& call)
+    {
+        for (int round = 0; round < 400 && !call.end; ++round)
+            m_loop.run_once(milliseconds(5));
+    }
+
+    void run_some()
+    {
+        for (int round = 0; round < 10; ++round)
+            m_loop.run_once(milliseconds(2));
+    }
+
+    struct asked {
+        std::shared_ptr<call_connection> connection;
+        std::unique_ptr<collected_call> call;
+    };
+
+    asked ask(std::string const& address, std::string call = question)
+    {
+        asked made { std::make_shared<call_connection>(m_loop), std::make_unique<collected_call>() };
+        made.connection->start(address, std::move(call), *made.call);
+        run_until_ended(*made.call);
+        return made;
+    }
+
+    void an_answer_with_a_length_keeps_the_connection()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=10\r\n\r\nhi");
+        server.add("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        auto const first = ask(server.address());
+        CPPUNIT_ASSERT(first.call->end == call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("hi"), first.call->body);
+        CPPUNIT_ASSERT(first.connection->is_idle());
+        // A little earlier than the server says.
+        CPPUNIT_ASSERT(first.connection->kept_until() - first.connection->idle_since() == milliseconds(7000));
+        collected_call second;
+        first.connection->start(server.address(), question, second);
+        run_until_ended(second);
+        CPPUNIT_ASSERT(second.end == call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, server.connections());
+    }
+
+    void a_chunked_answer_comes_in_pieces()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel");
+        asked made { std::make_shared<call_connection>(m_loop), std::make_unique<collected_call>() };
+        made.connection->start(server.address(), question, *made.call);
+        for (int round = 0; round < 400 && made.call->body.empty(); ++round)
+            m_loop.run_once(milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::string("hel"), made.call->body);
+        server.say("lo\r\n1\r\n!\r\n0\r\n\r\n");
+        run_until_ended(*made.call);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello!"), made.call->body);
+        CPPUNIT_ASSERT(made.call->end == call_end::complete);
+    }
+
+    void an_answer_without_a_length_ends_with_the_connection()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\n\r\nall of it", after_reply::close);
+        auto const made = ask(server.address());
+        CPPUNIT_ASSERT(made.call->end == call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("all of it"), made.call->body);
+        CPPUNIT_ASSERT(!made.connection->is_open());
+    }
+
+    void an_answer_without_a_length_that_is_reset_is_not_whole()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\n\r\nhalf of", after_reply::reset);
+        CPPUNIT_ASSERT(ask(server.address()).call->end == call_end::broken);
+    }
+
+    void a_short_body_is_not_whole()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", after_reply::close);
+        CPPUNIT_ASSERT(ask(server.address()).call->end == call_end::broken);
+    }
+
+    void what_is_no_answer_breaks_the_call()
+    {
+        scripted_server server(m_loop);
+        server.add("\x01\x02 no answer\r\n\r\n");
+        CPPUNIT_ASSERT(ask(server.address()).call->end == call_end::broken);
+    }
+
+    void bytes_after_the_answer_end_the_connection()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+        auto const made = ask(server.address());
+        CPPUNIT_ASSERT(made.call->end == call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("hi"), made.call->body);
+        CPPUNIT_ASSERT(!made.connection->is_idle());
+    }
+
+    void a_second_answer_that_comes_late_is_skipped()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nId: new\r\n"
+                   "Content-Length: 3\r\n\r\nnew");
+        asked made { std::make_shared<call_connection>(m_loop), std::make_unique<collected_call>() };
+        made.call->wanted_id = "new";
+        made.connection->start(server.address(), question, *made.call);
+        run_until_ended(*made.call);
+        CPPUNIT_ASSERT(made.call->end == call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), made.call->body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, made.call->statuses.size());
+    }
+
+    void bytes_on_an_idle_connection_end_it()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        auto const made = ask(server.address());
+        CPPUNIT_ASSERT(made.connection->is_idle());
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        run_some();
+        CPPUNIT_ASSERT(!made.connection->is_idle());
+    }
+
+    void a_dead_port_is_not_sent()
+    {
+        std::string address;
+        {
+            scripted_server const gone(m_loop);
+            address = gone.address();
+        }
+        CPPUNIT_ASSERT(ask(address).call->end == call_end::not_sent);
+        CPPUNIT_ASSERT(ask("not an address").call->end == call_end::not_sent);
+    }
+
+    void an_answer_that_comes_before_the_call_was_read_ends_the_connection()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n", after_reply::stay);
+        std::string const body(std::size_t { 40 } << 20U, 'x');
+        auto const made = ask(server.address(),
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        CPPUNIT_ASSERT(made.call->end.has_value());
+        // What is left of the body must reach no other call.
+        CPPUNIT_ASSERT(!made.connection->is_idle());
+    }
+
+    void a_close_is_heeded()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(!ask(server.address()).connection->is_idle());
+    }
+
+    void an_abandoned_call_says_nothing()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+        auto const connection = std::make_shared<call_connection>(m_loop);
+        collected_call call;
+        connection->start(server.address(), question, call);
+        connection->abandon();
+        run_some();
+        CPPUNIT_ASSERT(!call.end);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(call_connection_test);
+
+} // namespace shedhill::relay
--- /dev/null
+++ b/tests/relay/caller_connection_test.cpp
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Callers who send whole, cut, chunked, pipelined and smuggled requests.
+#include "libraries/relay/caller_connection.h"
+
+#include "libraries/relay/event_stream.h"
+#include "tests/relay/scripted_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::relay {
+
+class caller_connection_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(caller_connection_test);
+    CPPUNIT_TEST(a_chunked_body_is_read_whole);
+    CPPUNIT_TEST(requests_in_a_row_are_answered_in_order);
+    CPPUNIT_TEST(a_smuggled_request_is_refused);
+    CPPUNIT_TEST(limits_are_kept);
+    CPPUNIT_TEST(a_caller_who_closes_is_gone);
+    CPPUNIT_TEST(a_broken_answer_does_not_look_whole);
+    CPPUNIT_TEST(only_whole_events_are_passed_on);
+    CPPUNIT_TEST(events_that_come_again_are_left_out);
+    CPPUNIT_TEST(a_missing_event_is_seen);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The other end of a caller_connection.
+    class client final : public io_handler {
+    public:
+        client(event_loop& loop, std::string const& address)
+            : m_socket(loop, *this)
+        {
+            (void)m_socket.connect(address);
+        }
+        void send(std::string const& bytes)
+        {
+            m_socket.queue(bytes);
+            if (m_is_up)
+                (void)m_socket.flush();
+        }
+        void close() { m_socket.close(); }
+        std::string received;
+        bool is_closed { false };
+
+    private:
+        void on_ready(readiness) override
+        {
+            if (!m_is_up) {
+                m_is_up = m_socket.has_connected();
+                (void)m_socket.flush();
+                return;
+            }
+            auto const [bytes, end] = m_socket.read();
+            received += bytes;
+            if (end != read_end::drained) {
+                is_closed = true;
+                m_socket.close();
+            }
+        }
+        socket m_socket;
+        bool m_is_up { false };
+    };
+
+    class server final : public caller_listener {
+    public:
+        explicit server(event_loop& loop, read_limits limits = {})
+            : m_listener(loop, [this, &loop, limits](int descriptor) {
+                connection = std::make_shared<caller_connection>(loop, 1, static_cast<caller_listener&>(*this), limits);
+                connection->open(descriptor);
+            })
+        {
+            (void)m_listener.open("127.0.0.1:0");
+        }
+        [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_listener.port()); }
+
+        void on_request(caller_connection& from, caller_request request) override
+        {
+            requests.push_back(std::move(request));
+            if (answers_at_once)
+                answer(from);
+        }
+        static void answer(caller_connection& to)
+        {
+            to.out() += "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            to.finish_answer();
+        }
+        void on_bad_request(caller_connection& from, unsigned status) override
+        {
+            bad_status = status;
+            from.out() += "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            from.finish_answer();
+        }
+        void on_caller_gone(caller_connection&) override { is_gone = true; }
+
+        bool answers_at_once { true };
+        std::vector<caller_request> requests;
+        unsigned bad_status { 0 };
+        bool is_gone { false };
+        std::shared_ptr<caller_connection> connection;
+
+    private:
+        listener_socket m_listener;
+    };
+
+    event_loop m_loop;
+
+    template <typename Condition>
+    void run_until(Condition&& condition)
+    {
+        for (int round = 0; round < 400 && !condition(); ++round)
+            m_loop.run_once(milliseconds(5));
+    }
+
+    void a_chunked_body_is_read_whole()
+    {
+        server served(m_loop);
+        client caller(m_loop, served.address());
+        caller.send("POST /a?b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        run_until([&] { return served.connection != nullptr; });
+        caller.send("2\r\nde\r\n0\r\n\r\n");
+        run_until([&] { return !served.requests.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("abcde"), served.requests.at(0).body());
+        CPPUNIT_ASSERT_EQUAL(std::string("/a?b"), std::string(served.requests.at(0).target()));
+    }
+
+    void requests_in_a_row_are_answered_in_order()
+    {
+        server served(m_loop);
+        client caller(m_loop, served.address());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /3 HTTP/1.1\r\nHost: x\r\n"
+                    "Connection: close\r\n\r\n");
+        run_until([&] { return caller.is_closed; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, served.requests.size());
+        CPPUNIT_ASSERT(caller.is_closed);
+    }
+
+    void a_smuggled_request_is_refused()
+    {
+        server served(m_loop);
+        client caller(m_loop, served.address());
+        caller.send(
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /"
+            " HTTP/1.1\r\n\r\n");
+        run_until([&] { return served.bad_status != 0; });
+        CPPUNIT_ASSERT_EQUAL(400U, served.bad_status);
+        CPPUNIT_ASSERT(served.requests.empty());
+    }
+
+    void limits_are_kept()
+    {
+        server served(m_loop, { 200, 10 });
+        client large(m_loop, served.address());
+        large.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\nabcdefghijk");
+        run_until([&] { return served.bad_status != 0; });
+        CPPUNIT_ASSERT_EQUAL(413U, served.bad_status);
+        served.bad_status = 0;
+        client wordy(m_loop, served.address());
+        wordy.send("GET / HTTP/1.1\r\nHost: x\r\nWords: " + std::string(300, 'w') + "\r\n\r\n");
+        run_until([&] { return served.bad_status != 0; });
+        CPPUNIT_ASSERT_EQUAL(431U, served.bad_status);
+    }
+
+    void a_caller_who_closes_is_gone()
+    {
+        server served(m_loop);
+        served.answers_at_once = false;
+        client caller(m_loop, served.address());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        run_until([&] { return !served.requests.empty(); });
+        CPPUNIT_ASSERT(!served.is_gone);
+        caller.close();
+        run_until([&] { return served.is_gone; });
+        CPPUNIT_ASSERT(served.is_gone);
+    }
+
+    void a_broken_answer_does_not_look_whole()
+    {
+        server served(m_loop);
+        served.answers_at_once = false;
+        client caller(m_loop, served.address());
+        caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        run_until([&] { return !served.requests.empty(); });
+        served.connection->out() += "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+        served.connection->break_off();
+        run_until([&] { return caller.is_closed; });
+        CPPUNIT_ASSERT(caller.received.ends_with("2\r\nab\r\n"));
+    }
+
+    void only_whole_events_are_passed_on()
+    {
+        event_stream stream;
+        std::string whole;
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, stream.take("id: 1\ndata: a\n\nid: 2\nda", whole));
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), whole);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), stream.last_id());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, stream.take("ta: b\r\n\r\n", whole));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), stream.last_id());
+        CPPUNIT_ASSERT(stream.partial().empty());
+    }
+
+    void events_that_come_again_are_left_out()
+    {
+        event_stream stream;
+        std::string whole;
+        stream.take("id: 1\n\nid: 2\n\nid: 3\nda", whole);
+        // Another endpoint begins one event too early.
+        stream.drop_partial();
+        whole.clear();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, stream.take("id: 2\n\nid: 3\n\n", whole));
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 3\n\n"), whole);
+        CPPUNIT_ASSERT(!stream.has_gap());
+    }
+
+    void a_missing_event_is_seen()
+    {
+        event_stream stream;
+        std::string whole;
+        stream.take("id: 1\n\n", whole);
+        stream.take("id: 3\n\n", whole);
+        CPPUNIT_ASSERT(stream.has_gap());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
+
+} // namespace shedhill::relay
