dispatch, relay: Wait longer for the endpoint that keeps the parts; tell routers that come up where parts are

Change: within its share a request waits up to 0.2 of its objective for that endpoint and up to 0.4 before it is refused (was 60 and 110 ms); past it 0.125 and 0.23; the patience holds also where there is room. A router that connects is told all parts used in the last 7 s, and is connected to as soon as it speaks.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 // A request waits at a router for this part of its objective at most; then it is refused, so that it can come back.
-constexpr double waiting_part_of_objective = 0.23;
-constexpr milliseconds longest_wait { 110 };
+// What is within its team's share is likely to be let in soon.
+constexpr double wait_past_share = 0.23;
+constexpr double wait_within_share = 0.4;
 // While fewer places than this are taken a request is sent rather than refused.
 constexpr double sending_occupancy = 0.52;
 // What is past a team's share is let in only where room is left for what is not.
@@ -22,8 +23,8 @@
 // Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request within its team's share
 // goes where they are not kept after some patience only; one past it only while there is much room.
 constexpr token_count bearable_loss = 300;
-constexpr milliseconds most_patience { 60 };
-constexpr std::int64_t objective_parts_of_patience = 8;
+constexpr double patience_within_share = 0.2;
+constexpr double patience_past_share = 0.125;
 constexpr double load_that_allows_loss = 0.5;
 constexpr milliseconds least_silence { 1000 };
 constexpr std::int64_t silence_objectives = 4;
@@ -35,6 +36,11 @@
 constexpr std::uint16_t status_too_many_requests = 429;
 constexpr std::uint16_t status_unavailable = 503;
 
+milliseconds part_of(milliseconds objective, double part)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(objective.count()) * part));
+}
+
 // The further a team is ahead of the even level, the less of an endpoint it may fill.
 double most_load_past_share(token_count level, token_count even_level)
 {
@@ -130,8 +136,12 @@
 
 bool dispatch_reducer::may_lose_parts(active_request const& request, step_context const& step)
 {
-    auto const patience = std::min(most_patience, request.objective / objective_parts_of_patience);
-    if (standing_of(request, step) != standing::ahead && step.now - request.arrived >= patience)
+    auto const stands = standing_of(request, step);
+    auto const patience
+        = part_of(request.objective, stands == standing::within_share ? patience_within_share : patience_past_share);
+    if (step.now - request.arrived < patience)
+        return false;
+    if (stands != standing::ahead)
         return true;
     auto const occupied = m_board.occupancy_of(request.pool);
     return static_cast<double>(occupied.taken) < load_that_allows_loss * occupied.places;
@@ -229,9 +239,8 @@
     std::ranges::stable_sort(order, {}, [](candidate const& entry) { return std::pair(entry.priority, entry.level); });
     for (auto const& entry : order) {
         auto& request = m_requests.at(entry.number);
-        auto const limit = std::min(longest_wait,
-            milliseconds(
-                static_cast<std::int64_t>(static_cast<double>(request.objective.count()) * waiting_part_of_objective)));
+        auto const limit = part_of(request.objective,
+            standing_of(request, step) == standing::within_share ? wait_within_share : wait_past_share);
         if (try_to_send(entry.number, request, step))
             std::erase(m_waiting, entry.number);
         else if (step.now - request.arrived >= limit)
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -39,6 +39,8 @@
 constexpr double margin_of_the_objective = 0.85;
 // So little to read never keeps a prompt away, however large it is.
 constexpr double always_allowed_wait_ms = 15;
+// A router that has just come up is told of parts that were used within this time.
+constexpr milliseconds recent_placement { 7000 };
 constexpr double weight_of_the_newest_time = 0.1;
 constexpr double least_slowness = 0.4;
 constexpr double most_slowness = 8;
@@ -260,6 +262,16 @@
         state->places.forget_old(now);
 }
 
+std::vector<part_placed> endpoint_board::recent_parts(instant now) const
+{
+    std::vector<part_placed> placed;
+    for (auto const& [name, state] : m_endpoints) {
+        for (auto const part : state->places.used_since(now - recent_placement))
+            placed.push_back({ name, part });
+    }
+    return placed;
+}
+
 std::vector<endpoint_load> endpoint_board::take_own_loads()
 {
     std::vector<endpoint_load> loads;
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -90,6 +90,8 @@
     void take_report(peer_reported const& report, instant now);
     void forget_peer(vm_name const& peer);
     void forget_old_parts(instant now);
+    // Everything that was placed of late, for a router that knows nothing yet.
+    [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const;
 
     // What the others are to know; prompt tokens are those since the last call.
     [[nodiscard]] std::vector<endpoint_load> take_own_loads();
--- a/libraries/dispatch/prompt_places.cpp
+++ b/libraries/dispatch/prompt_places.cpp
@@ -24,6 +24,16 @@
     return std::max<token_count>(unkept, 0);
 }
 
+std::vector<std::uint64_t> prompt_places::used_since(instant then) const
+{
+    std::vector<std::uint64_t> parts;
+    for (auto const& [part, used_at] : m_used_at) {
+        if (used_at >= then)
+            parts.push_back(part);
+    }
+    return parts;
+}
+
 void prompt_places::forget_old(instant now)
 {
     std::erase_if(m_used_at, [now](auto const& entry) { return now - entry.second > keeping_time; });
--- a/libraries/dispatch/prompt_places.h
+++ b/libraries/dispatch/prompt_places.h
@@ -6,6 +6,7 @@
 #include "libraries/dispatch/types.h"
 
 #include <unordered_map>
+#include <vector>
 
 namespace shedhill::dispatch {
 
@@ -15,6 +16,8 @@
     // Tokens of the prompt that would have to be read anew. A part is of use only if all before it are kept too.
     [[nodiscard]] token_count unkept_tokens(request_cost const& cost, instant now) const;
     void forget_old(instant now);
+    // Parts used since then.
+    [[nodiscard]] std::vector<std::uint64_t> used_since(instant then) const;
     void clear() { m_used_at.clear(); }
 
 private:
--- a/libraries/peering/peer_directory.cpp
+++ b/libraries/peering/peer_directory.cpp
@@ -28,6 +28,14 @@
         learn(address).row = key;
 }
 
+void peer_directory::note_heard(std::string const& address, instant now)
+{
+    auto& known = learn(address);
+    known.told_at = now;
+    if (!known.is_connected)
+        known.next_try = now;
+}
+
 void peer_directory::note_connected(std::string const& address)
 {
     auto& known = learn(address);
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -23,6 +23,8 @@
     void add_seed(std::string const& address) { learn(address).is_seed = true; }
     // Another router knows of this address.
     void add_told(std::string const& address, instant now) { learn(address).told_at = now; }
+    // This router itself has spoken: it is up, and is connected to without waiting.
+    void note_heard(std::string const& address, instant now);
 
     void note_connected(std::string const& address);
     void note_lost(std::string const& address, instant now, std::uint64_t draw);
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -56,6 +56,7 @@
                 return lose();
             m_is_up = true;
             m_mesh.m_directory.note_connected(m_address);
+            m_mesh.m_new.push_back(m_address);
             return;
         }
         if (ready.is_writable && !m_socket.flush())
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace shedhill::relay {
 
@@ -28,6 +30,8 @@
     // To all routers that are connected; those that do not read fast enough are left out.
     void tell_all(std::string const& frame);
     void tell(std::string const& address, std::string const& frame);
+    // Routers that were connected since the last call: they may know nothing yet.
+    [[nodiscard]] std::vector<std::string> take_new() { return std::exchange(m_new, {}); }
 
     [[nodiscard]] peering::peer_directory& directory() { return m_directory; }
     [[nodiscard]] std::string const& own_address() const { return m_own_address; }
@@ -46,6 +50,7 @@
     listener_socket m_listener;
     std::uint64_t m_last_number { 0 };
     std::uint64_t m_draw { 0 };
+    std::vector<std::string> m_new;
     std::unordered_map<std::string, std::shared_ptr<outgoing_link>> m_outgoing;
     std::unordered_map<std::uint64_t, std::shared_ptr<incoming_link>> m_incoming;
 };
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -478,7 +478,14 @@
             now - m_configuration.follower().confirmed_at() });
         state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().version(),
             now - m_endpoints.follower().confirmed_at() });
-        m_peers.tell_all(peering::encode_frame(std::move(state)));
+        auto const newcomers = m_peers.take_new();
+        m_peers.tell_all(peering::encode_frame(state));
+        if (newcomers.empty())
+            return;
+        state.report.parts = m_reducer.recent_parts(now);
+        auto const frame = peering::encode_frame(std::move(state));
+        for (auto const& address : newcomers)
+            m_peers.tell(address, frame);
     }
 
     void take(peering::peer_message message)
@@ -489,7 +496,7 @@
     void take_part(peering::state_message& state)
     {
         auto const now = m_loop.now();
-        m_peers.directory().add_told(state.address, now);
+        m_peers.directory().note_heard(state.address, now);
         for (auto const& address : state.peers)
             m_peers.directory().add_told(address, now);
         for (auto const& document : state.documents)
