--- /dev/null
+++ b/tests/diagnosis/request_story_test.cpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// A failed request's lines alone name the cause: three kinds, with the lines that the dispatcher itself writes.
+#include "libraries/diagnosis/request_story.h"
+
+#include "tests/dispatch/dispatch_driver.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sstream>
+
+namespace shedhill::diagnosis {
+
+class request_story_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(request_story_test);
+    CPPUNIT_TEST(a_refusal_for_the_teams_share_is_explained);
+    CPPUNIT_TEST(an_answer_broken_by_a_crash_is_explained);
+    CPPUNIT_TEST(a_request_under_an_old_configuration_is_explained);
+    CPPUNIT_TEST(lines_of_many_processes_are_put_in_order);
+    CPPUNIT_TEST(other_lines_are_left_out);
+    CPPUNIT_TEST_SUITE_END();
+
+    using driver = dispatch::dispatch_driver;
+
+    // The driver's log as a process would write it.
+    static request_story story_of(driver const& fleet, std::string const& id)
+    {
+        request_story story(id);
+        std::istringstream log(fleet.log());
+        std::string line;
+        std::int64_t time = 1000;
+        while (std::getline(log, line)) {
+            auto const space = line.find(' ');
+            story.read_line(R"({"unix_ms":)" + std::to_string(++time) + R"(,"vm":"router-a","level":"detail","event":")"
+                + line.substr(0, space) + "\"," + line.substr(space + 1) + "}");
+        }
+        story.sort();
+        return story;
+    }
+
+    static bool names(request_story const& story, std::string const& words)
+    {
+        auto const cause = story.cause();
+        return cause && cause->summary.find(words) != std::string::npos;
+    }
+
+    void a_refusal_for_the_teams_share_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 2) });
+        fleet.ask("/once/", "red-key", 41000);
+        fleet.ask("/once/", "red-key", 41000);
+        fleet.wait(milliseconds(200));
+        fleet.ask("/once/", "red-key", 41000);
+        fleet.wait(milliseconds(200));
+        auto const story = story_of(fleet, "id-3");
+        CPPUNIT_ASSERT(names(story, "refused with 429 (no_place): team red had "));
+        CPPUNIT_ASSERT(names(story, "its share was 40000"));
+        CPPUNIT_ASSERT(names(story, "2 of 2 places were taken"));
+    }
+
+    void an_answer_broken_by_a_crash_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model") });
+        auto const request = fleet.ask("/once/");
+        fleet.begin(request);
+        fleet.take(dispatch::attempt_ended { request, attempt_number(1), dispatch::attempt_end::broken, 200, 5, true });
+        auto const story = story_of(fleet, "id-1");
+        CPPUNIT_ASSERT(names(story, "attempt 1 at endpoint e1 ended as broken"));
+        CPPUNIT_ASSERT(names(story, "5 events; broken off (answer_broken)"));
+    }
+
+    void a_request_under_an_old_configuration_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain") });
+        fleet.ask("/added-later/");
+        CPPUNIT_ASSERT(names(story_of(fleet, "id-1"), "refused with 404 (no_route): by configuration 1"));
+    }
+
+    void lines_of_many_processes_are_put_in_order()
+    {
+        request_story story("x");
+        std::istringstream log(
+            "  3.1 b {\"unix_ms\":30,\"vm\":\"b\",\"event\":\"answered\",\"id\":\"x\",\"status\":200}\n"
+            "{\"unix_ms\":10,\"vm\":\"a\",\"event\":\"sent\",\"id\":\"x\",\"level\":7}\n");
+        story.read(log);
+        story.sort();
+        CPPUNIT_ASSERT_EQUAL(std::string("sent"), story.lines()[0].event);
+        CPPUNIT_ASSERT(story.to_text().find("+20 ms  b  answered  status=200") != std::string::npos);
+        CPPUNIT_ASSERT(story.to_text().find("level=7") != std::string::npos);
+    }
+
+    void other_lines_are_left_out()
+    {
+        request_story story("x");
+        std::istringstream log("{\"id\":\"xy\"}\nnoise x {\n{\"unix_ms\":1,\"id\":\"y\",\"note\":\"x\"}\n");
+        story.read(log);
+        CPPUNIT_ASSERT(story.lines().empty());
+        CPPUNIT_ASSERT(!story.cause());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_story_test);
+
+} // namespace shedhill::diagnosis
--- a/utilities/shedhill/commands.cpp
+++ b/utilities/shedhill/commands.cpp
@@ -2,6 +2,7 @@
 // One function for each command.
 #include "utilities/shedhill/commands.h"
 
+#include "libraries/diagnosis/request_story.h"
 #include "libraries/operations/config_session.h"
 
 #include <boost/json.hpp>
@@ -296,12 +297,37 @@
     return verdict.is_allowed ? exit_code::done : exit_code::differs;
 }
 
+// Reads logs, not the platform: it serves on call, when nothing else may answer.
+exit_code explain_request(command_context& context)
+{
+    if (context.arguments.empty())
+        return report_usage("explain-request ID [LOG...]; without a file the log is read from standard input");
+    diagnosis::request_story story(context.arguments.front());
+    for (std::size_t index = 1; index < context.arguments.size(); ++index) {
+        std::ifstream log(context.arguments[index]);
+        if (!log)
+            return report_failure({ "read log", context.arguments[index], "cannot be opened" }, exit_code::usage);
+        story.read(log);
+    }
+    if (context.arguments.size() == 1)
+        story.read(std::cin);
+    story.sort();
+    if (story.lines().empty())
+        return report_failure({ "find request", context.arguments.front(), "no line names it" }, exit_code::not_found);
+    if (context.is_json())
+        std::cout << boost::json::serialize(story.to_json()) << '\n';
+    else
+        std::cout << story.to_text();
+    return exit_code::done;
+}
+
 using command = std::function<exit_code(command_context&)>;
 
 std::map<std::string, command> const& commands()
 {
     static std::map<std::string, command> const listed { { "check", check }, { "diff", diff }, { "apply", apply },
-        { "get", get }, { "label", label }, { "status", status }, { "drain", drain }, { "explain", explain } };
+        { "get", get }, { "label", label }, { "status", status }, { "drain", drain }, { "explain", explain },
+        { "explain-request", explain_request } };
     return listed;
 }
 
@@ -318,6 +344,7 @@
            "  drain PARTNER/ENDPOINT    labels an endpoint so that it gets no new work\n"
            "  status                    the accepted revision and the platform's VMs\n"
            "  explain TEAM ENDPOINT     by which policies a team may go to an endpoint\n"
+           "  explain-request ID LOG... one request's story from the logs of all processes, and its cause\n"
            "exit codes: 0 done, 1 differs or not allowed, 2 usage, 3 bad declaration, 4 raced, 5 unavailable, "
            "6 not found\n";
 }
