dispatch: Spend less on requests that wait in a flood

Change: while more than 8 wait they are served each 5 ms at most, no more than 32 choices in vain a pass, and while 24 wait a team that is ahead is refused at once.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -26,6 +26,12 @@
 constexpr double patience_within_share = 0.2;
 constexpr double patience_past_share = 0.125;
 constexpr double load_that_allows_loss = 0.5;
+// While so many wait, a team that is ahead is refused at once.
+constexpr std::size_t many_waiting = 24;
+// A choice costs some microseconds, and a flood has hundreds waiting: who stands far behind is not tried each time.
+constexpr std::size_t most_tries_in_vain = 32;
+constexpr milliseconds least_serving_interval { 5 };
+constexpr std::size_t few_waiting = 8;
 constexpr milliseconds least_silence { 1000 };
 constexpr std::int64_t silence_objectives = 4;
 constexpr std::int64_t silence_pauses = 6;
@@ -101,9 +107,10 @@
     // Who waits already goes first, unless the newcomer's team was given less.
     if (m_waiting.empty() && try_to_send(number, kept, step))
         return;
+    if (m_waiting.size() >= many_waiting && standing_of(kept, step) == standing::ahead)
+        return refuse(number, kept, status_too_many_requests, refusal_reason::team_over_share, step);
     m_waiting.push_back(number);
-    if (m_waiting.size() > 1)
-        serve_waiting(step);
+    serve_waiting_again(step);
 }
 
 endpoint_choice dispatch_reducer::choose(active_request const& request, step_context const& step)
@@ -223,8 +230,17 @@
             .take() });
 }
 
+void dispatch_reducer::serve_waiting_again(step_context& step)
+{
+    if (m_waiting.empty())
+        return;
+    if (m_waiting.size() <= few_waiting || step.now - m_waiting_served >= least_serving_interval)
+        serve_waiting(step);
+}
+
 void dispatch_reducer::serve_waiting(step_context& step)
 {
+    m_waiting_served = step.now;
     struct candidate {
         request_number number;
         std::uint32_t priority;
@@ -237,13 +253,17 @@
         order.push_back({ number, request.priority, m_ledger.level(request.team, step.now) });
     }
     std::ranges::stable_sort(order, {}, [](candidate const& entry) { return std::pair(entry.priority, entry.level); });
+    std::size_t tried_in_vain = 0;
     for (auto const& entry : order) {
         auto& request = m_requests.at(entry.number);
         auto const limit = part_of(request.objective,
             standing_of(request, step) == standing::within_share ? wait_within_share : wait_past_share);
-        if (try_to_send(entry.number, request, step))
+        if (tried_in_vain < most_tries_in_vain && try_to_send(entry.number, request, step)) {
             std::erase(m_waiting, entry.number);
-        else if (step.now - request.arrived >= limit)
+            continue;
+        }
+        ++tried_in_vain;
+        if (step.now - request.arrived >= limit)
             end_of_wait(entry.number, request, step);
     }
 }
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -53,7 +53,7 @@
             .add("begun", request.has_answer_begun ? 1 : 0)
             .take() });
     forget(left.request);
-    serve_waiting(step);
+    serve_waiting_again(step);
 }
 
 void dispatch_reducer::handle(answer_began const& began, step_context& step)
@@ -69,8 +69,7 @@
     auto const took = static_cast<double>((step.now - request.sent_at).count());
     if (request.is_engine)
         m_board.note_first_event(*endpoint, request.unkept, took, request.expected_ms);
-    if (!m_waiting.empty())
-        serve_waiting(step);
+    serve_waiting_again(step);
 }
 
 void dispatch_reducer::handle(attempt_ended const& ended, step_context& step)
@@ -100,7 +99,7 @@
                 .add("after_ms", (step.now - request.sent_at).count())
                 .take() });
         try_again_or_end(ended.request, request, ended.end, step);
-        return serve_waiting(step);
+        return serve_waiting_again(step);
     }
     settle_charge(request, step);
     step.effects.emplace_back(count_event { counted::answers, {} });
@@ -113,7 +112,7 @@
             .add("took_ms", (step.now - request.arrived).count())
             .take() });
     forget(ended.request);
-    serve_waiting(step);
+    serve_waiting_again(step);
 }
 
 void dispatch_reducer::handle(attempt_stalled const& stalled, step_context& step)
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -114,7 +114,10 @@
     [[nodiscard]] bool may_lose_parts(active_request const& request, step_context const& step);
     bool try_to_send(request_number number, active_request& request, step_context& step);
     void send(request_number number, active_request& request, endpoint_choice const& chosen, step_context& step);
+    // Lets in what may be let in by now, the team with the lowest level first, and refuses what has waited too long.
     void serve_waiting(step_context& step);
+    // The same, unless many wait and it was done a moment ago.
+    void serve_waiting_again(step_context& step);
     void end_of_wait(request_number number, active_request& request, step_context& step);
     [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
     // How a request's team stands against its share and the other teams.
@@ -156,6 +159,7 @@
     instant m_deadlines_checked {};
     instant m_parts_checked {};
     instant m_shares_updated {};
+    instant m_waiting_served {};
     bool m_has_list { false };
     bool m_is_ready { false };
     bool m_is_draining { false };
