--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -18,6 +18,7 @@
     {
     }
 
+    void set_own_address(std::string address) { m_own_address = std::move(address); }
     // The whole table of routers: key and address of each.
     void take_table(std::map<std::string, std::string> const& rows);
     void add_seed(std::string const& address) { learn(address).is_seed = true; }
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -130,7 +130,16 @@
 
 peer_mesh::~peer_mesh() = default;
 
-result<void> peer_mesh::open() { return m_listener.open(m_own_address); }
+result<void> peer_mesh::open()
+{
+    TRY_VOID(m_listener.open(m_own_address));
+    // Port 0 lets the system choose; the others are told the real one.
+    if (m_own_address.ends_with(":0")) {
+        m_own_address = m_own_address.substr(0, m_own_address.size() - 1) + std::to_string(m_listener.port());
+        m_directory.set_own_address(m_own_address);
+    }
+    return {};
+}
 
 void peer_mesh::accept(int descriptor)
 {
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -197,6 +197,8 @@
 
 std::uint16_t listener_socket::port() const
 {
+    if (m_descriptor < 0)
+        return 0;
     sockaddr_in bound {};
     socklen_t size = sizeof(bound);
     getsockname(m_descriptor, as_generic(bound), &size);
--- a/services/shedhilld/direct_main.cpp
+++ b/services/shedhilld/direct_main.cpp
@@ -35,10 +35,10 @@
 
 } // namespace
 
-int run_direct_router(bool is_check)
+int run_direct_router(std::string const& settings_file, bool is_check)
 {
     install_signals();
-    auto const path = platform_binding::settings_path();
+    auto const path = settings_file.empty() ? platform_binding::settings_path() : settings_file;
     auto const settings = platform_binding::read_settings_file(path);
     if (!settings) {
         std::cerr << settings.error().to_string() << '\n';
--- a/services/shedhilld/direct_main.h
+++ b/services/shedhilld/direct_main.h
@@ -7,7 +7,7 @@
 namespace shedhill::daemon {
 
 // Runs until the process is stopped; the exit status is the process's. With `is_check` the settings are read and told
-// good or bad, and nothing is run.
-int run_direct_router(bool is_check);
+// good or bad, and nothing is run. An empty path stands for the file that the platform names.
+int run_direct_router(std::string const& settings_file, bool is_check);
 
 } // namespace shedhill::daemon
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -68,7 +68,16 @@
             for (auto const& seed : m_settings.seeds)
                 m_peers.directory().add_seed(seed);
         }
-        log_state("started", dispatch::log_fields().add("callers", m_settings.caller_address).take());
+        m_settings.peer_address = m_peers.own_address();
+        log_state("started",
+            dispatch::log_fields()
+                .add("callers", m_settings.caller_address)
+                .add("callers_port", m_caller_listener.port())
+                .add("ready_port", m_ready_server.port())
+                .add("metrics_port", m_metrics_server.port())
+                .add("peers", m_settings.peer_address)
+                .add("peers_port", m_peers.port())
+                .take());
         return {};
     }
 
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -23,6 +23,8 @@
     table.add_choice("role", { "none", "router", "endpoint" }, "What this process is: router or endpoint.");
     table.add_choice("binding", { "own", "platform" },
         "Whose protocols are spoken: the product's own, or the users' platform's, whose settings file holds the rest.");
+    table.add_text(
+        "settings-file", "", "Binding platform: the settings file; empty for the one that the platform names.");
     table.add_text("vm", "", "The name of this VM in the platform's list.");
     table.add_text("failure-domain", "default", "The failure domain of this VM.");
     table.add_text("fleet-key", "", "The key that all processes of the fleet share; at least 16 characters.");
@@ -184,7 +186,7 @@
         return EXIT_SUCCESS;
     }
     if (values && values->text("binding") == "platform")
-        return daemon::run_direct_router(values->has_flag("check-settings"));
+        return daemon::run_direct_router(values->text("settings-file"), values->has_flag("check-settings"));
     auto const checked = values ? check(*values) : result<void>(tl::unexpected<error>(values.error()));
     if (!checked) {
         std::cerr << checked.error().to_string() << '\n';
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
 #include <chrono>
 #include <fcntl.h>
 #include <spawn.h>
@@ -60,6 +61,18 @@
     while (read(child.output, &character, 1) == 1 && character != '\n')
         line.push_back(character);
     // NOTE: The pipe stays open, since the child may print more; it ends with this process.
+    if (line.starts_with('{')) {
+        // A line of a structured log: ports are its fields "NAME_port".
+        constexpr std::string_view suffix = "_port";
+        auto const fields = boost::json::parse(line);
+        for (auto const& [name, value] : fields.as_object()) {
+            std::string_view const field(name.data(), name.size());
+            if (field.ends_with(suffix))
+                started.m_ports[std::string(field.substr(0, field.size() - suffix.size()))]
+                    = std::to_string(value.to_number<int>());
+        }
+        return started;
+    }
     std::istringstream words(line);
     std::string word;
     words >> word;
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -14,7 +14,8 @@
 
 class child_process {
 public:
-    // Starts the program and reads its "listening NAME=PORT ..." line.
+    // Starts the program and reads its "listening NAME=PORT ..." line, or the line of its log that names its ports.
+    // What it prints after that is never read.
     static result<child_process> start(std::string const& program, std::vector<std::string> const& arguments);
     // Runs the program to its end and returns its exit code; what it printed goes into output.
     static result<int> run(std::string const& program, std::vector<std::string> const& arguments, std::string& output);
--- /dev/null
+++ b/tests/harness/hosted_fleet.cpp
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Starts stand-ins and routers and talks to them.
+#include "tests/harness/hosted_fleet.h"
+
+#include "tests/harness/fleet.h"
+
+#include <boost/fiber/operations.hpp>
+#include <fstream>
+#include <unistd.h>
+
+namespace shedhill::harness {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds fetch_limit { 8000 };
+constexpr std::chrono::milliseconds pause { 10 };
+// Waiting ends when something has happened; this only bounds a test that fails.
+constexpr int most_pauses = 2000;
+
+std::string incarnation_of(std::size_t index) { return "i-" + std::to_string(index); }
+
+json::object make_route(std::string const& prefix, char const* kind, bool is_resumable)
+{
+    return { { "name", prefix }, { "hostname", "shop.example" }, { "path_prefix", prefix }, { "route_type", kind },
+        { "timeout_ms", 6000 }, { "target_latency_ms", 1500 }, { "gap_target_ms", 1000 }, { "max_attempts", 2 },
+        { "service", "plain" }, { "stream_resume", is_resumable } };
+}
+
+} // namespace
+
+result<hosted_fleet> hosted_fleet::start(std::size_t routers, std::size_t replicas, int work_ms)
+{
+    hosted_fleet made;
+    static int folders = 0;
+    made.m_folder = std::filesystem::temp_directory_path()
+        / ("shedhill-hosted-" + std::to_string(getpid()) + "-" + std::to_string(++folders));
+    std::filesystem::create_directories(made.m_folder);
+    made.m_store.push_back(TRY(child_process::start(program_path("shedhill-stand-in"), { "--kind=hosted-store" })));
+    for (std::size_t index = 0; index < replicas; ++index) {
+        made.m_replicas.push_back(TRY(child_process::start(program_path("shedhill-stand-in"),
+            { "--kind=hosted-replica", "--incarnation=" + incarnation_of(index),
+                "--work-ms=" + std::to_string(work_ms) })));
+        made.list_replica(index, "ready");
+    }
+    made.declare(1);
+    std::string seed;
+    for (std::size_t index = 0; index < routers; ++index)
+        made.m_routers.push_back(TRY(made.start_router(index, seed)));
+    for (std::size_t index = 0; index < routers; ++index)
+        TRY_VOID(made.wait_until_ready(index));
+    return made;
+}
+
+hosted_fleet::~hosted_fleet()
+{
+    if (!m_folder.empty())
+        std::filesystem::remove_all(m_folder);
+}
+
+result<child_process> hosted_fleet::start_router(std::size_t index, std::string const& seed) const
+{
+    json::object settings { { "node_name", "edge-" + std::to_string(index) }, { "zone", "north" },
+        { "ip", "127.0.0.1" }, { "port_range", json::array { 0, 0 } },
+        { "listen",
+            json::object {
+                { "frontend", "127.0.0.1:0" }, { "ready", "127.0.0.1:0" }, { "control_plane", "127.0.0.1:0" } } },
+        { "platform", json::object { { "address", m_store.at(0).address("http") } } },
+        { "bounds", json::object { { "grace_s", 8 }, { "retry_budget_ratio", 0.5 }, { "retry_slack", 500 } } } };
+    if (!seed.empty())
+        settings["seed_nodes"] = json::array { json::value(seed) };
+    auto const path = m_folder / ("router-" + std::to_string(index) + ".json");
+    std::ofstream(path) << json::serialize(settings);
+    return child_process::start(
+        program_path("shedhilld"), { "--role=router", "--binding=platform", "--settings-file=" + path.string() });
+}
+
+result<void> hosted_fleet::restart_router(std::size_t index)
+{
+    std::string seed;
+    for (std::size_t other = 0; other < m_routers.size(); ++other) {
+        if (other != index && m_routers[other].is_running())
+            seed = m_routers[other].address("peers");
+    }
+    m_routers.at(index).kill();
+    m_routers.at(index) = TRY(start_router(index, seed));
+    return {};
+}
+
+result<void> hosted_fleet::wait_until_ready(std::size_t router) const
+{
+    for (int paused = 0; paused < most_pauses; ++paused) {
+        auto const answer
+            = net::fetch(m_routers.at(router).address("ready"), { "GET", "/readyz", {}, {} }, fetch_limit);
+        if (answer && answer->status == 200)
+            return {};
+        boost::this_fiber::sleep_for(pause);
+    }
+    return fail("wait for router", std::to_string(router), "does not become ready");
+}
+
+bool hosted_fleet::becomes_unready(std::size_t router) const
+{
+    for (int paused = 0; paused < most_pauses; ++paused) {
+        auto const answer
+            = net::fetch(m_routers.at(router).address("ready"), { "GET", "/readyz", {}, {} }, fetch_limit);
+        if (!answer || answer->status != 200)
+            return true;
+        boost::this_fiber::sleep_for(pause);
+    }
+    return false;
+}
+
+void hosted_fleet::control_store(json::object const& wanted) const
+{
+    (void)post_json(m_store.at(0).address("http"), "/control", wanted);
+}
+
+void hosted_fleet::declare(std::uint64_t version, std::vector<std::string> const& more_prefixes) const
+{
+    json::array routes { make_route("/stream/", "stream", true), make_route("/stream/once/", "stream", false),
+        make_route("/order/", "unsafe", false), make_route("/look/", "safe", false) };
+    for (auto const& prefix : more_prefixes)
+        routes.push_back(make_route(prefix, "safe", false));
+    json::object const configuration { { "version", version }, { "routes", routes },
+        { "services", json::array { json::object { { "name", "plain" }, { "max_connections", 100 } } } },
+        { "limits", json::object { { "idle_timeout_ms", 15000 } } },
+        { "tenants",
+            json::array { json::object { { "name", "kitchen" }, { "api_keys", json::array { "key-1" } } } } } };
+    control_store({ { "put",
+        json::array {
+            json::object { { "table", "op" }, { "key", "config" }, { "value", json::serialize(configuration) } } } } });
+}
+
+void hosted_fleet::list_replica(std::size_t index, char const* state) const
+{
+    json::object const entry { { "service", "plain" }, { "address", m_replicas.at(index).address("http") },
+        { "zone", "north" }, { "capacity", 40 }, { "state", state } };
+    control_store({ { "put",
+        json::array { json::object {
+            { "table", "servers" }, { "key", incarnation_of(index) }, { "value", json::serialize(entry) } } } } });
+}
+
+void hosted_fleet::control_replica(std::size_t index, char const* mode) const
+{
+    (void)post_json(m_replicas.at(index).address("http"), "/control", { { "mode", mode } });
+}
+
+json::object hosted_fleet::runs() const
+{
+    json::object all;
+    for (auto const& replica : m_replicas) {
+        auto const counts = get_json(replica.address("http"), "/counts");
+        if (!counts)
+            continue;
+        for (auto const& [id, count] : counts->as_object()) {
+            auto& sum = all[id];
+            sum = (sum.is_null() ? 0 : sum.as_int64()) + count.as_int64();
+        }
+    }
+    return all;
+}
+
+result<net::http_response> hosted_fleet::ask(
+    std::size_t router, std::string const& target, std::string const& id, std::string const& key) const
+{
+    net::http_request request { target.starts_with("/look/") ? "GET" : "POST", target, {}, {} };
+    request.headers = { { "Host", "shop.example" }, { "Shedhill-Request-Id", id }, { "Shedhill-Deadline-Ms", "6000" },
+        { "Authorization", "Bearer " + key } };
+    if (request.method == "POST")
+        request.body = "a body";
+    return net::fetch(m_routers.at(router).address("callers"), request, fetch_limit);
+}
+
+double hosted_fleet::metric(std::size_t router, std::string const& name) const
+{
+    auto const answer = net::fetch(m_routers.at(router).address("metrics"), { "GET", "/metrics", {}, {} }, fetch_limit);
+    if (!answer)
+        return -1;
+    std::istringstream lines(answer->body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with(name + " "))
+            return std::stod(line.substr(name.size() + 1));
+    }
+    return 0;
+}
+
+} // namespace shedhill::harness
--- /dev/null
+++ b/tests/processes/hosted_test.cpp
@@ -0,0 +1,232 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The router on stand-ins of the users' platform: real processes, real sockets, without the users' bench.
+#include "tests/harness/hosted_fleet.h"
+#include "tests/harness/parallel.h"
+
+#include <boost/fiber/operations.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::harness {
+
+class hosted_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(hosted_test);
+    CPPUNIT_TEST(each_kind_of_request_is_served);
+    CPPUNIT_TEST(a_broken_stream_is_taken_up_elsewhere);
+    CPPUNIT_TEST(a_stream_that_cannot_be_resumed_does_not_look_whole);
+    CPPUNIT_TEST(an_order_runs_once_whatever_happens);
+    CPPUNIT_TEST(what_a_replica_turned_away_is_served_by_another);
+    CPPUNIT_TEST(a_changed_configuration_is_in_force_at_every_router);
+    CPPUNIT_TEST(a_leaving_replica_gets_nothing_new);
+    CPPUNIT_TEST(the_store_may_be_away);
+    CPPUNIT_TEST(a_router_that_starts_without_the_store_learns_from_another);
+    CPPUNIT_TEST(a_forgotten_history_is_read_anew);
+    CPPUNIT_TEST(a_planned_stop_cuts_nothing);
+    CPPUNIT_TEST(a_log_that_nobody_reads_holds_nothing_up);
+    CPPUNIT_TEST(bad_settings_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static hosted_fleet started(std::size_t routers, std::size_t replicas, int work_ms = 5)
+    {
+        auto fleet = hosted_fleet::start(routers, replicas, work_ms);
+        CPPUNIT_ASSERT_MESSAGE(fleet ? "" : fleet.error().to_string(), fleet.has_value());
+        return std::move(*fleet);
+    }
+
+    static std::uint16_t status_of(result<net::http_response> const& answer)
+    {
+        return answer ? answer->status : std::uint16_t { 0 };
+    }
+
+    // Asks until the answer has the status; false if it never does.
+    template <typename Ask>
+    static bool comes_to(std::uint16_t status, Ask&& ask)
+    {
+        constexpr int most_tries = 1000;
+        for (int tries = 0; tries < most_tries; ++tries) {
+            if (status_of(ask(tries)) == status)
+                return true;
+            boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    static std::string whole_stream()
+    {
+        std::string whole;
+        for (int number = 1; number <= 10; ++number)
+            whole += "id: " + std::to_string(number) + "\ndata: piece\n\n";
+        return whole;
+    }
+
+    void each_kind_of_request_is_served()
+    {
+        auto const fleet = started(1, 2);
+        auto const order = fleet.ask(0, "/order/a?b=c", "id-1");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 200 }, status_of(order));
+        // The team's name reaches the replica, the key does not.
+        CPPUNIT_ASSERT_EQUAL(std::string("team=kitchen key= body=a body"), order->body);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 200 }, status_of(fleet.ask(0, "/look/a", "id-2")));
+        auto const stream = fleet.ask(0, "/stream/a", "id-3");
+        CPPUNIT_ASSERT_EQUAL(whole_stream(), stream->body);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 404 }, status_of(fleet.ask(0, "/nowhere/", "id-4")));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 401 }, status_of(fleet.ask(0, "/look/a", "id-5", "stolen")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, fleet.runs().size());
+        CPPUNIT_ASSERT(fleet.metric(0, "shedhill_refusals_total{reason=\"no_route\"}") == 1);
+    }
+
+    void a_broken_stream_is_taken_up_elsewhere()
+    {
+        auto fleet = started(1, 2);
+        fleet.control_replica(0, "cut");
+        for (int index = 0; index < 6; ++index)
+            CPPUNIT_ASSERT_EQUAL(whole_stream(), fleet.ask(0, "/stream/a", "id-" + std::to_string(index))->body);
+        CPPUNIT_ASSERT(fleet.metric(0, "shedhill_retries_total{reason=\"broken\"}") >= 1);
+    }
+
+    void a_stream_that_cannot_be_resumed_does_not_look_whole()
+    {
+        auto fleet = started(1, 1);
+        fleet.control_replica(0, "cut");
+        auto const answer = fleet.ask(0, "/stream/once/a", "id-1");
+        CPPUNIT_ASSERT(!answer);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, fleet.runs().at("id-1").as_int64());
+    }
+
+    void an_order_runs_once_whatever_happens()
+    {
+        auto fleet = started(1, 2);
+        fleet.control_replica(0, "cut");
+        fleet.control_replica(1, "cut");
+        // It may have run: neither is it sent again, nor is the caller told that it has not run.
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 502 }, status_of(fleet.ask(0, "/order/a", "id-1")));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, fleet.runs().at("id-1").as_int64());
+    }
+
+    void what_a_replica_turned_away_is_served_by_another()
+    {
+        auto fleet = started(1, 2);
+        fleet.control_replica(0, "busy");
+        for (int index = 0; index < 6; ++index) {
+            auto const id = "id-" + std::to_string(index);
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t { 200 }, status_of(fleet.ask(0, "/order/a", id)));
+            CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, fleet.runs().at(id).as_int64());
+        }
+        fleet.control_replica(1, "busy");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 503 }, status_of(fleet.ask(0, "/order/a", "id-x")));
+        CPPUNIT_ASSERT(!fleet.runs().contains("id-x"));
+    }
+
+    void a_changed_configuration_is_in_force_at_every_router()
+    {
+        auto const fleet = started(2, 1);
+        fleet.declare(7, { "/added/" });
+        for (std::size_t router = 0; router < 2; ++router)
+            CPPUNIT_ASSERT(comes_to(200, [&](int tries) {
+                return fleet.ask(router, "/added/x", "id-" + std::to_string(router) + "-" + std::to_string(tries));
+            }));
+        // An older version never comes back, and a bad one changes nothing.
+        fleet.declare(3);
+        fleet.control_store({ { "put",
+            boost::json::array {
+                boost::json::object { { "table", "op" }, { "key", "config" }, { "value", "{\"version\":9" } } } } });
+        CPPUNIT_ASSERT(comes_to(200, [&](int tries) {
+            auto const answer = fleet.ask(0, "/added/x", "later-" + std::to_string(tries));
+            return fleet.metric(0, "shedhill_bad_documents_total") >= 1 ? answer : fail("wait", "", "not yet");
+        }));
+        CPPUNIT_ASSERT(fleet.metric(0, "shedhill_configuration_revision") == 7);
+    }
+
+    void a_leaving_replica_gets_nothing_new()
+    {
+        auto fleet = started(1, 2);
+        fleet.list_replica(0, "draining");
+        fleet.control_replica(1, "busy");
+        // Once the router knows, only the other replica is asked, which turns everything away.
+        CPPUNIT_ASSERT(
+            comes_to(503, [&](int tries) { return fleet.ask(0, "/order/a", "id-" + std::to_string(tries)); }));
+    }
+
+    void the_store_may_be_away()
+    {
+        auto fleet = started(1, 1);
+        fleet.control_store({ { "down", true } });
+        for (int index = 0; index < 20; ++index)
+            CPPUNIT_ASSERT_EQUAL(
+                std::uint16_t { 200 }, status_of(fleet.ask(0, "/look/a", "id-" + std::to_string(index))));
+        fleet.declare(2, { "/added/" });
+        fleet.control_store({ { "down", false } });
+        CPPUNIT_ASSERT(
+            comes_to(200, [&](int tries) { return fleet.ask(0, "/added/a", "late-" + std::to_string(tries)); }));
+    }
+
+    void a_router_that_starts_without_the_store_learns_from_another()
+    {
+        auto fleet = started(2, 1);
+        fleet.control_store({ { "down", true } });
+        CPPUNIT_ASSERT(fleet.restart_router(1));
+        CPPUNIT_ASSERT(fleet.wait_until_ready(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 200 }, status_of(fleet.ask(1, "/look/a", "id-1")));
+    }
+
+    void a_forgotten_history_is_read_anew()
+    {
+        auto fleet = started(1, 1);
+        fleet.declare(2, { "/added/" });
+        fleet.control_store({ { "forget", true } });
+        fleet.declare(3, { "/added/", "/more/" });
+        CPPUNIT_ASSERT(
+            comes_to(200, [&](int tries) { return fleet.ask(0, "/more/a", "id-" + std::to_string(tries)); }));
+    }
+
+    void a_planned_stop_cuts_nothing()
+    {
+        auto fleet = started(2, 1, 100);
+        std::vector<std::string> bodies(4);
+        std::vector<boost::fibers::fiber> callers;
+        for (std::size_t index = 0; index < bodies.size(); ++index)
+            callers.emplace_back([&, index] {
+                auto const answer = fleet.ask(0, "/stream/once/a", "id-" + std::to_string(index));
+                bodies[index] = answer ? answer->body : answer.error().to_string();
+            });
+        CPPUNIT_ASSERT(comes_to(200, [&](int) -> result<net::http_response> {
+            if (fleet.metric(0, "shedhill_active_requests") < 4)
+                return fail("wait", "", "not yet");
+            return net::http_response { 200, {}, {}, {} };
+        }));
+        fleet.router(0).send_signal(SIGTERM);
+        CPPUNIT_ASSERT(fleet.becomes_unready(0));
+        for (auto& caller : callers)
+            caller.join();
+        for (auto const& body : bodies)
+            CPPUNIT_ASSERT_EQUAL(whole_stream(), body);
+        int code = -1;
+        CPPUNIT_ASSERT(fleet.router(0).wait_for_end(code));
+        CPPUNIT_ASSERT_EQUAL(0, code);
+    }
+
+    // The harness reads nothing after the first line, so the pipe is full after some hundred requests.
+    void a_log_that_nobody_reads_holds_nothing_up()
+    {
+        auto const fleet = started(1, 1, 0);
+        int asked = 0;
+        while (fleet.metric(0, "shedhill_log_lines_unread") == 0 && asked < 3000) {
+            for (int index = 0; index < 50; ++index)
+                CPPUNIT_ASSERT_EQUAL(
+                    std::uint16_t { 200 }, status_of(fleet.ask(0, "/look/a", "id-" + std::to_string(++asked))));
+        }
+        CPPUNIT_ASSERT(fleet.metric(0, "shedhill_log_lines_unread") > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 200 }, status_of(fleet.ask(0, "/look/a", "last")));
+    }
+
+    void bad_settings_are_refused()
+    {
+        std::string output;
+        auto const missing = child_process::run(program_path("shedhilld"),
+            { "--role=router", "--binding=platform", "--settings-file=/nowhere/settings", "--check-settings" }, output);
+        CPPUNIT_ASSERT_EQUAL(2, missing.value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(hosted_test);
+
+} // namespace shedhill::harness
--- /dev/null
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Runs, streams and faults.
+#include "tests/stand_ins/hosted_replica.h"
+
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+
+namespace shedhill::stand_ins {
+
+namespace {
+
+// A mute replica says nothing for so long.
+constexpr std::chrono::milliseconds mute_for { 20000 };
+
+} // namespace
+
+void hosted_replica::serve(net::http_exchange& exchange)
+{
+    auto const& request = exchange.request();
+    if (request.target == "/control") {
+        m_mode = std::string(boost::json::parse(request.body).at("mode").as_string());
+        (void)exchange.respond({ 200, {}, "application/json", "{}" });
+        return;
+    }
+    if (request.target == "/counts") {
+        boost::json::object counts;
+        for (auto const& [id, count] : m_runs)
+            counts[id] = count;
+        (void)exchange.respond({ 200, {}, "application/json", boost::json::serialize(counts) });
+        return;
+    }
+    run(exchange);
+}
+
+void hosted_replica::run(net::http_exchange& exchange)
+{
+    auto const& request = exchange.request();
+    auto const id = request.header("Shedhill-Request-Id");
+    std::vector<net::http_header> headers { { "Shedhill-Request-Id", id } };
+    if (auto const expected = request.header("Shedhill-Expect-Instance");
+        !expected.empty() && expected != m_incarnation) {
+        (void)exchange.respond({ 421, headers, "text/plain", "another\n" });
+        return;
+    }
+    if (m_mode == "busy") {
+        headers.push_back({ "Shedhill-Not-Executed", "1" });
+        (void)exchange.respond({ 503, headers, "text/plain", "full\n" });
+        return;
+    }
+    ++m_runs[id];
+    if (m_mode == "mute") {
+        boost::this_fiber::sleep_for(mute_for);
+        return exchange.abort_stream();
+    }
+    headers.push_back({ "Shedhill-Server-Signature", "signed-by-" + m_incarnation });
+    if (request.target.starts_with("/stream/"))
+        return stream(exchange, headers);
+    boost::this_fiber::sleep_for(m_interval);
+    if (m_mode == "cut")
+        return exchange.abort_stream();
+    (void)exchange.respond({ 200, headers, "text/plain",
+        "team=" + request.header("Shedhill-Tenant") + " key=" + request.header("Authorization")
+            + " body=" + request.body });
+}
+
+void hosted_replica::stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers)
+{
+    auto const last = exchange.request().header("Last-Event-Id");
+    auto const first = last.empty() ? 1 : std::stoi(last) + 1;
+    if (!exchange.start_stream(200, "text/event-stream", headers))
+        return;
+    for (int number = first; number <= events_of_a_stream; ++number) {
+        boost::this_fiber::sleep_for(m_interval);
+        if (m_mode == "cut" && number == first + 3) {
+            // In the middle of an event.
+            (void)exchange.write_chunk("id: " + std::to_string(number) + "\ndata: ha");
+            return exchange.abort_stream();
+        }
+        if (!exchange.write_chunk("id: " + std::to_string(number) + "\ndata: piece\n\n"))
+            return;
+    }
+    (void)exchange.end_stream();
+}
+
+} // namespace shedhill::stand_ins
--- /dev/null
+++ b/tests/stand_ins/hosted_store.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// A stand-in for the users' platform's store: rows with versions, a feed, transactions under conditions, and its
+// faults.
+#pragma once
+
+#include "libraries/net/http.h"
+
+#include <boost/json.hpp>
+#include <map>
+#include <string>
+
+namespace shedhill::stand_ins {
+
+class hosted_store {
+public:
+    // GET /rows-get, /rows-feed; POST /rows-tx; POST /control {"down": bool, "forget": true, "put": [{table, key,
+    // value}], "remove": [{table, key}]}; GET /counts.
+    void serve(net::http_exchange& exchange);
+
+private:
+    struct row {
+        std::string value;
+        std::uint64_t version { 0 };
+        // Removed rows are kept, so that the feed can tell of them.
+        bool is_gone { false };
+    };
+    using table = std::map<std::string, row>;
+
+    void control(boost::json::object const& body);
+    void put(std::string const& table, std::string const& key, std::string const& value);
+    void remove(std::string const& table, std::string const& key);
+    [[nodiscard]] boost::json::array rows_since(std::string const& table, std::uint64_t version, bool with_gone) const;
+    void serve_feed(net::http_exchange& exchange, std::map<std::string, std::string> const& query);
+    void serve_transaction(net::http_exchange& exchange);
+
+    std::map<std::string, table> m_tables;
+    std::uint64_t m_version { 0 };
+    // The feed has nothing from before.
+    std::uint64_t m_oldest { 0 };
+    std::uint64_t m_calls { 0 };
+    bool m_is_down { false };
+};
+
+} // namespace shedhill::stand_ins
--- a/tests/stand_ins/main.cpp
+++ b/tests/stand_ins/main.cpp
@@ -4,6 +4,8 @@
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/settings/setting_table.h"
 #include "tests/stand_ins/engine.h"
+#include "tests/stand_ins/hosted_replica.h"
+#include "tests/stand_ins/hosted_store.h"
 #include "tests/stand_ins/platform.h"
 #include "tests/stand_ins/service.h"
 
@@ -14,10 +16,12 @@
 {
     using namespace shedhill;
     settings::setting_table table("shedhill-stand-in");
-    table.add_choice("kind", { "engine", "service", "platform" }, "What to stand in for.");
+    table.add_choice(
+        "kind", { "engine", "service", "platform", "hosted-store", "hosted-replica" }, "What to stand in for.");
     table.add_text("http", "127.0.0.1:0", "Where it is served.");
     table.add_number("engine-slots", 6, 1, 1024, "Engine: requests at once.");
     table.add_number("token-interval-ms", 5, 0, 10000, "Engine: time between tokens.");
+    table.add_text("incarnation", "i-1", "Hosted replica: the id of this start.");
     table.add_number("work-ms", 5, 0, 10000, "Service: time of one run.");
     auto const values = table.parse(count, arguments);
     if (!values) {
@@ -29,12 +33,19 @@
         std::chrono::milliseconds(values->number("token-interval-ms")));
     stand_ins::service service(std::chrono::milliseconds(values->number("work-ms")));
     stand_ins::platform platform;
+    stand_ins::hosted_store store;
+    stand_ins::hosted_replica replica(
+        values->text("incarnation"), std::chrono::milliseconds(values->number("work-ms")));
     auto const& kind = values->text("kind");
     auto server = net::http_server::open(values->text("http"), {}, [&](net::http_exchange& exchange) {
         if (kind == "engine")
             engine.serve(exchange);
         else if (kind == "service")
             service.serve(exchange);
+        else if (kind == "hosted-store")
+            store.serve(exchange);
+        else if (kind == "hosted-replica")
+            replica.serve(exchange);
         else
             platform.serve(exchange);
     });
