dispatch, relay: Repeat what an endpoint itself failed, where that is allowed

Change: a whole answer of 500 or above is kept back; the dispatcher sends the request again within attempts and budget, or lets the kept answer pass. New test, which fails without it.

--- a/libraries/diagnosis/request_story.cpp
+++ b/libraries/diagnosis/request_story.cpp
@@ -89,6 +89,10 @@
         if (event == "answered")
             found = { "answered with " + text_of(fields, "status") + " by endpoint " + text_of(fields, "endpoint"),
                 index };
+        else if (event == "failure_passed_on")
+            found = { "endpoint " + text_of(fields, "endpoint") + " itself answered that it failed; not sent again ("
+                    + text_of(fields, "not_again") + ")",
+                index };
         else if (event == "caller_left")
             found = { "the caller left after " + text_of(fields, "after_ms") + " ms", index };
         else if (event == "attempt_failed")
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -25,6 +25,7 @@
     case attempt_end::wrong_endpoint:
         return attempt_verdict::turned_away;
     case attempt_end::not_sent:
+    case attempt_end::failed:
     case attempt_end::broken:
     case attempt_end::silent:
         break;
@@ -183,9 +184,11 @@
         ++request.failed_sends;
     else
         ++request.arrivals;
-    request.may_have_run |= end == attempt_end::broken || end == attempt_end::silent;
+    request.may_have_run |= end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::failed;
     if (reason == refusal_reason::none && request.arrivals > 0 && !m_retries.spend(request.pool, step.now))
         reason = refusal_reason::retry_budget_spent;
+    if (reason != refusal_reason::none && end == attempt_end::failed)
+        return pass_failure(number, request, reason, step);
     if (reason != refusal_reason::none)
         return finish_failed(number, request, reason, step);
     step.effects.emplace_back(count_event { counted::retries, name_of(end) });
@@ -198,6 +201,22 @@
     m_waiting.push_back(number);
 }
 
+void dispatch_reducer::pass_failure(
+    request_number number, active_request& request, refusal_reason reason, step_context& step)
+{
+    settle_charge(request, step);
+    step.effects.emplace_back(pass_answer { number });
+    step.effects.emplace_back(count_event { counted::failures, {} });
+    step.effects.emplace_back(log_line { severity::failure, "failure_passed_on",
+        log_fields()
+            .add("id", request.caller_id)
+            .add("endpoint", request.endpoint.value())
+            .add("not_again", name_of(reason))
+            .add("took_ms", (step.now - request.arrived).count())
+            .take() });
+    forget(number);
+}
+
 void dispatch_reducer::finish_failed(
     request_number number, active_request& request, refusal_reason reason, step_context& step)
 {
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -135,6 +135,8 @@
     void settle_charge(active_request& request, step_context& step);
     void try_again_or_end(request_number number, active_request& request, attempt_end end, step_context& step);
     [[nodiscard]] refusal_reason why_not_again(active_request const& request, attempt_end end) const;
+    // The endpoint's own failure is the answer.
+    void pass_failure(request_number number, active_request& request, refusal_reason reason, step_context& step);
     void finish_failed(request_number number, active_request& request, refusal_reason reason, step_context& step);
     void refuse(request_number number, active_request& request, std::uint16_t status, refusal_reason reason,
         step_context& step);
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -46,6 +46,11 @@
     std::optional<milliseconds> retry_after;
 };
 
+// The endpoint's own failure, which was kept back, is the final answer.
+struct pass_answer {
+    request_number request {};
+};
+
 // Ends an answer that has begun so that the caller sees that it is not whole.
 struct break_answer {
     request_number request {};
@@ -68,7 +73,7 @@
     std::string fields;
 };
 
-enum class counted { requests, answers, refusals, retries, ejections, cancelled };
+enum class counted { requests, answers, failures, refusals, retries, ejections, cancelled };
 
 struct count_event {
     counted which { counted::requests };
@@ -76,8 +81,8 @@
     std::string_view reason;
 };
 
-using effect = std::variant<send_attempt, cancel_attempt, answer_refusal, break_answer, set_ready, stop_process,
-    log_line, count_event>;
+using effect = std::variant<send_attempt, cancel_attempt, answer_refusal, pass_answer, break_answer, set_ready,
+    stop_process, log_line, count_event>;
 
 using effect_list = std::vector<effect>;
 
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -191,6 +191,8 @@
     wrong_endpoint,
     // The whole answer came and was passed on.
     complete,
+    // The endpoint ran it and answers, whole, that it failed. The answer is kept back.
+    failed,
     // The connection ended, or what came was no answer, before or in the middle of an answer.
     broken,
     // Nothing came in the time allowed.
@@ -208,6 +210,8 @@
         return "wrong_endpoint";
     case attempt_end::complete:
         return "complete";
+    case attempt_end::failed:
+        return "failed";
     case attempt_end::broken:
         return "broken";
     case attempt_end::silent:
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -80,6 +80,13 @@
         m_owner.on_exchange_over(m_number);
     }
 
+    // The endpoint's own failure, which was kept back until it was known that it is final.
+    void pass_kept_answer()
+    {
+        pass_whole_answer();
+        m_owner.on_exchange_over(m_number);
+    }
+
     void break_off()
     {
         m_caller->break_off();
@@ -166,8 +173,17 @@
         finish_answer();
     }
 
+    void pass_whole_answer()
+    {
+        append_head("Content-Length", std::to_string(m_body.size()));
+        m_caller->out() += m_body;
+        m_caller->finish_answer();
+    }
+
     void finish_answer()
     {
+        if (!m_is_stream && m_status >= first_server_error)
+            return end_attempt(dispatch::attempt_end::failed);
         if (m_is_stream) {
             if (!m_has_head_passed) {
                 m_has_head_passed = true;
@@ -176,11 +192,10 @@
             if (!m_stream.partial().empty())
                 append_chunk(m_caller->out(), m_stream.partial());
             append_last_chunk(m_caller->out());
+            m_caller->finish_answer();
         } else {
-            append_head("Content-Length", std::to_string(m_body.size()));
-            m_caller->out() += m_body;
+            pass_whole_answer();
         }
-        m_caller->finish_answer();
         end_attempt(dispatch::attempt_end::complete);
         m_owner.on_exchange_over(m_number);
     }
@@ -207,6 +222,7 @@
     }
 
     static constexpr std::uint16_t first_status_not_good = 300;
+    static constexpr std::uint16_t first_server_error = 500;
 
     event_loop& m_loop;
     exchange_owner& m_owner;
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -258,6 +258,12 @@
             served->refuse(refusal);
     }
 
+    void carry_out(dispatch::pass_answer const& passed)
+    {
+        if (auto* const served = find_exchange(passed.request))
+            served->pass_kept_answer();
+    }
+
     void carry_out(dispatch::break_answer const& broken)
     {
         if (auto* const served = find_exchange(broken.request))
@@ -286,6 +292,8 @@
             return "shedhill_requests_total";
         case dispatch::counted::answers:
             return "shedhill_answers_total";
+        case dispatch::counted::failures:
+            return "shedhill_failures_passed_on_total";
         case dispatch::counted::refusals:
             return with_reason("shedhill_refusals_total");
         case dispatch::counted::retries:
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -136,6 +136,11 @@
         return std::ranges::any_of(m_broken, [&](auto const& broken) { return broken.request == request; });
     }
 
+    [[nodiscard]] bool is_passed_on(request_number request) const
+    {
+        return std::ranges::any_of(m_passed, [&](auto const& passed) { return passed.request == request; });
+    }
+
     [[nodiscard]] bool is_cancelled(request_number request) const
     {
         return std::ranges::any_of(m_cancelled, [&](auto const& cancelled) { return cancelled.request == request; });
@@ -160,6 +165,8 @@
             m_broken.push_back(*broken);
         else if (auto const* cancelled = std::get_if<cancel_attempt>(&done))
             m_cancelled.push_back(*cancelled);
+        else if (auto const* passed = std::get_if<pass_answer>(&done))
+            m_passed.push_back(*passed);
         else if (std::holds_alternative<stop_process>(done))
             m_has_stopped = true;
         else if (auto const* line = std::get_if<log_line>(&done))
@@ -173,6 +180,7 @@
     std::vector<send_attempt> m_sent;
     std::vector<answer_refusal> m_refused;
     std::vector<break_answer> m_broken;
+    std::vector<pass_answer> m_passed;
     std::vector<cancel_attempt> m_cancelled;
     std::string m_log;
     bool m_has_stopped { false };
--- a/tests/dispatch/dispatch_outcomes_test.cpp
+++ b/tests/dispatch/dispatch_outcomes_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(unknown_routes_and_keys_are_refused);
     CPPUNIT_TEST(an_unknown_end_is_never_called_not_run);
     CPPUNIT_TEST(an_unknown_end_is_repeated_where_that_is_allowed);
+    CPPUNIT_TEST(an_endpoints_own_failure_is_repeated_where_that_is_allowed);
     CPPUNIT_TEST(what_was_not_run_goes_to_another_endpoint);
     CPPUNIT_TEST(no_more_endpoints_than_allowed_see_a_request);
     CPPUNIT_TEST(sends_that_never_left_do_not_count_as_attempts);
@@ -84,6 +85,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t { 502 }, fleet.refusal_of(request)->status);
     }
 
+    void an_endpoints_own_failure_is_repeated_where_that_is_allowed()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        auto const look = fleet.ask("/look/");
+        fleet.end(look, attempt_end::failed, 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, fleet.sent_for(look).size());
+        CPPUNIT_ASSERT(!fleet.is_passed_on(look));
+        // Two endpoints have failed: that is the answer.
+        fleet.end(look, attempt_end::failed, 500);
+        CPPUNIT_ASSERT(fleet.is_passed_on(look));
+        auto const order = fleet.ask("/order/");
+        fleet.end(order, attempt_end::failed, 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(order).size());
+        CPPUNIT_ASSERT(fleet.is_passed_on(order));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.reducer().active_requests());
+    }
+
     void what_was_not_run_goes_to_another_endpoint()
     {
         driver fleet;
