dispatch: Take less while this router is behind

Change: the daemon tells with each tick how late it came; smoothed above 35 ms, what is past its team's share is refused at once (503, router_overloaded), and of the rest a part that grows with the lag. Tests for this and for the flood of waiting requests.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -26,6 +26,10 @@
 constexpr double patience_within_share = 0.2;
 constexpr double patience_past_share = 0.125;
 constexpr double load_that_allows_loss = 0.5;
+// A router that is so far behind takes nothing that is past a team's share, and less and less of the rest.
+constexpr double bearable_lag_ms = 35;
+constexpr double lag_that_refuses_all_ms = 200;
+constexpr double most_refused_part = 0.9;
 // While so many wait, a team that is ahead is refused at once.
 constexpr std::size_t many_waiting = 24;
 // A choice costs some microseconds, and a flood has hundreds waiting: who stands far behind is not tried each time.
@@ -104,6 +108,8 @@
 void dispatch_reducer::admit(request_number number, active_request request, step_context& step)
 {
     auto& kept = m_requests.insert_or_assign(number, std::move(request)).first->second;
+    if (is_overloaded_for(kept, step))
+        return refuse(number, kept, status_unavailable, refusal_reason::router_overloaded, step);
     // Who waits already goes first, unless the newcomer's team was given less.
     if (m_waiting.empty() && try_to_send(number, kept, step))
         return;
@@ -113,8 +119,21 @@
     serve_waiting_again(step);
 }
 
+bool dispatch_reducer::is_overloaded_for(active_request const& request, step_context const& step)
+{
+    if (!request.is_engine || m_lag_ms < bearable_lag_ms)
+        return false;
+    if (standing_of(request, step) != standing::within_share)
+        return true;
+    // The further behind, the more are refused, at random.
+    constexpr double draws = 1000;
+    auto const refused_part = std::min((m_lag_ms - bearable_lag_ms) / lag_that_refuses_all_ms, most_refused_part);
+    return static_cast<double>(step.draw % static_cast<std::uint64_t>(draws)) < refused_part * draws;
+}
+
 endpoint_choice dispatch_reducer::choose(active_request const& request, step_context const& step)
 {
+    ++m_choices;
     choice_request wanted;
     wanted.pool = request.pool;
     wanted.cost = &request.cost;
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds deadline_interval { 40 };
 constexpr milliseconds parts_interval { 2000 };
 constexpr milliseconds shares_interval { 100 };
+constexpr double weight_of_the_newest_lag = 0.15;
 
 } // namespace
 
@@ -81,8 +82,9 @@
     stop_if_drained(step);
 }
 
-void dispatch_reducer::handle(tick const&, step_context& step)
+void dispatch_reducer::handle(tick const& ticked, step_context& step)
 {
+    m_lag_ms += weight_of_the_newest_lag * (static_cast<double>(ticked.lag.count()) - m_lag_ms);
     if (step.now - m_shares_updated >= shares_interval) {
         m_shares_updated = step.now;
         m_ledger.update_shares(m_routes.current().limits.tokens_per_second, step.now);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -35,6 +35,8 @@
     [[nodiscard]] route_table const& routes() const { return m_routes; }
     [[nodiscard]] bool is_ready() const { return m_is_ready; }
     [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
+    // How often an endpoint was looked for: the dearest thing a router does for a request that waits.
+    [[nodiscard]] std::uint64_t choices() const { return m_choices; }
     [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
     [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool) const
     {
@@ -109,6 +111,8 @@
     void handle(tick const& ticked, step_context& step);
 
     // Admission.
+    // Whether this router is too far behind to take the request; another one may have time for it.
+    [[nodiscard]] bool is_overloaded_for(active_request const& request, step_context const& step);
     void admit(request_number number, active_request request, step_context& step);
     // Whether a request may go where less of its prompt is kept than elsewhere.
     [[nodiscard]] bool may_lose_parts(active_request const& request, step_context const& step);
@@ -162,6 +166,9 @@
     instant m_parts_checked {};
     instant m_shares_updated {};
     instant m_waiting_served {};
+    // How far this process is behind, smoothed, in milliseconds.
+    double m_lag_ms { 0 };
+    std::uint64_t m_choices { 0 };
     bool m_has_list { false };
     bool m_is_ready { false };
     bool m_is_draining { false };
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -95,7 +95,10 @@
 
 struct drain_requested { };
 
-struct tick { };
+struct tick {
+    // How much later than wanted the process came to this tick: it has more to do than it can.
+    milliseconds lag { 0 };
+};
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
     configuration_learned, endpoints_listed, peer_reported, peer_lost, drain_requested, tick>;
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -139,6 +139,7 @@
     answer_broken,
     time_limit,
     stopping,
+    router_overloaded,
     count,
 };
 
@@ -175,6 +176,8 @@
         return "time_limit";
     case refusal_reason::stopping:
         return "stopping";
+    case refusal_reason::router_overloaded:
+        return "router_overloaded";
     case refusal_reason::count:
         break;
     }
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -88,8 +88,8 @@
             m_loop.run_once(round_limit);
             auto const now = m_loop.now();
             if (now - m_ticked_at >= tick_interval) {
-                m_ticked_at = now;
-                tick(now, signals);
+                auto const since = now - std::exchange(m_ticked_at, now);
+                tick(now, std::max(since - usual_tick, milliseconds(0)), signals);
             }
         }
         log_state("stopped", {});
@@ -100,6 +100,8 @@
 
     static constexpr milliseconds round_limit { 10 };
     static constexpr milliseconds tick_interval { 8 };
+    // A tick comes at the latest so long after the one before, if the process has time for it.
+    static constexpr milliseconds usual_tick { 20 };
     static constexpr milliseconds check_interval { 24 };
     static constexpr milliseconds peer_interval { 100 };
     static constexpr milliseconds connect_limit { 160 };
@@ -311,7 +313,7 @@
 
     // Time.
 
-    void tick(instant now, signal_flags& signals)
+    void tick(instant now, milliseconds lag, signal_flags& signals)
     {
         if (signals.stop != 0 && m_stop_asked_at == instant {})
             begin_stop(now);
@@ -319,7 +321,7 @@
             signals.reload = 0;
             reload();
         }
-        reduce(dispatch::tick {});
+        reduce(dispatch::tick { lag });
         take_events();
         auto const draw = m_random();
         m_configuration.tick(now, draw);
@@ -570,6 +572,7 @@
     {
         m_metrics.set("shedhill_ready", m_is_ready ? 1 : 0);
         m_metrics.set("shedhill_configuration_revision", static_cast<double>(m_reducer.routes().current().revision));
+        m_metrics.set("shedhill_choices", static_cast<double>(m_reducer.choices()));
         m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
         m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
         auto const age = [this](auto& session) {
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -72,7 +72,7 @@
 
     effect_list take(event_body body)
     {
-        auto effects = m_reducer.reduce({ m_now, m_draw++, std::move(body) });
+        auto effects = m_reducer.reduce({ m_now, m_draw += draw_step, std::move(body) });
         for (auto const& effect : effects)
             keep(effect);
         return effects;
@@ -175,6 +175,8 @@
 
     dispatch_reducer m_reducer;
     instant m_now { milliseconds(1000) };
+    // Draws that follow one another are spread over all numbers.
+    static constexpr std::uint64_t draw_step = 0x9E3779B97F4A7C15U;
     std::uint64_t m_draw { 1 };
     std::uint64_t m_last_request { 0 };
     std::vector<send_attempt> m_sent;
--- a/tests/dispatch/dispatch_outcomes_test.cpp
+++ b/tests/dispatch/dispatch_outcomes_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(the_time_limit_ends_a_request_at_once);
     CPPUNIT_TEST(a_request_past_its_share_is_refused_early_and_told_when_to_return);
     CPPUNIT_TEST(a_request_within_its_share_waits_a_little_longer);
+    CPPUNIT_TEST(a_router_that_is_behind_takes_less);
+    CPPUNIT_TEST(a_flood_of_waiting_requests_costs_few_choices);
     CPPUNIT_TEST(a_late_end_of_an_old_attempt_changes_nothing);
     CPPUNIT_TEST(a_stalled_order_is_not_sent_again);
     CPPUNIT_TEST(a_stalled_look_is_sent_again);
@@ -245,6 +247,46 @@
         CPPUNIT_ASSERT(fleet.refusal_of(fourth)->retry_after.has_value());
     }
 
+    void a_router_that_is_behind_takes_less()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100) });
+        fleet.ask("/once/", "red-key", 41000);
+        fleet.wait(milliseconds(200));
+        for (int ticks = 0; ticks < 30; ++ticks)
+            fleet.take(tick { milliseconds(100) });
+        auto const past_share = fleet.ask("/once/", "red-key");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 503 }, fleet.refusal_of(past_share)->status);
+        CPPUNIT_ASSERT(fleet.refusal_of(past_share)->reason == refusal_reason::router_overloaded);
+        // Of what is within its share about a third: (100 - 35) / 200.
+        int refused = 0;
+        for (int index = 0; index < 90; ++index)
+            refused += fleet.refusal_of(fleet.ask("/once/", "blue-key", 10)) ? 1 : 0;
+        CPPUNIT_ASSERT(refused > 0 && refused < 90);
+        for (int ticks = 0; ticks < 60; ++ticks)
+            fleet.take(tick {});
+        CPPUNIT_ASSERT(!fleet.refusal_of(fleet.ask("/once/", "blue-key", 10)));
+    }
+
+    // A hunt's finding: hundreds of waiting requests, each tried at each answer, put a router seconds behind.
+    void a_flood_of_waiting_requests_costs_few_choices()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 2) });
+        fleet.ask("/once/", "red-key", 41000);
+        auto const running = fleet.ask("/once/", "red-key", 41000);
+        fleet.wait(milliseconds(100));
+        std::vector<request_number> asked;
+        for (int index = 0; index < 300; ++index)
+            asked.push_back(fleet.ask("/once/", "blue-key", 10));
+        auto const before = fleet.reducer().choices();
+        for (int index = 0; index < 50; ++index)
+            fleet.begin(running);
+        CPPUNIT_ASSERT(fleet.reducer().choices() - before <= 32);
+        // A team that is far ahead is told at once while so many wait.
+        CPPUNIT_ASSERT(fleet.refusal_of(fleet.ask("/once/", "red-key", 41000)).has_value());
+    }
+
     void a_late_end_of_an_old_attempt_changes_nothing()
     {
         driver fleet;
