table_service: Name the product's own table protocol so that it is not taken for the users' platform

Cause: libraries/platform held the product's own protocol to its table, beside platform/ for the users' platform. It is libraries/table_service now, with its namespace.

--- a/libraries/endpoint/options.h
+++ b/libraries/endpoint/options.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// The settings of an endpoint process's decisions. docs/OPERATORS.md explains each.
+// The settings of an endpoint process's decisions. docs/OPERATIONS.md explains each.
 #pragma once
 
 #include "base/identifiers.h"
--- a/libraries/operations/config_session.cpp
+++ b/libraries/operations/config_session.cpp
@@ -48,12 +48,12 @@
 
 } // namespace
 
-result<config::catalog> load_catalog(platform::http_platform& platform)
+result<config::catalog> load_catalog(table_service::http_platform& platform)
 {
     config::catalog loaded;
     auto const head = TRY(platform.read_head());
     // A missing or old snapshot costs reads, nothing else.
-    if (auto const snapshot = platform.get_object(platform::snapshot_object); snapshot && !snapshot->empty())
+    if (auto const snapshot = platform.get_object(table_service::snapshot_object); snapshot && !snapshot->empty())
         TRY(loaded.load_snapshot(*snapshot));
     while (loaded.current_revision() < head) {
         auto const before = loaded.current_revision();
@@ -89,7 +89,7 @@
     return differences;
 }
 
-result<submit_report> submit(platform::http_platform& platform, partner_name const& partner,
+result<submit_report> submit(table_service::http_platform& platform, partner_name const& partner,
     std::vector<config::object> const& wanted, pruning others)
 {
     submit_report report;
@@ -105,12 +105,12 @@
         auto const change = make_change(report.change_id, partner, wanted, differences);
         TRY_VOID(config::check_ownership(change));
         auto const [state, revision] = platform.commit(change, present.current_revision());
-        if (state == platform::commit_state::committed) {
+        if (state == table_service::commit_state::committed) {
             report.state = submit_state::committed;
             report.revision = revision;
             return report;
         }
-        if (state == platform::commit_state::unknown)
+        if (state == table_service::commit_state::unknown)
             return report;
         auto newer = TRY(load_catalog(platform));
         auto const changed = changed_keys(present, newer);
--- a/libraries/operations/config_session.h
+++ b/libraries/operations/config_session.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "libraries/config/catalog.h"
-#include "libraries/platform/http_platform.h"
+#include "libraries/table_service/http_platform.h"
 
 #include <string>
 #include <vector>
@@ -40,7 +40,7 @@
 };
 
 // Reads the snapshot and all changes after it.
-result<config::catalog> load_catalog(platform::http_platform& platform);
+result<config::catalog> load_catalog(table_service::http_platform& platform);
 
 // What applying the wanted objects of a partner would do. With pruning, objects not wanted are removed.
 enum class pruning { keep_others, remove_others };
@@ -48,7 +48,7 @@
     std::vector<config::object> const& wanted, pruning others);
 
 // Commits what plan() finds. Tries again after a race that concerned other objects.
-result<submit_report> submit(platform::http_platform& platform, partner_name const& partner,
+result<submit_report> submit(table_service::http_platform& platform, partner_name const& partner,
     std::vector<config::object> const& wanted, pruning others);
 
 } // namespace shedhill::operations
--- a/libraries/router/claim_batcher.cpp
+++ b/libraries/router/claim_batcher.cpp
@@ -6,12 +6,12 @@
 
 namespace shedhill::router {
 
-void claim_batcher::add(request_number request, platform::claim wanted)
+void claim_batcher::add(request_number request, table_service::claim wanted)
 {
     m_waiting.push_back({ request, std::move(wanted) });
 }
 
-void claim_batcher::release(platform::claim held) { m_releases.push_back(std::move(held)); }
+void claim_batcher::release(table_service::claim held) { m_releases.push_back(std::move(held)); }
 
 void claim_batcher::tick(step_context& step)
 {
@@ -31,7 +31,7 @@
 }
 
 std::vector<claim_answer> claim_batcher::take_answers(
-    std::uint64_t batch, std::vector<platform::claim_verdict> const& verdicts)
+    std::uint64_t batch, std::vector<table_service::claim_verdict> const& verdicts)
 {
     std::vector<claim_answer> answers;
     auto const found = m_sent.find(batch);
@@ -39,7 +39,7 @@
         return answers;
     auto const& sent = found->second;
     for (std::size_t index = 0; index < sent.size(); ++index) {
-        auto const verdict = index < verdicts.size() ? verdicts[index] : platform::claim_verdict::unavailable;
+        auto const verdict = index < verdicts.size() ? verdicts[index] : table_service::claim_verdict::unavailable;
         answers.push_back({ sent[index].request, sent[index].claim, verdict });
     }
     m_sent.erase(found);
--- a/libraries/router/effects.h
+++ b/libraries/router/effects.h
@@ -2,7 +2,7 @@
 // Everything a router does. The reducer returns these as data; the daemon, or a test, carries them out.
 #pragma once
 
-#include "libraries/platform/records.h"
+#include "libraries/table_service/records.h"
 #include "libraries/wire/messages.h"
 
 #include <optional>
@@ -74,12 +74,12 @@
 
 struct write_claims {
     std::uint64_t batch { 0 };
-    std::vector<platform::claim> claims;
+    std::vector<table_service::claim> claims;
 };
 
 // Takes back claims of requests that were proved not run, where the row still holds the claim's id.
 struct release_claims {
-    std::vector<platform::claim> claims;
+    std::vector<table_service::claim> claims;
 };
 
 struct set_ready {
--- a/libraries/router/events.h
+++ b/libraries/router/events.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "libraries/config/change.h"
-#include "libraries/platform/records.h"
+#include "libraries/table_service/records.h"
 #include "libraries/wire/messages.h"
 
 #include <string>
@@ -58,12 +58,12 @@
 };
 
 struct vms_listed {
-    std::vector<platform::vm_record> vms;
+    std::vector<table_service::vm_record> vms;
 };
 
 // Routers named in the settings, known before the platform's list has been read.
 struct peers_configured {
-    std::vector<platform::vm_record> peers;
+    std::vector<table_service::vm_record> peers;
 };
 
 struct head_read {
@@ -71,7 +71,7 @@
 };
 
 struct changes_read {
-    std::vector<platform::numbered_change> changes;
+    std::vector<table_service::numbered_change> changes;
 };
 
 struct snapshot_read {
@@ -84,7 +84,7 @@
 struct claims_answered {
     std::uint64_t batch { 0 };
     // One verdict for each claim of the batch, in its order.
-    std::vector<platform::claim_verdict> verdicts;
+    std::vector<table_service::claim_verdict> verdicts;
 };
 
 struct drain_requested { };
--- a/libraries/router/link_table.cpp
+++ b/libraries/router/link_table.cpp
@@ -8,7 +8,7 @@
 
 namespace shedhill::router {
 
-list_change link_table::update_vms(std::vector<platform::vm_record> const& vms, step_context& step)
+list_change link_table::update_vms(std::vector<table_service::vm_record> const& vms, step_context& step)
 {
     if (vms == m_listed)
         return list_change::unchanged;
@@ -23,11 +23,11 @@
         auto const has_moved = known.vm.address != vm.address;
         known.vm = vm;
         // The list lags: it may add a drain notice, never take one back that the endpoint itself gave.
-        if (vm.state == platform::vm_state::leaving)
+        if (vm.state == table_service::vm_state::leaving)
             known.is_draining = true;
         if (has_moved)
             known.retry_at = step.now();
-        if (vm.role == platform::vm_role::router)
+        if (vm.role == table_service::vm_role::router)
             m_routers.push_back(vm.name);
     }
     std::erase_if(m_links,
@@ -69,7 +69,7 @@
     known.phase = link_phase::up;
     known.connection = connection;
     known.backoff = milliseconds(0);
-    known.is_draining = known.vm.state == platform::vm_state::leaving;
+    known.is_draining = known.vm.state == table_service::vm_state::leaving;
     known.needed_revision = revision();
     known.told_revision = revision();
     known.free_slots = 0;
@@ -149,7 +149,7 @@
     m_pool_vms.clear();
     for (auto& [name, known] : m_links) {
         known.pool.reset();
-        if (known.vm.role != platform::vm_role::endpoint)
+        if (known.vm.role != table_service::vm_role::endpoint)
             continue;
         auto const* declared = catalog.find_endpoint(known.vm.endpoint);
         if (declared == nullptr)
@@ -172,7 +172,7 @@
             continue;
         auto const& known = found->second;
         auto const is_failing = known.phase == link_phase::idle && known.backoff > milliseconds(0);
-        if (known.vm.state == platform::vm_state::live && !is_failing)
+        if (known.vm.state == table_service::vm_state::live && !is_failing)
             routers.push_back(name);
     }
     return routers;
@@ -187,9 +187,9 @@
     note_pending(vm, *known);
 }
 
-std::vector<platform::vm_record> link_table::records() const
+std::vector<table_service::vm_record> link_table::records() const
 {
-    std::vector<platform::vm_record> records;
+    std::vector<table_service::vm_record> records;
     records.reserve(m_links.size());
     for (auto const& [name, known] : m_links)
         records.push_back(known.vm);
--- a/libraries/router/link_table.h
+++ b/libraries/router/link_table.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "libraries/config/catalog.h"
-#include "libraries/platform/records.h"
 #include "libraries/router/options.h"
 #include "libraries/router/step_context.h"
+#include "libraries/table_service/records.h"
 
 #include <map>
 #include <optional>
@@ -28,7 +28,7 @@
 };
 
 struct link {
-    platform::vm_record vm;
+    table_service::vm_record vm;
     link_phase phase { link_phase::idle };
     connection_id connection {};
     // Wanted links are connected again when they break.
@@ -60,7 +60,7 @@
     }
 
     // Takes in the platform's list. VMs that have vanished from it keep a link that is up.
-    list_change update_vms(std::vector<platform::vm_record> const& vms, step_context& step);
+    list_change update_vms(std::vector<table_service::vm_record> const& vms, step_context& step);
 
     // Opens connections that are wanted and due.
     void connect_due(step_context& step);
@@ -84,7 +84,7 @@
     [[nodiscard]] std::vector<vm_name> live_routers() const;
     void want(vm_name const& vm);
     // What is known of the VMs besides this one.
-    [[nodiscard]] std::vector<platform::vm_record> records() const;
+    [[nodiscard]] std::vector<table_service::vm_record> records() const;
     [[nodiscard]] std::map<vm_name, link>& all() { return m_links; }
 
 private:
@@ -103,7 +103,7 @@
     std::map<pool_name, std::size_t> m_subset_sizes;
     std::map<pool_name, instant> m_widened_at;
     // The list as it was last taken in, and its routers.
-    std::vector<platform::vm_record> m_listed;
+    std::vector<table_service::vm_record> m_listed;
     std::vector<vm_name> m_routers;
     // Wanted links that are idle. All others need no look when connections are due.
     std::set<vm_name> m_pending;
--- a/libraries/router/options.h
+++ b/libraries/router/options.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// The settings of a router's decisions. docs/OPERATORS.md explains each.
+// The settings of a router's decisions. docs/OPERATIONS.md explains each.
 #pragma once
 
 #include "base/identifiers.h"
--- a/libraries/router/request_flow.cpp
+++ b/libraries/router/request_flow.cpp
@@ -83,22 +83,22 @@
         auto const found = m_requests.find(number);
         if (found == m_requests.end() || found->second.phase != request_phase::claiming) {
             // The caller has gone, or was told that the request was not run.
-            if (verdict != platform::claim_verdict::taken)
+            if (verdict != table_service::claim_verdict::taken)
                 m_parts.claims.release(claim);
             continue;
         }
         auto& waiting = found->second;
         switch (verdict) {
-        case platform::claim_verdict::won:
+        case table_service::claim_verdict::won:
             enqueue(waiting, step);
             break;
-        case platform::claim_verdict::taken:
+        case table_service::claim_verdict::taken:
             waiting.claim_id.clear();
             // The holder of the claim may run it, or have run it: this caller cannot be told "not run".
             waiting.may_have_run = true;
             finish_without_answer(waiting, wire::reason::claim_taken, step);
             break;
-        case platform::claim_verdict::unavailable:
+        case table_service::claim_verdict::unavailable:
             finish_without_answer(waiting, wire::reason::claim_unavailable, step);
             break;
         }
--- a/libraries/router/router_reducer.cpp
+++ b/libraries/router/router_reducer.cpp
@@ -57,7 +57,7 @@
         step.emit(close_connection { up.connection });
         return;
     }
-    if (!m_follower.has_revision() && connected->vm.role == platform::vm_role::router)
+    if (!m_follower.has_revision() && connected->vm.role == table_service::vm_role::router)
         step.send(up.connection, wire::snapshot_request { catalog().current_revision() });
 }
 
@@ -79,7 +79,7 @@
 void router_reducer::handle(message_received const& received, step_context& step)
 {
     if (auto* from = m_links.find(received.connection)) {
-        if (from->vm.role == platform::vm_role::endpoint)
+        if (from->vm.role == table_service::vm_role::endpoint)
             take_from_endpoint(*from, received.message, step);
         else
             take_from_router(*from, received.message, step);
@@ -92,8 +92,8 @@
 void router_reducer::handle(vms_listed const& listed, step_context& step)
 {
     // A list without endpoints is too old, or too new, to serve by.
-    m_has_vms = m_has_vms || std::ranges::any_of(listed.vms, [](platform::vm_record const& vm) {
-        return vm.role == platform::vm_role::endpoint;
+    m_has_vms = m_has_vms || std::ranges::any_of(listed.vms, [](table_service::vm_record const& vm) {
+        return vm.role == table_service::vm_role::endpoint;
     });
     if (m_links.update_vms(listed.vms, step) == list_change::changed)
         m_links.set_pools(catalog());
@@ -128,7 +128,7 @@
         return;
     // The platform cannot be read: other routers may still know what is in force.
     for (auto& [name, known] : m_links.all()) {
-        if (known.vm.role != platform::vm_role::router)
+        if (known.vm.role != table_service::vm_role::router)
             continue;
         m_links.want(name);
         if (known.phase == link_phase::up)
--- a/libraries/platform/http_platform.cpp
+++ b/libraries/table_service/http_platform.cpp
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // The binding to the platform's protocol.
-#include "libraries/platform/http_platform.h"
+#include "libraries/table_service/http_platform.h"
 
 #include "libraries/net/http.h"
 
 #include <algorithm>
 #include <cstdio>
 
-namespace shedhill::platform {
+namespace shedhill::table_service {
 
 namespace {
 
@@ -288,4 +288,4 @@
     }
 }
 
-} // namespace shedhill::platform
+} // namespace shedhill::table_service
--- a/libraries/platform/http_platform.h
+++ b/libraries/table_service/http_platform.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "base/error.h"
-#include "libraries/platform/records.h"
+#include "libraries/table_service/records.h"
 
 #include <boost/json.hpp>
 #include <chrono>
@@ -14,7 +14,7 @@
 #include <string_view>
 #include <vector>
 
-namespace shedhill::platform {
+namespace shedhill::table_service {
 
 enum class commit_state {
     committed,
@@ -114,4 +114,4 @@
 
 static_assert(platform_service<http_platform>);
 
-} // namespace shedhill::platform
+} // namespace shedhill::table_service
--- a/libraries/platform/records.h
+++ b/libraries/table_service/records.h
@@ -8,7 +8,7 @@
 
 #include <string>
 
-namespace shedhill::platform {
+namespace shedhill::table_service {
 
 using wire::vm_record;
 using wire::vm_state;
@@ -42,4 +42,4 @@
     unavailable,
 };
 
-} // namespace shedhill::platform
+} // namespace shedhill::table_service
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -74,9 +74,9 @@
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count()));
 }
 
-result<std::vector<platform::vm_record>> parse_peers(std::string const& text)
+result<std::vector<table_service::vm_record>> parse_peers(std::string const& text)
 {
-    std::vector<platform::vm_record> peers;
+    std::vector<table_service::vm_record> peers;
     for (std::size_t start = 0; start < text.size();) {
         auto const end = std::min(text.find(',', start), text.size());
         auto const item = text.substr(start, end - start);
@@ -84,9 +84,9 @@
         if (equals == std::string::npos)
             return fail("read settings", "shedhilld", "--peers (SHEDHILL_PEERS) must be VM=ADDRESS:PORT,...");
         TRY(net::parse_address(item.substr(equals + 1)));
-        platform::vm_record peer;
+        table_service::vm_record peer;
         peer.name = vm_name(item.substr(0, equals));
-        peer.role = platform::vm_role::router;
+        peer.role = table_service::vm_role::router;
         peer.address = item.substr(equals + 1);
         peers.push_back(std::move(peer));
         start = end + 1;
@@ -140,7 +140,7 @@
     made.platform_address = values.text("platform");
     made.limits.body_bytes = static_cast<std::size_t>(values.number("body-bound"));
     // The peers were checked before.
-    made.peers = parse_peers(values.text("peers")).value_or(std::vector<platform::vm_record> {});
+    made.peers = parse_peers(values.text("peers")).value_or(std::vector<table_service::vm_record> {});
     return made;
 }
 
--- a/services/shedhilld/router_daemon.cpp
+++ b/services/shedhilld/router_daemon.cpp
@@ -164,7 +164,7 @@
 {
     net::start_fiber([this] {
         // Without a snapshot the changes are read from the first one on.
-        auto snapshot = m_platform.get_object(platform::snapshot_object);
+        auto snapshot = m_platform.get_object(table_service::snapshot_object);
         post(router::snapshot_read { snapshot.value_or(std::string()) });
     });
 }
@@ -172,7 +172,7 @@
 void router_daemon::run(router::write_snapshot& effect)
 {
     net::start_fiber([this, text = std::move(effect.snapshot)] {
-        if (!m_platform.put_object(platform::snapshot_object, text))
+        if (!m_platform.put_object(table_service::snapshot_object, text))
             m_host.metrics().add("shedhill_platform_failures_total{step=\"write_snapshot\"}");
     });
 }
--- a/services/shedhilld/router_daemon.h
+++ b/services/shedhilld/router_daemon.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "libraries/edge/request_parser.h"
-#include "libraries/platform/http_platform.h"
 #include "libraries/router/router_reducer.h"
+#include "libraries/table_service/http_platform.h"
 #include "services/shedhilld/process.h"
 
 #include <deque>
@@ -22,7 +22,7 @@
     std::string platform_address;
     net::http_limits limits;
     // Routers to ask for the configuration when the platform cannot be read at the start.
-    std::vector<platform::vm_record> peers;
+    std::vector<table_service::vm_record> peers;
 };
 
 class router_daemon {
@@ -78,7 +78,7 @@
     process& m_host;
     router_settings m_settings;
     router::router_reducer m_reducer;
-    platform::http_platform m_platform;
+    table_service::http_platform m_platform;
     std::map<request_number, std::shared_ptr<caller>> m_callers;
     std::map<connection_id, std::shared_ptr<net::frame_connection>> m_connections;
     std::unique_ptr<net::http_server> m_http;
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -118,7 +118,7 @@
 
 result<void> fleet::apply(std::string const& partner, std::vector<config::object> const& objects) const
 {
-    platform::http_platform platform(platform_address());
+    table_service::http_platform platform(platform_address());
     auto const report
         = TRY(operations::submit(platform, partner_name(partner), objects, operations::pruning::keep_others));
     if (report.state != operations::submit_state::committed && report.state != operations::submit_state::unchanged)
--- a/tests/joined/joined_effects.cpp
+++ b/tests/joined/joined_effects.cpp
@@ -323,16 +323,16 @@
     ++m_claim_writes;
     for (auto const& wanted : written.claims) {
         if (is_platform_down_for(router)) {
-            answer.verdicts.push_back(platform::claim_verdict::unavailable);
+            answer.verdicts.push_back(table_service::claim_verdict::unavailable);
             continue;
         }
         auto const [row, is_new] = m_claims.try_emplace(wanted.key, wanted.id);
         auto const is_won = is_new || row->second == wanted.id;
-        answer.verdicts.push_back(is_won ? platform::claim_verdict::won : platform::claim_verdict::taken);
+        answer.verdicts.push_back(is_won ? table_service::claim_verdict::won : table_service::claim_verdict::taken);
     }
     if (m_lost_claim_answers > 0) {
         --m_lost_claim_answers;
-        std::ranges::fill(answer.verdicts, platform::claim_verdict::unavailable);
+        std::ranges::fill(answer.verdicts, table_service::claim_verdict::unavailable);
     }
     if (m_routers.at(router).epoch == epoch)
         post_router(router, std::move(answer));
--- a/tests/joined/joined_fleet.cpp
+++ b/tests/joined/joined_fleet.cpp
@@ -179,9 +179,9 @@
 
 void joined_fleet::introduce(std::size_t router, std::size_t peer)
 {
-    platform::vm_record record;
+    table_service::vm_record record;
     record.name = router_vm(peer);
-    record.role = platform::vm_role::router;
+    record.role = table_service::vm_role::router;
     record.address = record.name.value();
     post_router(router, router::peers_configured { { record } });
 }
@@ -300,17 +300,17 @@
     schedule(endpoint_tick, [this, index, epoch] { tick_endpoint(index, epoch); });
 }
 
-std::vector<platform::vm_record> joined_fleet::list_vms() const
+std::vector<table_service::vm_record> joined_fleet::list_vms() const
 {
-    std::vector<platform::vm_record> vms;
+    std::vector<table_service::vm_record> vms;
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
-        vms.push_back({ router_vm(index), platform::vm_role::router, platform::vm_state::live, router_vm(index).value(),
-            failure_domain("domain-" + std::to_string(index % 3)), {} });
+        vms.push_back({ router_vm(index), table_service::vm_role::router, table_service::vm_state::live,
+            router_vm(index).value(), failure_domain("domain-" + std::to_string(index % 3)), {} });
     }
     for (std::size_t index = 0; index < m_endpoints.size(); ++index) {
         auto const is_leaving = m_draining_endpoints.contains(index) && !m_is_list_frozen;
-        vms.push_back({ endpoint_vm(index), platform::vm_role::endpoint,
-            is_leaving ? platform::vm_state::leaving : platform::vm_state::live, endpoint_vm(index).value(),
+        vms.push_back({ endpoint_vm(index), table_service::vm_role::endpoint,
+            is_leaving ? table_service::vm_state::leaving : table_service::vm_state::live, endpoint_vm(index).value(),
             failure_domain("domain-" + std::to_string(index % 3)), endpoint_name(endpoint_label(index)) });
     }
     return vms;
--- a/tests/joined/joined_fleet.h
+++ b/tests/joined/joined_fleet.h
@@ -185,7 +185,7 @@
     void send(connection_id id, bool is_from_router, wire::message const& message);
     void deliver(connection_id id, bool is_from_router, wire::message const& message);
     void answer_claims(std::size_t router, std::uint64_t epoch, router::write_claims const& written);
-    [[nodiscard]] std::vector<platform::vm_record> list_vms() const;
+    [[nodiscard]] std::vector<table_service::vm_record> list_vms() const;
     [[nodiscard]] vm_name router_vm(std::size_t index) const;
     [[nodiscard]] vm_name endpoint_vm(std::size_t index) const;
     void finish(std::size_t router, request_number request, std::function<void(caller_view&)> const& finish);
--- a/utilities/benchmarks/reducer_bench.cpp
+++ b/utilities/benchmarks/reducer_bench.cpp
@@ -86,8 +86,8 @@
         post(router::changes_read { { { revision(1), make_configuration(size) } } });
         router::vms_listed listed;
         for (std::size_t index = 0; index < size.endpoints; ++index) {
-            listed.vms.push_back({ vm_name("vm-" + std::to_string(index)), platform::vm_role::endpoint,
-                platform::vm_state::live, "127.0.0.1:1", failure_domain("domain-" + std::to_string(index % 13)),
+            listed.vms.push_back({ vm_name("vm-" + std::to_string(index)), table_service::vm_role::endpoint,
+                table_service::vm_state::live, "127.0.0.1:1", failure_domain("domain-" + std::to_string(index % 13)),
                 endpoint_name("p/e-" + std::to_string(index)) });
         }
         for (auto const& effect : post(std::move(listed))) {
--- a/utilities/shedhill/commands.cpp
+++ b/utilities/shedhill/commands.cpp
@@ -20,7 +20,7 @@
     settings::setting_values const& values;
     // Without the command's own name.
     std::vector<std::string> arguments;
-    platform::http_platform platform;
+    table_service::http_platform platform;
 
     [[nodiscard]] bool is_json() const { return values.text("output") == "json"; }
     [[nodiscard]] partner_name partner() const { return partner_name(values.text("partner")); }
@@ -252,8 +252,8 @@
         return report_failure(vms.error(), exit_code::unavailable);
     boost::json::array listed;
     for (auto const& vm : *vms) {
-        auto const* role = vm.role == platform::vm_role::router ? "router" : "endpoint";
-        auto const* state = vm.state == platform::vm_state::live ? "live" : "leaving";
+        auto const* role = vm.role == table_service::vm_role::router ? "router" : "endpoint";
+        auto const* state = vm.state == table_service::vm_state::live ? "live" : "leaving";
         if (!context.is_json())
             std::cout << vm.name.value() << ' ' << role << ' ' << state << ' ' << vm.domain.value() << ' ' << vm.address
                       << ' ' << vm.endpoint.value() << '\n';
@@ -356,7 +356,7 @@
     if (found == commands().end())
         return report_usage("COMMAND; '" + name + "' is not one");
     command_context context { values, { values.positional().begin() + 1, values.positional().end() },
-        platform::http_platform(values.text("platform")) };
+        table_service::http_platform(values.text("platform")) };
     return found->second(context);
 }
 
