--- /dev/null
+++ b/services/shedhilld/counter_names.cpp
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One counter for each kind, and for each reason where there is one.
+#include "services/shedhilld/counter_names.h"
+
+namespace shedhill::daemon {
+
+std::string counter_name(dispatch::count_event const& happened)
+{
+    auto const with_reason
+        = [&](char const* name) { return std::string(name) + "{reason=\"" + std::string(happened.reason) + "\"}"; };
+    switch (happened.which) {
+    case dispatch::counted::requests:
+        return "shedhill_requests_total";
+    case dispatch::counted::answers:
+        return "shedhill_answers_total";
+    case dispatch::counted::failures:
+        return "shedhill_failures_passed_on_total";
+    case dispatch::counted::refusals:
+        return with_reason("shedhill_refusals_total");
+    case dispatch::counted::retries:
+        return with_reason("shedhill_retries_total");
+    case dispatch::counted::ejections:
+        return "shedhill_ejections_total";
+    case dispatch::counted::cancelled:
+        break;
+    }
+    return "shedhill_cancelled_total";
+}
+
+} // namespace shedhill::daemon
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -9,10 +9,10 @@
 #include "libraries/metrics/registry.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/exchange.h"
-#include "libraries/relay/peer_mesh.h"
 #include "libraries/relay/status_server.h"
-#include "libraries/relay/store_session.h"
+#include "services/shedhilld/counter_names.h"
 #include "services/shedhilld/endpoint_connections.h"
+#include "services/shedhilld/fleet_knowledge.h"
 
 #include <array>
 #include <csignal>
@@ -45,15 +45,7 @@
               [this](std::string_view) {
                   return relay::status_answer { 200, metrics_text() };
               })
-        , m_peers(m_loop, m_settings.peer_address, [this](peering::peer_message message) { take(std::move(message)); })
-        , m_configuration(m_loop, m_settings.store_address, relay::table_name::configuration, {},
-              [this] { take_configuration_rows(); })
-        , m_endpoints(m_loop, m_settings.store_address, relay::table_name::endpoints, { list_pace, feed_wait },
-              [this] { take_endpoint_rows(); })
-        , m_routers(m_loop, m_settings.store_address, relay::table_name::routers, { list_pace, feed_wait },
-              [this] { take_router_rows(); })
-        , m_writer(
-              m_loop, m_settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
+        , m_knowledge(m_loop, m_settings, *this)
     {
     }
 
@@ -63,20 +55,15 @@
         TRY_VOID(m_ready_server.open(m_settings.ready_address));
         if (!m_settings.metrics_address.empty())
             TRY_VOID(m_metrics_server.open(m_settings.metrics_address));
-        if (!m_settings.peer_address.empty()) {
-            TRY_VOID(m_peers.open());
-            for (auto const& seed : m_settings.seeds)
-                m_peers.directory().add_seed(seed);
-        }
-        m_settings.peer_address = m_peers.own_address();
+        TRY_VOID(m_knowledge.open());
         log_state("started",
             dispatch::log_fields()
                 .add("callers", m_settings.caller_address)
                 .add("callers_port", m_caller_listener.port())
                 .add("ready_port", m_ready_server.port())
                 .add("metrics_port", m_metrics_server.port())
-                .add("peers", m_settings.peer_address)
-                .add("peers_port", m_peers.port())
+                .add("peers", m_knowledge.peer_address())
+                .add("peers_port", m_knowledge.peer_port())
                 .take());
         return {};
     }
@@ -95,7 +82,24 @@
         log_state("stopped", {});
     }
 
+    // What fleet_knowledge tells this router.
+
+    void learn(dispatch::event_body happened)
+    {
+        reduce(std::move(happened));
+        take_events();
+    }
+
+    void log_state(std::string_view event, std::string const& fields)
+    {
+        m_log.write(logging::event_level::state, event, fields, m_loop.now());
+    }
+
+    void count(std::string const& name) { m_metrics.add(name); }
+    [[nodiscard]] dispatch::dispatch_reducer& reducer() { return m_reducer; }
+
 private:
+    using knowledge = fleet_knowledge<direct_router, TableBinding>;
     using exchange = relay::exchange<CallerBinding>;
 
     static constexpr milliseconds round_limit { 10 };
@@ -103,16 +107,10 @@
     // A tick comes at the latest so long after the one before, if the process has time for it.
     static constexpr milliseconds usual_tick { 20 };
     static constexpr milliseconds check_interval { 24 };
-    static constexpr milliseconds peer_interval { 100 };
     static constexpr milliseconds connect_limit { 160 };
-    static constexpr milliseconds list_pace { 450 };
-    static constexpr milliseconds feed_wait { 1500 };
     // The balancer asks each second and leaves a router out after two bad answers.
     static constexpr milliseconds balancer_notice { 2700 };
     static constexpr milliseconds stop_margin { 700 };
-    // What a peer knows is asked for once the store has not confirmed our own for so long.
-    static constexpr milliseconds out_of_date { 900 };
-    static constexpr milliseconds want_interval { 400 };
 
     static dispatch::dispatch_options make_options(relay::deployment_settings const& settings)
     {
@@ -285,29 +283,6 @@
 
     void carry_out(dispatch::count_event const& happened) { m_metrics.add(counter_name(happened)); }
 
-    static std::string counter_name(dispatch::count_event const& happened)
-    {
-        auto const with_reason
-            = [&](char const* name) { return std::string(name) + "{reason=\"" + std::string(happened.reason) + "\"}"; };
-        switch (happened.which) {
-        case dispatch::counted::requests:
-            return "shedhill_requests_total";
-        case dispatch::counted::answers:
-            return "shedhill_answers_total";
-        case dispatch::counted::failures:
-            return "shedhill_failures_passed_on_total";
-        case dispatch::counted::refusals:
-            return with_reason("shedhill_refusals_total");
-        case dispatch::counted::retries:
-            return with_reason("shedhill_retries_total");
-        case dispatch::counted::ejections:
-            return "shedhill_ejections_total";
-        case dispatch::counted::cancelled:
-            break;
-        }
-        return "shedhill_cancelled_total";
-    }
-
     // Half of the descriptors are for callers who rest between requests; the others are for those being served.
     [[nodiscard]] std::size_t most_kept_callers() const { return m_settings.descriptors / 4; }
 
@@ -324,20 +299,11 @@
         reduce(dispatch::tick { lag });
         take_events();
         auto const draw = m_random();
-        m_configuration.tick(now, draw);
-        m_endpoints.tick(now, draw);
-        m_routers.tick(now, draw);
-        m_writer.check_time(now);
+        m_knowledge.tick(now, draw);
         if (now - m_checked_at >= check_interval) {
             m_checked_at = now;
             check_times(now);
         }
-        if (!m_settings.peer_address.empty() && now - m_told_at >= peer_interval) {
-            m_told_at = now;
-            m_peers.tick(draw);
-            tell_peers(now);
-            keep_own_row(now);
-        }
         if (m_stop_asked_at != instant {})
             go_on_stopping(now);
     }
@@ -365,6 +331,7 @@
     void begin_stop(instant now)
     {
         m_stop_asked_at = now;
+        m_knowledge.leave();
         log_state("stop_requested", dispatch::log_fields().add("open", m_exchanges.size()).take());
         reduce(dispatch::drain_requested {});
     }
@@ -401,166 +368,10 @@
             return log_state("reload_refused", dispatch::log_fields().add("reason", read.error().to_string()).take());
         m_settings.stop_time = read->stop_time;
         m_settings.seeds = read->seeds;
-        for (auto const& seed : m_settings.seeds)
-            m_peers.directory().add_seed(seed);
+        m_knowledge.add_seeds(m_settings.seeds);
         log_state("reloaded", {});
     }
 
-    // The store.
-
-    void take_configuration_rows()
-    {
-        auto const& rows = m_configuration.follower().rows();
-        auto const found = rows.find(std::string(TableBinding::configuration_key()));
-        if (found != rows.end())
-            take_configuration_text(found->second.value);
-    }
-
-    void take_configuration_text(std::string const& text)
-    {
-        auto parsed = TableBinding::parse_configuration(text);
-        if (!parsed) {
-            m_metrics.add("shedhill_bad_documents_total");
-            return log_state(
-                "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
-        }
-        if (parsed->revision > m_reducer.routes().current().revision)
-            m_configuration_text = text;
-        reduce(dispatch::configuration_learned { std::move(*parsed) });
-    }
-
-    void take_endpoint_rows()
-    {
-        dispatch::endpoints_listed listed;
-        for (auto const& [key, row] : m_endpoints.follower().rows()) {
-            if (auto entry = TableBinding::parse_endpoint(key, row.value))
-                listed.entries.push_back(std::move(*entry));
-            else
-                m_metrics.add("shedhill_bad_documents_total");
-        }
-        if (listed.entries == m_listed)
-            return;
-        m_listed = listed.entries;
-        reduce(std::move(listed));
-        take_events();
-    }
-
-    void take_router_rows()
-    {
-        std::map<std::string, std::string> rows;
-        for (auto const& [key, row] : m_routers.follower().rows())
-            rows.emplace(key, row.value);
-        m_peers.directory().take_table(rows);
-    }
-
-    // The own row is written where it is missing, and rows of the dead are removed: one call at a time.
-    void keep_own_row(instant now)
-    {
-        if (m_writer.is_calling() || now < m_write_again_at || !m_routers.follower().has_rows())
-            return;
-        auto const& rows = m_routers.follower().rows();
-        auto const own = rows.find(m_settings.vm.value());
-        if (m_stop_asked_at == instant {} && (own == rows.end() || own->second.value != m_settings.peer_address)) {
-            m_write_again_at = now + write_interval;
-            return m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
-                                      m_settings.vm.value(), m_settings.peer_address),
-                write_limit);
-        }
-        for (auto const& dead : m_peers.directory().rows_of_the_dead(now)) {
-            auto const row = rows.find(dead);
-            if (row == rows.end())
-                continue;
-            m_write_again_at = now + write_interval;
-            return m_writer.start(TableBinding::remove_call(
-                                      m_settings.store_address, relay::table_name::routers, dead, row->second.version),
-                write_limit);
-        }
-    }
-
-    void take_written(unsigned status)
-    {
-        if (status == 0 || TableBinding::verdict_of(status) == relay::store_verdict::failed)
-            m_metrics.add("shedhill_store_write_failures_total");
-    }
-
-    // Peers.
-
-    void tell_peers(instant now)
-    {
-        peering::state_message state;
-        state.report = m_reducer.take_own_report(now);
-        if (!m_peers.has_listeners())
-            return;
-        state.address = m_peers.own_address();
-        state.peers = m_peers.directory().connected();
-        state.documents.push_back({ peering::document_kind::configuration, m_reducer.routes().current().revision,
-            now - m_configuration.follower().confirmed_at() });
-        state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().version(),
-            now - m_endpoints.follower().confirmed_at() });
-        auto const newcomers = m_peers.take_new();
-        m_peers.tell_all(peering::encode_frame(state));
-        if (newcomers.empty())
-            return;
-        state.report.parts = m_reducer.recent_parts(now);
-        auto const frame = peering::encode_frame(std::move(state));
-        for (auto const& address : newcomers)
-            m_peers.tell(address, frame);
-    }
-
-    void take(peering::peer_message message)
-    {
-        std::visit([this](auto& body) { take_part(body); }, message);
-    }
-
-    void take_part(peering::state_message& state)
-    {
-        auto const now = m_loop.now();
-        m_peers.directory().note_heard(state.address, now);
-        for (auto const& address : state.peers)
-            m_peers.directory().add_told(address, now);
-        for (auto const& document : state.documents)
-            want_if_later(document, state.address, now);
-        reduce(std::move(state.report));
-        take_events();
-    }
-
-    void want_if_later(peering::document_version const& told, std::string const& address, instant now)
-    {
-        bool const is_configuration = told.kind == peering::document_kind::configuration;
-        auto& follower = is_configuration ? m_configuration.follower() : m_endpoints.follower();
-        auto const own = is_configuration ? m_reducer.routes().current().revision : follower.version();
-        if (told.version <= own || now - follower.confirmed_at() < out_of_date || now < m_want_again_at)
-            return;
-        m_want_again_at = now + want_interval;
-        m_peers.tell(
-            address, peering::encode_frame(peering::document_wanted { told.kind, own, m_peers.own_address() }));
-    }
-
-    void take_part(peering::document_wanted const& wanted)
-    {
-        peering::document_message answer { wanted.kind, 0, {}, {} };
-        if (wanted.kind == peering::document_kind::configuration) {
-            answer.version = m_reducer.routes().current().revision;
-            answer.text = m_configuration_text;
-        } else {
-            answer.version = m_endpoints.follower().version();
-            answer.rows = m_endpoints.follower().rows();
-        }
-        if (answer.version > wanted.version)
-            m_peers.tell(wanted.address, peering::encode_frame(std::move(answer)));
-    }
-
-    void take_part(peering::document_message& document)
-    {
-        if (document.kind == peering::document_kind::configuration)
-            return take_configuration_text(document.text);
-        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date)
-            return;
-        if (m_endpoints.follower().take_told(std::move(document.rows), document.version)
-            == dispatch::table_follower::page_outcome::changed)
-            take_endpoint_rows();
-    }
-
     // Readiness and counters.
 
     relay::status_answer answer_readiness() const
@@ -575,28 +386,18 @@
         m_metrics.set("shedhill_choices", static_cast<double>(m_reducer.choices()));
         m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
         m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
-        auto const age = [this](auto& session) {
-            return static_cast<double>((m_loop.now() - session.follower().confirmed_at()).count());
-        };
-        m_metrics.set("shedhill_configuration_age_ms", age(m_configuration));
-        m_metrics.set("shedhill_endpoint_list_age_ms", age(m_endpoints));
+        m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_knowledge.configuration_age().count()));
+        m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
         m_metrics.set("shedhill_log_lines_written", static_cast<double>(m_log.counts().written));
         m_metrics.set("shedhill_log_lines_over_budget", static_cast<double>(m_log.counts().over_budget));
         m_metrics.set("shedhill_log_lines_unread", static_cast<double>(m_log.counts().pipe_full));
         return m_metrics.to_text();
     }
 
-    void log_state(std::string_view event, std::string const& fields)
-    {
-        m_log.write(logging::event_level::state, event, fields, m_loop.now());
-    }
-
     static constexpr std::uint16_t status_bad_request = 400;
     static constexpr std::uint16_t status_unavailable = 503;
     // Another router takes the request at once.
     static constexpr milliseconds stopping_return { 20 };
-    static constexpr milliseconds write_interval { 1500 };
-    static constexpr milliseconds write_limit { 1200 };
 
     relay::deployment_settings m_settings;
     reload_function m_reload;
@@ -610,11 +411,7 @@
     relay::listener_socket m_caller_listener;
     relay::status_server m_ready_server;
     relay::status_server m_metrics_server;
-    relay::peer_mesh m_peers;
-    relay::table_session<TableBinding> m_configuration;
-    relay::table_session<TableBinding> m_endpoints;
-    relay::table_session<TableBinding> m_routers;
-    relay::whole_call m_writer;
+    knowledge m_knowledge;
 
     std::uint64_t m_last_caller { 0 };
     std::uint64_t m_last_request { 0 };
@@ -625,9 +422,6 @@
     std::vector<request_number> m_over;
     bool m_is_drain_scheduled { false };
 
-    // The text of the configuration in force, to be passed on to routers that cannot hear the store.
-    std::string m_configuration_text;
-    std::vector<dispatch::endpoint_entry> m_listed;
     bool m_is_ready { false };
     bool m_is_over { false };
     // The balancer has noticed the stop: nothing new is taken any more.
@@ -635,9 +429,6 @@
     instant m_stop_asked_at {};
     instant m_ticked_at {};
     instant m_checked_at {};
-    instant m_told_at {};
-    instant m_write_again_at {};
-    instant m_want_again_at {};
 };
 
 } // namespace shedhill::daemon
--- /dev/null
+++ b/services/shedhilld/fleet_knowledge.h
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What a router learns from the store and from other routers, and what it tells them: the configuration in force, the
+// list of endpoints, who the other routers are, and their loads. Where the store does not answer here, another router's
+// word takes its place.
+#pragma once
+
+#include "libraries/dispatch/dispatch_reducer.h"
+#include "libraries/dispatch/log_fields.h"
+#include "libraries/relay/deployment.h"
+#include "libraries/relay/peer_mesh.h"
+#include "libraries/relay/store_session.h"
+
+#include <concepts>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shedhill::daemon {
+
+// What the router gives: it takes events, and keeps the log and the counters.
+template <typename Host>
+concept knowledge_host = requires(Host& host, dispatch::event_body event, std::string const& text)
+{
+    {
+        host.learn(std::move(event))
+        } -> std::same_as<void>;
+    {
+        host.log_state(text, text)
+        } -> std::same_as<void>;
+    {
+        host.count(text)
+        } -> std::same_as<void>;
+    {
+        host.reducer()
+        } -> std::same_as<dispatch::dispatch_reducer&>;
+};
+
+template <typename Host, relay::table_protocol TableBinding>
+class fleet_knowledge {
+public:
+    fleet_knowledge(relay::event_loop& loop, relay::deployment_settings const& settings, Host& host)
+        : m_loop(loop)
+        , m_settings(settings)
+        , m_host(host)
+        , m_peers(loop, settings.peer_address, [this](peering::peer_message message) { take(std::move(message)); })
+        , m_configuration(
+              loop, settings.store_address, relay::table_name::configuration, {}, [this] { take_configuration_rows(); })
+        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, { list_pace, feed_wait },
+              [this] { take_endpoint_rows(); })
+        , m_routers(loop, settings.store_address, relay::table_name::routers, { list_pace, feed_wait },
+              [this] { take_router_rows(); })
+        , m_writer(loop, settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
+    {
+        static_assert(knowledge_host<Host>);
+    }
+
+    result<void> open()
+    {
+        if (m_settings.peer_address.empty())
+            return {};
+        TRY_VOID(m_peers.open());
+        add_seeds(m_settings.seeds);
+        return {};
+    }
+
+    void add_seeds(std::vector<std::string> const& seeds)
+    {
+        for (auto const& seed : seeds)
+            m_peers.directory().add_seed(seed);
+    }
+
+    void tick(instant now, std::uint64_t draw)
+    {
+        m_configuration.tick(now, draw);
+        m_endpoints.tick(now, draw);
+        m_routers.tick(now, draw);
+        m_writer.check_time(now);
+        if (m_settings.peer_address.empty() || now - m_told_at < peer_interval)
+            return;
+        m_told_at = now;
+        m_peers.tick(draw);
+        tell_peers(now);
+        keep_own_row(now);
+    }
+
+    // The own row is not written again.
+    void leave() { m_is_leaving = true; }
+
+    [[nodiscard]] std::string const& peer_address() const { return m_peers.own_address(); }
+    [[nodiscard]] std::uint16_t peer_port() const { return m_peers.port(); }
+    [[nodiscard]] milliseconds configuration_age() { return m_loop.now() - m_configuration.follower().confirmed_at(); }
+    [[nodiscard]] milliseconds endpoint_list_age() { return m_loop.now() - m_endpoints.follower().confirmed_at(); }
+
+private:
+    static constexpr milliseconds peer_interval { 100 };
+    static constexpr milliseconds list_pace { 450 };
+    static constexpr milliseconds feed_wait { 1500 };
+    // What a peer knows is asked for once the store has not confirmed our own for so long.
+    static constexpr milliseconds out_of_date { 900 };
+    static constexpr milliseconds want_interval { 400 };
+    static constexpr milliseconds write_interval { 1500 };
+    static constexpr milliseconds write_limit { 1200 };
+
+    // The store.
+
+    void take_configuration_rows()
+    {
+        auto const& rows = m_configuration.follower().rows();
+        auto const found = rows.find(std::string(TableBinding::configuration_key()));
+        if (found != rows.end())
+            take_configuration_text(found->second.value);
+    }
+
+    void take_configuration_text(std::string const& text)
+    {
+        auto parsed = TableBinding::parse_configuration(text);
+        if (!parsed) {
+            m_host.count("shedhill_bad_documents_total");
+            return m_host.log_state(
+                "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
+        }
+        if (parsed->revision > m_host.reducer().routes().current().revision)
+            m_configuration_text = text;
+        m_host.learn(dispatch::configuration_learned { std::move(*parsed) });
+    }
+
+    void take_endpoint_rows()
+    {
+        dispatch::endpoints_listed listed;
+        for (auto const& [key, row] : m_endpoints.follower().rows()) {
+            if (auto entry = TableBinding::parse_endpoint(key, row.value))
+                listed.entries.push_back(std::move(*entry));
+            else
+                m_host.count("shedhill_bad_documents_total");
+        }
+        if (listed.entries == m_listed)
+            return;
+        m_listed = listed.entries;
+        m_host.learn(std::move(listed));
+    }
+
+    void take_router_rows()
+    {
+        std::map<std::string, std::string> rows;
+        for (auto const& [key, row] : m_routers.follower().rows())
+            rows.emplace(key, row.value);
+        m_peers.directory().take_table(rows);
+    }
+
+    // The own row is written where it is missing, and rows of the dead are removed: one call at a time.
+    void keep_own_row(instant now)
+    {
+        if (m_writer.is_calling() || now < m_write_again_at || !m_routers.follower().has_rows())
+            return;
+        auto const& rows = m_routers.follower().rows();
+        auto const own = rows.find(m_settings.vm.value());
+        if (!m_is_leaving && (own == rows.end() || own->second.value != m_peers.own_address())) {
+            m_write_again_at = now + write_interval;
+            return m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
+                                      m_settings.vm.value(), m_peers.own_address()),
+                write_limit);
+        }
+        for (auto const& dead : m_peers.directory().rows_of_the_dead(now)) {
+            auto const row = rows.find(dead);
+            if (row == rows.end())
+                continue;
+            m_write_again_at = now + write_interval;
+            return m_writer.start(TableBinding::remove_call(
+                                      m_settings.store_address, relay::table_name::routers, dead, row->second.version),
+                write_limit);
+        }
+    }
+
+    void take_written(unsigned status)
+    {
+        if (status == 0 || TableBinding::verdict_of(status) == relay::store_verdict::failed)
+            m_host.count("shedhill_store_write_failures_total");
+    }
+
+    // Peers.
+
+    void tell_peers(instant now)
+    {
+        peering::state_message state;
+        state.report = m_host.reducer().take_own_report(now);
+        if (!m_peers.has_listeners())
+            return;
+        state.address = m_peers.own_address();
+        state.peers = m_peers.directory().connected();
+        state.documents.push_back({ peering::document_kind::configuration, m_host.reducer().routes().current().revision,
+            now - m_configuration.follower().confirmed_at() });
+        state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().version(),
+            now - m_endpoints.follower().confirmed_at() });
+        auto const newcomers = m_peers.take_new();
+        m_peers.tell_all(peering::encode_frame(state));
+        if (newcomers.empty())
+            return;
+        state.report.parts = m_host.reducer().recent_parts(now);
+        auto const frame = peering::encode_frame(std::move(state));
+        for (auto const& address : newcomers)
+            m_peers.tell(address, frame);
+    }
+
+    void take(peering::peer_message message)
+    {
+        std::visit([this](auto& body) { take_part(body); }, message);
+    }
+
+    void take_part(peering::state_message& state)
+    {
+        auto const now = m_loop.now();
+        m_peers.directory().note_heard(state.address, now);
+        for (auto const& address : state.peers)
+            m_peers.directory().add_told(address, now);
+        for (auto const& document : state.documents)
+            want_if_later(document, state.address, now);
+        m_host.learn(std::move(state.report));
+    }
+
+    void want_if_later(peering::document_version const& told, std::string const& address, instant now)
+    {
+        bool const is_configuration = told.kind == peering::document_kind::configuration;
+        auto& follower = is_configuration ? m_configuration.follower() : m_endpoints.follower();
+        auto const own = is_configuration ? m_host.reducer().routes().current().revision : follower.version();
+        if (told.version <= own || now - follower.confirmed_at() < out_of_date || now < m_want_again_at)
+            return;
+        m_want_again_at = now + want_interval;
+        m_peers.tell(
+            address, peering::encode_frame(peering::document_wanted { told.kind, own, m_peers.own_address() }));
+    }
+
+    void take_part(peering::document_wanted const& wanted)
+    {
+        peering::document_message answer { wanted.kind, 0, {}, {} };
+        if (wanted.kind == peering::document_kind::configuration) {
+            answer.version = m_host.reducer().routes().current().revision;
+            answer.text = m_configuration_text;
+        } else {
+            answer.version = m_endpoints.follower().version();
+            answer.rows = m_endpoints.follower().rows();
+        }
+        if (answer.version > wanted.version)
+            m_peers.tell(wanted.address, peering::encode_frame(std::move(answer)));
+    }
+
+    void take_part(peering::document_message& document)
+    {
+        if (document.kind == peering::document_kind::configuration)
+            return take_configuration_text(document.text);
+        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date)
+            return;
+        if (m_endpoints.follower().take_told(std::move(document.rows), document.version)
+            == dispatch::table_follower::page_outcome::changed)
+            take_endpoint_rows();
+    }
+
+    relay::event_loop& m_loop;
+    relay::deployment_settings const& m_settings;
+    Host& m_host;
+    relay::peer_mesh m_peers;
+    relay::table_session<TableBinding> m_configuration;
+    relay::table_session<TableBinding> m_endpoints;
+    relay::table_session<TableBinding> m_routers;
+    relay::whole_call m_writer;
+
+    // The text of the configuration in force, to be passed on to routers that cannot hear the store.
+    std::string m_configuration_text;
+    std::vector<dispatch::endpoint_entry> m_listed;
+    bool m_is_leaving { false };
+    instant m_told_at {};
+    instant m_write_again_at {};
+    instant m_want_again_at {};
+};
+
+} // namespace shedhill::daemon
