--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -88,6 +88,7 @@
     if (step.now - m_shares_updated >= shares_interval) {
         m_shares_updated = step.now;
         m_ledger.update_shares(m_routes.current().limits.tokens_per_second, step.now);
+        m_board.fade_slowness();
     }
     if (!m_waiting.empty())
         serve_waiting(step);
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -43,7 +43,9 @@
 constexpr milliseconds recent_placement { 7000 };
 constexpr double weight_of_the_newest_time = 0.1;
 constexpr double least_slowness = 0.4;
-constexpr double most_slowness = 8;
+constexpr double most_slowness = 4;
+// The part by which it fades each tenth of a second.
+constexpr double slowness_fading = 0.06;
 
 double to_ms(instant now) { return static_cast<double>(now.time_since_epoch().count()); }
 
@@ -222,6 +224,12 @@
     rate = std::clamp(rate, least_read_rate, most_read_rate);
 }
 
+void endpoint_board::fade_slowness()
+{
+    for (auto& [name, state] : m_endpoints)
+        state->slowness += slowness_fading * (1 - state->slowness);
+}
+
 void endpoint_board::take_report(peer_reported const& report, instant now)
 {
     forget_peer(report.peer);
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -87,6 +87,10 @@
     // How long the first event took against what was foreseen.
     void note_first_event(endpoint_state& endpoint, token_count unkept, double took_ms, double expected_ms);
 
+    // Moves what was learnt of slow endpoints back towards the usual: an endpoint that is foreseen to be slow gets no
+    // requests by which it could show that it is not.
+    void fade_slowness();
+
     void take_report(peer_reported const& report, instant now);
     void forget_peer(vm_name const& peer);
     void forget_old_parts(instant now);
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(a_part_counts_only_behind_kept_ones);
     CPPUNIT_TEST(the_endpoint_that_keeps_the_parts_is_preferred);
     CPPUNIT_TEST(a_full_endpoint_is_passed_over);
+    CPPUNIT_TEST(an_endpoint_that_was_slow_is_tried_again);
     CPPUNIT_TEST(new_parts_go_to_the_same_place_from_all_routers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -277,6 +278,29 @@
             std::string("e1"), board.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name.value());
     }
 
+    // A hunt's finding: what other routers sent there was counted as slow to read for ever, so nothing was sent from
+    // here by which this router could have learnt better.
+    void an_endpoint_that_was_slow_is_tried_again()
+    {
+        endpoint_board board(failure_domain("north"));
+        board.take_list({ dispatch_driver::make_endpoint("e1", "model", 100) });
+        for (int index = 0; index < 40; ++index)
+            board.note_first_event(*board.find(endpoint_name("e1")), 100, 1000, 100);
+        auto const cost = long_prompt(77);
+        std::vector<endpoint_name> const excluded;
+        std::int64_t now = 1000;
+        auto const let_others_send = [&](std::int64_t time) {
+            for (auto const until = now + time; now < until; now += 100) {
+                board.take_report({ vm_name("b"), { { endpoint_name("e1"), 10, 3000 } }, {}, {} }, at(now));
+                board.fade_slowness();
+            }
+        };
+        let_others_send(500);
+        CPPUNIT_ASSERT(!board.choose(usual_choice(cost, excluded), at(now)).is_in_time);
+        let_others_send(10000);
+        CPPUNIT_ASSERT(board.choose(usual_choice(cost, excluded), at(now)).is_in_time);
+    }
+
     void new_parts_go_to_the_same_place_from_all_routers()
     {
         std::vector<endpoint_entry> entries;
