tests: Random events on the dispatcher against an oracle

Requests of four kinds, all ends of attempts, stalls, callers who leave, endpoints that drain and return, configurations, peers' reports and time, in any order: one final answer each, what each status promises, attempts, places.

--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -151,6 +151,8 @@
     [[nodiscard]] std::vector<send_attempt> const& sent() const { return m_sent; }
     [[nodiscard]] std::vector<answer_refusal> const& refused() const { return m_refused; }
     [[nodiscard]] std::vector<break_answer> const& broken() const { return m_broken; }
+    [[nodiscard]] std::vector<cancel_attempt> const& cancelled() const { return m_cancelled; }
+    [[nodiscard]] std::vector<pass_answer> const& passed() const { return m_passed; }
     [[nodiscard]] bool has_stopped() const { return m_has_stopped; }
     [[nodiscard]] instant now() const { return m_now; }
 
--- /dev/null
+++ b/tests/dispatch/dispatch_fuzz_test.cpp
@@ -0,0 +1,292 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Random events in random order against a simple oracle: one final answer for each request, the promises of each
+// status, no more attempts than allowed, nothing new to endpoints that are leaving, and no place that stays taken.
+#include "tests/dispatch/dispatch_driver.h"
+#include "tests/support/property.h"
+
+#include <map>
+#include <set>
+
+namespace shedhill::dispatch {
+
+namespace {
+
+struct step_of_fuzz {
+    int kind { 0 };
+    int choice { 0 };
+};
+
+// What the oracle knows of a request.
+struct known_request {
+    std::string prefix;
+    bool is_repeatable { false };
+    bool is_resumable { false };
+    bool has_begun { false };
+    bool may_have_run { false };
+    int arrivals { 0 };
+    int final_answers { 0 };
+    instant asked_at {};
+    // The attempt that is under way, where there is one.
+    std::optional<send_attempt> under_way;
+    std::set<std::string> tried;
+};
+
+class fuzzed_fleet {
+public:
+    fuzzed_fleet()
+    {
+        for (auto const* name : { "m1", "m2", "m3" })
+            m_entries.push_back(dispatch_driver::make_endpoint(name, "model", 3));
+        for (auto const* name : { "p1", "p2", "p3" })
+            m_entries.push_back(dispatch_driver::make_endpoint(name, "plain", 3));
+        m_driver.start(m_entries);
+    }
+
+    void take(step_of_fuzz const& step)
+    {
+        switch (step.kind) {
+        case 0:
+        case 1:
+        case 2:
+            return ask(step.choice);
+        case 3:
+            return end(step.choice, attempt_end::complete);
+        case 4:
+            return end(step.choice, attempt_end::broken);
+        case 5:
+            return end(step.choice, attempt_end::not_run);
+        case 6:
+            return end(step.choice, attempt_end::not_sent);
+        case 7:
+            return end(step.choice, attempt_end::failed);
+        case 8:
+            return end(step.choice, attempt_end::wrong_endpoint);
+        case 9:
+            return begin(step.choice);
+        case 10:
+            return stall(step.choice);
+        case 11:
+            return leave(step.choice);
+        case 12:
+            return drain_endpoint(step.choice);
+        case 13:
+            return run(
+                [&] { m_driver.take(configuration_learned { dispatch_driver::usual_configuration(++m_revision) }); });
+        case 14:
+            return run([&] {
+                m_driver.take(peer_reported { vm_name("b"), { { endpoint_name("m1"), 2, step.choice * 10 } },
+                    { { team_name("red"), 5000, step.choice * 100 } }, { { endpoint_name("m2"), 7 } } });
+            });
+        default:
+            return wait(milliseconds(10 + step.choice));
+        }
+    }
+
+    // Lets all deadlines pass.
+    void finish()
+    {
+        wait(milliseconds(7000));
+        RC_ASSERT(m_driver.reducer().active_requests() == 0U);
+        RC_ASSERT(m_driver.reducer().waiting_requests() == 0U);
+        for (auto const* pool : { "model", "plain" })
+            RC_ASSERT(m_driver.reducer().occupancy_of(pool_name(pool)).taken == 0U);
+        for (auto const& [number, request] : m_requests)
+            RC_ASSERT(request.final_answers == 1);
+    }
+
+private:
+    template <typename Action>
+    void run(Action&& action)
+    {
+        action();
+        check_effects();
+    }
+
+    // Effects are checked at the moment at which they were made.
+    void wait(milliseconds time)
+    {
+        for (auto const until = m_driver.now() + time; m_driver.now() < until;)
+            run([&] { m_driver.wait(milliseconds(10)); });
+    }
+
+    void ask(int choice)
+    {
+        static constexpr std::array prefixes { "/resumable/", "/once/", "/order/", "/look/" };
+        known_request made;
+        made.prefix = prefixes[static_cast<std::size_t>(choice) % prefixes.size()];
+        made.is_resumable = made.prefix == "/resumable/";
+        made.is_repeatable = made.is_resumable || made.prefix == "/look/";
+        made.asked_at = m_driver.now();
+        // The number is known before the driver answers: it counts.
+        m_requests.emplace(request_number(++m_last), made);
+        run([&] { m_driver.ask(made.prefix, choice % 3 == 0 ? "blue-key" : "red-key", 10 + choice * 30); });
+    }
+
+    known_request* under_way(int choice, request_number& number)
+    {
+        std::vector<request_number> candidates;
+        for (auto const& [candidate, request] : m_requests) {
+            if (request.under_way)
+                candidates.push_back(candidate);
+        }
+        if (candidates.empty())
+            return nullptr;
+        number = candidates[static_cast<std::size_t>(choice) % candidates.size()];
+        return &m_requests.at(number);
+    }
+
+    void end(int choice, attempt_end how)
+    {
+        request_number number;
+        auto* const request = under_way(choice, number);
+        if (request == nullptr)
+            return;
+        // Before an answer has begun only; a stream that was begun ends well or breaks.
+        if (request->has_begun && how != attempt_end::complete)
+            how = attempt_end::broken;
+        auto const attempt = request->under_way->attempt;
+        request->under_way.reset();
+        request->arrivals += how == attempt_end::not_sent ? 0 : 1;
+        request->may_have_run
+            |= how == attempt_end::broken || how == attempt_end::failed || how == attempt_end::complete;
+        if (how == attempt_end::complete)
+            ++request->final_answers;
+        run([&] {
+            m_driver.take(attempt_ended { number, attempt, how, std::uint16_t { 200 }, 1, request->has_begun });
+        });
+    }
+
+    void begin(int choice)
+    {
+        request_number number;
+        auto* const request = under_way(choice, number);
+        if (request == nullptr || request->under_way->form != answer_form::stream)
+            return;
+        request->has_begun = true;
+        request->may_have_run = true;
+        run([&] { m_driver.take(answer_began { number, request->under_way->attempt }); });
+    }
+
+    void stall(int choice)
+    {
+        request_number number;
+        auto* const request = under_way(choice, number);
+        if (request == nullptr)
+            return;
+        run([&] { m_driver.take(attempt_stalled { number, request->under_way->attempt, request->has_begun }); });
+    }
+
+    void leave(int choice)
+    {
+        request_number number;
+        auto* const request = under_way(choice, number);
+        if (request == nullptr)
+            return;
+        request->under_way.reset();
+        ++request->final_answers;
+        run([&] { m_driver.take(caller_left { number }); });
+    }
+
+    void drain_endpoint(int choice)
+    {
+        auto& entry = m_entries[static_cast<std::size_t>(choice) % m_entries.size()];
+        entry.is_draining = !entry.is_draining;
+        run([&] { m_driver.take(endpoints_listed { m_entries }); });
+    }
+
+    [[nodiscard]] bool is_open(endpoint_name const& name) const
+    {
+        return std::ranges::any_of(
+            m_entries, [&](auto const& entry) { return entry.name == name && !entry.is_draining; });
+    }
+
+    void check_effects()
+    {
+        for (; m_cancelled_seen < m_driver.cancelled().size(); ++m_cancelled_seen)
+            note_cancelled(m_driver.cancelled()[m_cancelled_seen].request);
+        for (; m_sent_seen < m_driver.sent().size(); ++m_sent_seen)
+            check_sent(m_driver.sent()[m_sent_seen]);
+        for (; m_refused_seen < m_driver.refused().size(); ++m_refused_seen)
+            check_refused(m_driver.refused()[m_refused_seen]);
+        for (; m_broken_seen < m_driver.broken().size(); ++m_broken_seen) {
+            auto& request = m_requests.at(m_driver.broken()[m_broken_seen].request);
+            RC_ASSERT(request.has_begun);
+            ++request.final_answers;
+            request.under_way.reset();
+        }
+        for (; m_passed_seen < m_driver.passed().size(); ++m_passed_seen) {
+            auto& request = m_requests.at(m_driver.passed()[m_passed_seen].request);
+            RC_ASSERT(!request.has_begun);
+            ++request.final_answers;
+        }
+    }
+
+    void note_cancelled(request_number number)
+    {
+        auto& request = m_requests.at(number);
+        if (!request.under_way)
+            return;
+        request.under_way.reset();
+        ++request.arrivals;
+        request.may_have_run = true;
+    }
+
+    void check_sent(send_attempt const& sent)
+    {
+        auto& request = m_requests.at(sent.request);
+        RC_ASSERT(!request.under_way);
+        RC_ASSERT(request.final_answers == 0);
+        RC_ASSERT(!request.may_have_run || request.is_repeatable);
+        RC_ASSERT(!request.has_begun || request.is_resumable);
+        RC_ASSERT(request.arrivals < 2);
+        RC_ASSERT(is_open(sent.endpoint));
+        RC_ASSERT(request.tried.insert(sent.endpoint.value()).second);
+        RC_ASSERT(m_driver.now() + sent.time_left <= request.asked_at + milliseconds(4000) + milliseconds(1));
+        request.under_way = sent;
+    }
+
+    void check_refused(answer_refusal const& refused)
+    {
+        auto& request = m_requests.at(refused.request);
+        ++request.final_answers;
+        RC_ASSERT(!request.has_begun);
+        bool const promises_not_run = refused.status == 429 || refused.status == 503;
+        RC_ASSERT(promises_not_run != request.may_have_run);
+        RC_ASSERT(promises_not_run == refused.retry_after.has_value());
+    }
+
+    dispatch_driver m_driver;
+    std::vector<endpoint_entry> m_entries;
+    std::map<request_number, known_request> m_requests;
+    std::uint64_t m_last { 0 };
+    std::uint64_t m_revision { 1 };
+    std::size_t m_sent_seen { 0 };
+    std::size_t m_refused_seen { 0 };
+    std::size_t m_broken_seen { 0 };
+    std::size_t m_cancelled_seen { 0 };
+    std::size_t m_passed_seen { 0 };
+};
+
+} // namespace
+
+class dispatch_fuzz_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(dispatch_fuzz_test);
+    CPPUNIT_TEST(promises_hold_under_random_events);
+    CPPUNIT_TEST_SUITE_END();
+
+    void promises_hold_under_random_events()
+    {
+        testing::check_property("the dispatcher keeps its promises", [] {
+            auto const steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+                rc::gen::pair(rc::gen::inRange(0, 20), rc::gen::inRange(0, 200)));
+            fuzzed_fleet fleet;
+            for (auto const& [kind, choice] : steps)
+                fleet.take({ kind, choice });
+            fleet.finish();
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_fuzz_test);
+
+} // namespace shedhill::dispatch
