--- a/tests/dispatch/dispatch_fuzz_test.cpp
+++ b/tests/dispatch/dispatch_fuzz_test.cpp
@@ -74,8 +74,10 @@
                 [&] { m_driver.take(configuration_learned { dispatch_driver::usual_configuration(++m_revision) }); });
         case 14:
             return run([&] {
-                m_driver.take(peer_reported { vm_name("b"), { { endpoint_name("m1"), 2, step.choice * 10 } },
-                    { { team_name("red"), 5000, step.choice * 100 } }, { { endpoint_name("m2"), 7 } } });
+                m_driver.take(
+                    peer_reported { vm_name("b"), { { endpoint_name("m1"), 2, token_count { step.choice } * 10 } },
+                        { { team_name("red"), 5000, token_count { step.choice } * 100 } },
+                        { { endpoint_name("m2"), 7 } } });
             });
         default:
             return wait(milliseconds(10 + step.choice));
--- a/tests/dispatch/dispatch_outcomes_test.cpp
+++ b/tests/dispatch/dispatch_outcomes_test.cpp
@@ -276,9 +276,8 @@
         fleet.ask("/once/", "red-key", 41000);
         auto const running = fleet.ask("/once/", "red-key", 41000);
         fleet.wait(milliseconds(100));
-        std::vector<request_number> asked;
         for (int index = 0; index < 300; ++index)
-            asked.push_back(fleet.ask("/once/", "blue-key", 10));
+            fleet.ask("/once/", "blue-key", 10);
         auto const before = fleet.reducer().choices();
         for (int index = 0; index < 50; ++index)
             fleet.begin(running);
