--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -15,13 +15,14 @@
 constexpr double wait_within_share = 0.4;
 // While fewer places than this are taken a request is sent rather than refused.
 constexpr double sending_occupancy = 0.52;
-// What is past a team's share is let in only where room is left for what is not.
+// What is past a team's share is let in only where room is left for what is not: up to a part of an endpoint's places
+// that falls with the team's lead over the even level, and within a part of the time that is left.
 constexpr double load_past_share = 0.8;
 constexpr double load_less_per_lead = 0.5;
 constexpr double load_far_ahead = 0.25;
 constexpr double past_share_time = 0.7;
-// Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request within its team's share
-// goes where they are not kept after some patience only; one past it only while there is much room.
+// Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request goes where they are not
+// kept after a part of its objective only; one of a team that is ahead only while so few places are taken.
 constexpr token_count bearable_loss = 300;
 constexpr double patience_within_share = 0.2;
 constexpr double patience_past_share = 0.125;
