platform: Never pass on what a router alone says to an endpoint

Cause: the adapter passed a caller's headers on but for four names. Callers send others that only the system sets (reservation, pin, backup, copy, source, expected version); an engine that got a made-up one ran it against the rule UNASKED, or answered 503.

--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(a_request_is_read_field_by_field);
     CPPUNIT_TEST(a_bad_field_is_refused);
     CPPUNIT_TEST(a_call_keeps_what_is_the_callers_and_hides_the_key);
+    CPPUNIT_TEST(what_a_router_alone_sets_is_never_the_callers);
+    CPPUNIT_TEST(what_is_the_callers_is_kept_though_named_in_connection);
+    CPPUNIT_TEST(no_set_of_fields_smuggles_what_a_router_sets);
     CPPUNIT_TEST(a_resumed_call_names_the_last_event_once);
     CPPUNIT_TEST(only_the_mark_proves_not_run);
     CPPUNIT_TEST(an_answer_to_another_call_is_known_by_its_id);
@@ -96,6 +99,90 @@
             CPPUNIT_ASSERT_MESSAGE(hidden, call.find(hidden) == std::string::npos);
     }
 
+    // How often a line of the call begins with the field's name, in any case of letters.
+    static std::size_t count_fields(std::string const& call, std::string_view name)
+    {
+        std::size_t count = 0;
+        std::string_view rest(call);
+        while (!rest.empty()) {
+            auto const line = rest.substr(0, rest.find("\r\n"));
+            rest.remove_prefix(std::min(line.size() + 2, rest.size()));
+            auto const label = line.substr(0, line.find(':'));
+            count += boost::beast::iequals({ label.data(), label.size() }, { name.data(), name.size() }) ? 1 : 0;
+        }
+        return count;
+    }
+
+    static constexpr std::array never_the_callers { "Shedhill-Hold", "Shedhill-Pin-Ms", "Shedhill-Kv-Backup", "Kv-From",
+        "Kv-Fetch", "Shedhill-Expect-Version" };
+    static constexpr std::array set_once { "Shedhill-Tenant", "Shedhill-Expect-Instance", "Shedhill-Deadline-Ms" };
+
+    void what_a_router_alone_sets_is_never_the_callers()
+    {
+        for (auto const* name : never_the_callers) {
+            auto request = stream_request();
+            request.insert(name, "smuggled");
+            request.insert(name, "smuggled again");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t { 0 }, count_fields(call_of(request), name));
+        }
+        for (auto const* name : set_once) {
+            auto request = stream_request();
+            request.insert(name, "smuggled");
+            auto const call = call_of(request);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t { 1 }, count_fields(call, name));
+            CPPUNIT_ASSERT_MESSAGE(name, call.find("smuggled") == std::string::npos);
+        }
+    }
+
+    void what_is_the_callers_is_kept_though_named_in_connection()
+    {
+        auto request = stream_request();
+        request.set("Shedhill-Model", "m");
+        request.set("Connection", "Shedhill-Request-Id, shedhill-model, Shedhill-Token-Usage, host");
+        auto const call = call_of(request);
+        for (auto const* name : { "Shedhill-Request-Id", "Shedhill-Model", "Shedhill-Token-Usage", "Host" })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t { 1 }, count_fields(call, name));
+    }
+
+    // Any mix of these fields, in any case of letters, any number of times, parsed from bytes as a caller sends them.
+    static void smuggles_nothing()
+    {
+        std::vector<std::string> known(never_the_callers.begin(), never_the_callers.end());
+        known.insert(known.end(), set_once.begin(), set_once.end());
+        known.emplace_back("X-Own");
+        auto const picks
+            = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, known.size()));
+        std::string text = "POST /lohu/2f HTTP/1.1\r\nHost: ficu.example\r\n";
+        for (auto const pick : picks) {
+            auto name = known[pick];
+            for (auto& letter : name) {
+                if (*rc::gen::arbitrary<bool>())
+                    letter = boost::beast::detail::ascii_tolower(letter);
+                else if (letter >= 'a' && letter <= 'z')
+                    letter = static_cast<char>(letter - 'a' + 'A');
+            }
+            if (*rc::gen::arbitrary<bool>())
+                text += "Connection: " + name + "\r\n";
+            // A value that goes on in the next line is one value.
+            text += name + (*rc::gen::arbitrary<bool>() ? ": smuggled\r\n" : ": a\r\n smuggled\r\n");
+        }
+        text += "\r\n";
+        boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+        boost::beast::error_code failure;
+        parser.put(boost::asio::buffer(text), failure);
+        RC_ASSERT(!failure || failure == boost::beast::http::error::need_more);
+        auto const call = call_of(relay::caller_request(parser.release()));
+        for (auto const* name : never_the_callers)
+            RC_ASSERT(count_fields(call, name) == 0);
+        for (auto const* name : set_once)
+            RC_ASSERT(count_fields(call, name) == 1);
+    }
+
+    void no_set_of_fields_smuggles_what_a_router_sets()
+    {
+        testing::check_property("no set of fields smuggles what a router sets", [] { smuggles_nothing(); });
+    }
+
     void a_resumed_call_names_the_last_event_once()
     {
         auto request = stream_request();
