dispatch: An endpoint that left during one router's own outage is gone

Ruled out: how long a held call is kept (the list itself came from the peers in time).

Now a router counts an outage only where no router's store contact bridges it, and the store's return is the first router's.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -10,23 +10,9 @@
 
 namespace {
 
-// A request waits at a router for this part of its objective at most; then it is refused, so that it can come back.
-// What is within its team's share is likely to be let in soon.
-constexpr double wait_past_share = 0.23;
-constexpr double wait_within_share = 0.4;
-// While fewer places than this are taken a request is sent rather than refused.
-constexpr double sending_occupancy = 0.52;
-// What is past a team's share is let in only where room is left for what is not: up to a part of an endpoint's places
-// that falls with the team's lead over the even level, and within a part of the time that is left.
-constexpr double load_past_share = 0.8;
-constexpr double load_less_per_lead = 0.5;
-constexpr double load_far_ahead = 0.25;
-constexpr double past_share_time = 0.7;
 // Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request goes where they are not
 // kept after a part of its objective only; one of a team that is ahead only while so few places are taken.
 constexpr token_count bearable_loss = 300;
-constexpr double patience_within_share = 0.3;
-constexpr double patience_past_share = 0.2;
 constexpr double load_that_allows_loss = 0.5;
 // While so many wait, a team that is ahead is refused at once.
 constexpr std::size_t many_waiting = 24;
@@ -52,10 +38,11 @@
 }
 
 // The further a team is ahead of the even level, the less of an endpoint it may fill.
-double most_load_past_share(token_count level, token_count even_level)
+double most_load_past_share(dispatch_policy const& policy, token_count level, token_count even_level)
 {
     auto const lead = static_cast<double>(level) / static_cast<double>(std::max<token_count>(even_level, 1)) - 1;
-    return std::clamp(load_past_share - load_less_per_lead * lead, load_far_ahead, load_past_share);
+    return std::clamp(
+        policy.load_past_share - policy.load_less_per_lead * lead, policy.load_far_ahead, policy.load_past_share);
 }
 
 } // namespace
@@ -138,8 +125,9 @@
     wanted.tokens_per_event = request.tokens_per_event;
     auto const stands = standing_of(request, step);
     if (stands != team_standing::within_share) {
-        wanted.most_load = most_load_past_share(m_ledger.level(request.account, step.now), m_ledger.even_level());
-        wanted.time_left_ms *= past_share_time;
+        wanted.most_load
+            = most_load_past_share(m_options.policy, m_ledger.level(request.account, step.now), m_ledger.even_level());
+        wanted.time_left_ms *= m_options.policy.time_past_share;
     }
     wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
     return m_board.choose(wanted, step.now);
@@ -158,8 +146,9 @@
 bool dispatch_reducer::may_lose_parts(active_request const& request, step_context const& step)
 {
     auto const stands = standing_of(request, step);
-    auto const patience = part_of(
-        request.objective, stands == team_standing::within_share ? patience_within_share : patience_past_share);
+    auto const patience = part_of(request.objective,
+        stands == team_standing::within_share ? m_options.policy.patience_within_share
+                                              : m_options.policy.patience_past_share);
     if (step.now - request.arrived < patience)
         return false;
     if (stands != team_standing::ahead)
@@ -273,7 +262,8 @@
     for (auto const& entry : order) {
         auto& request = m_requests.at(entry.number);
         auto const limit = part_of(request.objective,
-            standing_of(request, step) == team_standing::within_share ? wait_within_share : wait_past_share);
+            standing_of(request, step) == team_standing::within_share ? m_options.policy.wait_within_share
+                                                                      : m_options.policy.wait_past_share);
         if (tried_in_vain < most_tries_in_vain && try_to_send(entry.number, request, step)) {
             std::erase(m_waiting, entry.number);
             continue;
@@ -288,7 +278,7 @@
 {
     std::erase(m_waiting, number);
     auto const occupied = m_board.occupancy_of(request.pool);
-    bool const has_room = static_cast<double>(occupied.taken) < sending_occupancy * occupied.places
+    bool const has_room = static_cast<double>(occupied.taken) < m_options.policy.sending_occupancy * occupied.places
         && standing_of(request, step) != team_standing::ahead;
     if (has_room || request.arrivals > 0) {
         if (auto const chosen = choose(request, step); chosen.endpoint != nullptr)
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -20,7 +20,7 @@
 
 dispatch_reducer::dispatch_reducer(dispatch_options options)
     : m_options(std::move(options))
-    , m_board(m_options.domain)
+    , m_board(m_options.domain, m_options.policy)
     , m_ledger(m_options.share_window)
     , m_retries(m_options.retries)
 {
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -9,6 +9,7 @@
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/fleet_retry_budget.h"
 #include "libraries/dispatch/overload_guard.h"
+#include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/route_table.h"
 #include "libraries/dispatch/team_ledger.h"
 
@@ -25,6 +26,7 @@
     milliseconds share_window { 4000 };
     // A request that did not say how long it waits, on a route without a limit.
     milliseconds default_deadline { 15000 };
+    dispatch_policy policy;
 };
 
 class dispatch_reducer {
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -28,16 +28,6 @@
 constexpr token_count small_prompt = 2000;
 constexpr double small_wait_ms = 60;
 constexpr double first_service_time_ms = 40;
-// Reading shared parts anew costs much more than the time until the first event: it holds up all that run there, and
-// drives other parts out.
-constexpr double weight_of_reading = 4.0;
-constexpr double full_endpoint_ms = 40;
-constexpr double other_domain_ms = 4;
-// Spreads first places of parts over the endpoints, the same way at all routers.
-constexpr double placement_spread_ms = 200;
-constexpr double margin_of_the_objective = 0.85;
-// So little to read never keeps a prompt away, however large it is.
-constexpr double always_allowed_wait_ms = 15;
 // A router that has just come up is told of parts that were used within this time.
 constexpr milliseconds recent_placement { 7000 };
 constexpr double weight_of_the_newest_time = 0.1;
@@ -157,21 +147,22 @@
         bool const is_probe = state->health.is_ejected() && !ignores_ejection;
         if (is_probe && !(wanted.may_probe && state->health.may_probe(now)))
             continue;
-        auto const unkept = wanted.is_engine ? state->places.unkept_tokens(*wanted.cost, now) : 0;
+        auto const unkept
+            = wanted.is_engine ? state->places.unkept_tokens(*wanted.cost, now - m_policy.keeping_time) : 0;
         least_unkept = std::min(least_unkept, unkept);
         auto const expected = expected_time(*state, wanted, unkept, now);
         auto const slots = std::max(state->entry.slots, 1U);
         auto const load = static_cast<double>(state->all_running()) / slots;
         bool const is_free = !wanted.is_engine || state->all_running() < wanted.most_load * slots;
-        bool const is_quick = expected <= wanted.time_left_ms * margin_of_the_objective
-            || (wanted.is_engine && state->reading.left_ms(now) <= always_allowed_wait_ms);
-        auto cost = expected + full_endpoint_ms * load * load;
+        bool const is_quick = expected <= wanted.time_left_ms * m_policy.margin_of_objective
+            || (wanted.is_engine && state->reading.left_ms(now) <= m_policy.idle_reading_ms);
+        auto cost = expected + m_policy.full_endpoint_ms * load * load;
         if (wanted.is_engine)
-            cost += weight_of_reading * state->reading.time_of(unkept);
+            cost += m_policy.reading_weight * state->reading.time_of(unkept);
         if (state->entry.domain != m_own_domain)
-            cost += other_domain_ms;
+            cost += m_policy.other_domain_ms;
         if (key != 0)
-            cost += placement_spread_ms * placement_share(key, state->entry.name);
+            cost += m_policy.placement_spread_ms * placement_share(key, state->entry.name);
         if (is_probe)
             cost = 0;
         std::pair const rank { is_free && is_quick, is_free };
@@ -271,7 +262,7 @@
 void endpoint_board::forget_old_parts(instant now)
 {
     for (auto& [name, state] : m_endpoints)
-        state->places.forget_old(now);
+        state->places.forget_unused_since(now - m_policy.keeping_time);
 }
 
 std::vector<part_placed> endpoint_board::recent_parts(instant now) const
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -5,6 +5,7 @@
 
 #include "libraries/dispatch/endpoint_health.h"
 #include "libraries/dispatch/events.h"
+#include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/prompt_places.h"
 #include "libraries/dispatch/reading_estimate.h"
 
@@ -62,8 +63,9 @@
 
 class endpoint_board {
 public:
-    explicit endpoint_board(failure_domain own)
+    explicit endpoint_board(failure_domain own, dispatch_policy policy = {})
         : m_own_domain(std::move(own))
+        , m_policy(policy)
     {
     }
 
@@ -120,6 +122,7 @@
     [[nodiscard]] std::size_t ejected_in(pool_name const& pool) const;
 
     failure_domain m_own_domain;
+    dispatch_policy m_policy;
     std::unordered_map<endpoint_name, std::unique_ptr<endpoint_state>> m_endpoints;
     // The same, by their keys.
     std::unordered_map<endpoint_key, endpoint_state*> m_by_key;
--- a/libraries/dispatch/prompt_places.cpp
+++ b/libraries/dispatch/prompt_places.cpp
@@ -4,20 +4,13 @@
 
 namespace shedhill::dispatch {
 
-namespace {
-
-// How long a part that is not asked for is thought to stay.
-constexpr milliseconds keeping_time { 12000 };
-
-} // namespace
-
-token_count prompt_places::unkept_tokens(request_cost const& cost, instant now) const
+token_count prompt_places::unkept_tokens(request_cost const& cost, instant kept_since) const
 {
     auto unkept = cost.prompt;
     // The last part belongs to the request itself.
     for (std::size_t index = 0; index + 1 < cost.parts.size(); ++index) {
         auto const found = m_used_at.find(cost.parts[index].id);
-        if (found == m_used_at.end() || now - found->second > keeping_time)
+        if (found == m_used_at.end() || found->second < kept_since)
             break;
         unkept -= cost.parts[index].tokens;
     }
@@ -34,9 +27,9 @@
     return parts;
 }
 
-void prompt_places::forget_old(instant now)
+void prompt_places::forget_unused_since(instant then)
 {
-    std::erase_if(m_used_at, [now](auto const& entry) { return now - entry.second > keeping_time; });
+    std::erase_if(m_used_at, [then](auto const& entry) { return entry.second < then; });
 }
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/prompt_places.h
+++ b/libraries/dispatch/prompt_places.h
@@ -13,9 +13,10 @@
 class prompt_places {
 public:
     void note(std::uint64_t part, instant now) { m_used_at[part] = now; }
-    // Tokens of the prompt that would have to be read anew. A part is of use only if all before it are kept too.
-    [[nodiscard]] token_count unkept_tokens(request_cost const& cost, instant now) const;
-    void forget_old(instant now);
+    // Tokens of the prompt that would have to be read anew, if parts that were not used since then are gone. A part is
+    // of use only if all before it are kept too.
+    [[nodiscard]] token_count unkept_tokens(request_cost const& cost, instant kept_since) const;
+    void forget_unused_since(instant then);
     // Parts used since then.
     [[nodiscard]] std::vector<std::uint64_t> used_since(instant then) const;
     void clear() { m_used_at.clear(); }
--- /dev/null
+++ b/libraries/dispatch/store_outage_watch.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Tells an outage of the store from an outage of this router's way to it. Entries lapse only in the first: while other
+// routers hear the store, an entry that is missing from what they tell belongs to an endpoint that is gone.
+#pragma once
+
+#include "libraries/dispatch/endpoint_roster.h"
+
+namespace shedhill::dispatch {
+
+// What this router's own follower of the list knows.
+struct own_store_contact {
+    // When the store last confirmed the list here.
+    instant confirmed_at {};
+    // When it last answered here again after an outage; the epoch if it never did.
+    instant returned_at {};
+};
+
+class store_outage_watch {
+public:
+    // Another router tells when the store last confirmed the list to it. Reports may come late and out of order.
+    void note_peer_confirmed(instant confirmed_at);
+
+    [[nodiscard]] store_contact contact(own_store_contact const& own, instant now) const;
+
+private:
+    // The latest that another router told.
+    instant m_peers_confirmed_at {};
+    // Since when the other routers' confirmations have followed one another without an outage between them; the epoch
+    // if there was none since the first.
+    instant m_peers_heard_since {};
+};
+
+} // namespace shedhill::dispatch
--- a/services/shedhilld/direct_main.cpp
+++ b/services/shedhilld/direct_main.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-int run_direct_router(std::string const& settings_file, bool is_check)
+int run_direct_router(std::string const& settings_file, dispatch::dispatch_policy const& policy, bool is_check)
 {
     install_signals();
     auto const path = settings_file.empty() ? platform_binding::settings_path() : settings_file;
@@ -49,7 +49,7 @@
         return EXIT_SUCCESS;
     }
     direct_router<platform_binding::caller_binding, platform_binding::table_binding> router(
-        *settings, [path] { return platform_binding::read_settings_file(path); });
+        *settings, policy, [path] { return platform_binding::read_settings_file(path); });
     if (auto const opened = router.open(); !opened) {
         std::cerr << opened.error().to_string() << '\n';
         return EXIT_FAILURE;
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -32,12 +32,12 @@
 public:
     using reload_function = std::function<result<relay::deployment_settings>()>;
 
-    direct_router(relay::deployment_settings settings, reload_function reload)
+    direct_router(relay::deployment_settings settings, dispatch::dispatch_policy const& policy, reload_function reload)
         : m_settings(std::move(settings))
         , m_reload(std::move(reload))
         , m_random(std::random_device {}())
         , m_log(m_settings.vm.value(), {})
-        , m_reducer(make_options(m_settings))
+        , m_reducer(make_options(m_settings, policy))
         , m_connections(m_loop)
         , m_caller_listener(m_loop, [this](int descriptor) { accept(descriptor); })
         , m_ready_server(m_loop, [this](std::string_view) { return answer_readiness(); })
@@ -112,13 +112,15 @@
     static constexpr milliseconds balancer_notice { 2700 };
     static constexpr milliseconds stop_margin { 700 };
 
-    static dispatch::dispatch_options make_options(relay::deployment_settings const& settings)
+    static dispatch::dispatch_options make_options(
+        relay::deployment_settings const& settings, dispatch::dispatch_policy const& policy)
     {
         dispatch::dispatch_options options;
         options.vm = settings.vm;
         options.domain = settings.domain;
         options.retries = { settings.retry_ratio, settings.retry_window, settings.retry_slack, 1 };
         options.share_window = settings.share_window;
+        options.policy = policy;
         return options;
     }
 
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -7,6 +7,7 @@
 #include "libraries/dispatch/dispatch_reducer.h"
 #include "libraries/dispatch/endpoint_roster.h"
 #include "libraries/dispatch/log_fields.h"
+#include "libraries/dispatch/store_outage_watch.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/peer_mesh.h"
 #include "libraries/relay/store_session.h"
@@ -108,8 +109,6 @@
     static constexpr milliseconds long_feed_wait { 8000 };
     // What a peer knows is asked for once the store has not confirmed our own for so long.
     static constexpr milliseconds out_of_date { 900 };
-    // The list's feed is over its time by much: the store is not heard.
-    static constexpr milliseconds unheard { 2500 };
     static constexpr milliseconds want_interval { 400 };
     static constexpr milliseconds write_interval { 1500 };
     static constexpr milliseconds write_limit { 1200 };
@@ -148,9 +147,9 @@
         }
         auto const now = m_loop.now();
         auto const& follower = m_endpoints.follower();
-        bool const is_away = now - follower.confirmed_at() >= unheard;
+        auto const contact = m_outages.contact({ follower.confirmed_at(), follower.returned_at() }, now);
         auto const kept_before = m_roster.kept_count();
-        bool const is_changed = m_roster.take(std::move(shown), { is_away, follower.returned_at() }, now);
+        bool const is_changed = m_roster.take(std::move(shown), contact, now);
         if (m_roster.kept_count() > kept_before)
             note_kept_endpoints();
         if (is_changed)
@@ -237,8 +236,11 @@
         m_peers.directory().note_heard(state.address, now);
         for (auto const& address : state.peers)
             m_peers.directory().add_told(address, now);
-        for (auto const& document : state.documents)
+        for (auto const& document : state.documents) {
+            if (document.kind == peering::document_kind::endpoints)
+                m_outages.note_peer_confirmed(now - document.age);
             want_if_later(document, state.address, now);
+        }
         m_host.learn(std::move(state.report));
     }
 
@@ -291,6 +293,7 @@
     // The text of the configuration in force, to be passed on to routers that cannot hear the store.
     std::string m_configuration_text;
     dispatch::endpoint_roster m_roster;
+    dispatch::store_outage_watch m_outages;
     bool m_is_leaving { false };
     bool m_was_failing { false };
     instant m_told_at {};
--- /dev/null
+++ b/services/shedhilld/policy_settings.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One table: each setting's name, unit, range and member.
+#include "services/shedhilld/policy_settings.h"
+
+#include <array>
+#include <cmath>
+
+namespace shedhill::daemon {
+
+namespace {
+
+using dispatch::dispatch_policy;
+
+constexpr double percent = 0.01;
+constexpr double plain = 1;
+
+struct policy_setting {
+    char const* name;
+    double dispatch_policy::*member;
+    // What one in the setting is in the policy.
+    double unit;
+    std::int64_t most;
+    char const* help;
+};
+
+constexpr std::array described {
+    policy_setting { "wait-within-share", &dispatch_policy::wait_within_share, percent, 400,
+        "Longest wait at a router of what is within its team's share, in percent of the objective." },
+    policy_setting { "wait-past-share", &dispatch_policy::wait_past_share, percent, 400,
+        "The same of what is past its team's share." },
+    policy_setting { "sending-occupancy", &dispatch_policy::sending_occupancy, percent, 100,
+        "Percent of a pool's places under which a request is sent at the end of its wait, late or not." },
+    policy_setting { "time-past-share", &dispatch_policy::time_past_share, percent, 100,
+        "Percent of the time left in which the first event of what is past its share must be foreseen." },
+    policy_setting { "load-past-share", &dispatch_policy::load_past_share, percent, 100,
+        "Percent of an endpoint's places that what is past its share may fill." },
+    policy_setting { "load-less-per-lead", &dispatch_policy::load_less_per_lead, percent, 1000,
+        "Percent of places less for each even level that a team is ahead." },
+    policy_setting { "load-far-ahead", &dispatch_policy::load_far_ahead, percent, 100,
+        "Percent of places that are left to a team however far it is ahead." },
+    policy_setting { "patience-within-share", &dispatch_policy::patience_within_share, percent, 400,
+        "Wait for the endpoint that keeps a prompt's parts, in percent of the objective." },
+    policy_setting { "patience-past-share", &dispatch_policy::patience_past_share, percent, 400,
+        "The same of what is past its team's share." },
+    policy_setting { "margin-of-objective", &dispatch_policy::margin_of_objective, percent, 400,
+        "Percent of the time left in which a first event must be foreseen." },
+    policy_setting { "idle-reading-ms", &dispatch_policy::idle_reading_ms, plain, 10000,
+        "An engine with so little to read takes any prompt." },
+    policy_setting { "reading-weight", &dispatch_policy::reading_weight, percent, 10000,
+        "What reading shared parts anew costs, in percent of the time that it takes." },
+    policy_setting { "placement-spread-ms", &dispatch_policy::placement_spread_ms, plain, 10000,
+        "Spread of first places of shared parts over the endpoints." },
+    policy_setting { "other-domain-ms", &dispatch_policy::other_domain_ms, plain, 10000,
+        "What an endpoint in another failure domain costs in a choice." },
+    policy_setting { "full-endpoint-ms", &dispatch_policy::full_endpoint_ms, plain, 10000,
+        "What a full endpoint costs above an empty one in a choice." },
+};
+
+constexpr char const* keeping_time = "keeping-time-ms";
+constexpr std::int64_t longest_keeping_time = 600000;
+
+} // namespace
+
+void describe_policy(settings::setting_table& table)
+{
+    dispatch_policy const usual;
+    for (auto const& setting : described) {
+        auto const fallback = std::llround(usual.*setting.member / setting.unit);
+        table.add_number(setting.name, fallback, 0, setting.most, std::string("Platform: ") + setting.help);
+    }
+    table.add_number(keeping_time, usual.keeping_time.count(), 0, longest_keeping_time,
+        "Platform: how long a shared part that is not asked for is thought to be kept.");
+}
+
+dispatch_policy read_policy(settings::setting_values const& values)
+{
+    dispatch_policy made;
+    for (auto const& setting : described)
+        made.*setting.member = static_cast<double>(values.number(setting.name)) * setting.unit;
+    made.keeping_time = milliseconds(values.number(keeping_time));
+    return made;
+}
+
+} // namespace shedhill::daemon
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -210,13 +210,13 @@
         cost.prompt = 60;
         cost.parts = { { 1, 10 }, { 2, 20 }, { 3, 30 } };
         places.note(2, at(1000));
-        CPPUNIT_ASSERT_EQUAL(token_count { 60 }, places.unkept_tokens(cost, at(1001)));
+        CPPUNIT_ASSERT_EQUAL(token_count { 60 }, places.unkept_tokens(cost, at(500)));
         places.note(1, at(1000));
-        CPPUNIT_ASSERT_EQUAL(token_count { 30 }, places.unkept_tokens(cost, at(1001)));
+        CPPUNIT_ASSERT_EQUAL(token_count { 30 }, places.unkept_tokens(cost, at(500)));
         // The last part is the request's own, and what was long unused is gone.
         places.note(3, at(1000));
-        CPPUNIT_ASSERT_EQUAL(token_count { 30 }, places.unkept_tokens(cost, at(1001)));
-        CPPUNIT_ASSERT_EQUAL(token_count { 60 }, places.unkept_tokens(cost, at(60000)));
+        CPPUNIT_ASSERT_EQUAL(token_count { 30 }, places.unkept_tokens(cost, at(500)));
+        CPPUNIT_ASSERT_EQUAL(token_count { 60 }, places.unkept_tokens(cost, at(48000)));
     }
 
     static choice_request usual_choice(request_cost const& cost, std::vector<endpoint_name> const& excluded)
--- /dev/null
+++ b/tests/dispatch/store_outage_watch_test.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Whose outage it is: the store's, or this router's own.
+#include "libraries/dispatch/store_outage_watch.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::dispatch {
+
+class store_outage_watch_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(store_outage_watch_test);
+    CPPUNIT_TEST(a_lone_router_goes_by_its_own_contact);
+    CPPUNIT_TEST(a_store_that_others_hear_is_not_away);
+    CPPUNIT_TEST(the_return_is_the_first_routers);
+    CPPUNIT_TEST(an_endpoint_that_left_during_an_own_outage_is_gone);
+    CPPUNIT_TEST(late_reports_change_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static instant at(std::int64_t time) { return instant(milliseconds(time)); }
+
+    static endpoint_entry entry(char const* name)
+    {
+        return { endpoint_name(name), "10.0.0.1:1", pool_name("pool"), failure_domain("north"), 4, false };
+    }
+
+    // Another router's reports, each 700 ms.
+    static void hear_peers(store_outage_watch& watch, std::int64_t from, std::int64_t until)
+    {
+        for (auto time = from; time <= until; time += 700)
+            watch.note_peer_confirmed(at(time));
+    }
+
+    void a_lone_router_goes_by_its_own_contact()
+    {
+        store_outage_watch const watch;
+        CPPUNIT_ASSERT(!watch.contact({ at(1000), {} }, at(3400)).is_away);
+        CPPUNIT_ASSERT(watch.contact({ at(1000), {} }, at(3500)).is_away);
+        CPPUNIT_ASSERT(watch.contact({ at(9000), at(9000) }, at(9100)).returned_at == at(9000));
+    }
+
+    void a_store_that_others_hear_is_not_away()
+    {
+        store_outage_watch watch;
+        hear_peers(watch, 1000, 12000);
+        CPPUNIT_ASSERT(!watch.contact({ at(1000), {} }, at(12000)).is_away);
+        // This router hears it again: that was not the store's return.
+        CPPUNIT_ASSERT(watch.contact({ at(12000), at(12000) }, at(12100)).returned_at == instant {});
+        // They fall silent too.
+        CPPUNIT_ASSERT(watch.contact({ at(1000), {} }, at(15000)).is_away);
+    }
+
+    void the_return_is_the_first_routers()
+    {
+        store_outage_watch watch;
+        hear_peers(watch, 1000, 3000);
+        hear_peers(watch, 9000, 11000);
+        CPPUNIT_ASSERT(watch.contact({ at(9800), at(9800) }, at(11000)).returned_at == at(9000));
+    }
+
+    // A hunt's finding: one router could not hear the store for nine seconds, the others told it the list; an endpoint
+    // that left without a word was kept and sent to for three seconds after the store had told of it.
+    void an_endpoint_that_left_during_an_own_outage_is_gone()
+    {
+        store_outage_watch watch;
+        endpoint_roster roster;
+        hear_peers(watch, 1000, 2400);
+        (void)roster.take({ entry("a"), entry("b") }, watch.contact({ at(2400), {} }, at(2400)), at(2400));
+        hear_peers(watch, 3100, 11500);
+        (void)roster.take({ entry("a") }, watch.contact({ at(2400), {} }, at(11700)), at(11700));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, roster.entries().size());
+        hear_peers(watch, 11900, 13100);
+        (void)roster.take({ entry("a") }, watch.contact({ at(13100), at(13100) }, at(13100)), at(13100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, roster.entries().size());
+    }
+
+    void late_reports_change_nothing()
+    {
+        store_outage_watch watch;
+        hear_peers(watch, 1000, 12000);
+        watch.note_peer_confirmed(at(4000));
+        CPPUNIT_ASSERT(!watch.contact({ at(1000), {} }, at(12700)).is_away);
+        CPPUNIT_ASSERT(watch.contact({ at(12000), at(12000) }, at(12700)).returned_at == instant {});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_outage_watch_test);
+
+} // namespace shedhill::dispatch
