dispatch: What is past its share fills only the time in which an engine has nothing to read

Hypothesis: engines read first come, first served, so what is past a team's share must not stand before what is owed. Until now a request was sent at the end of its wait while under 52 of 100 places were free, and what was past its share queued if it was foreseen within 0.7 of the time left. Places are no measure of an engine's work here: its reading is saturated with 53 of 128.

Change: the terms of admission by standing are one pure module. Within its share a request may queue and, after a while, read parts anew that are kept elsewhere; past it, it needs an engine that has nothing to read, reads nothing anew that is kept elsewhere, and waits 0.1 of its objective. Nothing is sent because places are free. Gone: sending_occupancy, time_past_share, the second patience, the load that allows a loss.

--- /dev/null
+++ b/libraries/dispatch/admission_terms.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// How a team stands, and on what terms its requests are let in. What is owed to a team may stand in an engine's queue;
+// what is past that fills only the time in which an engine would have nothing to read, so that it delays nobody.
+#pragma once
+
+#include "libraries/dispatch/policy.h"
+
+#include <optional>
+
+namespace shedhill::dispatch {
+
+// How a request's team stands against its share and the other teams.
+enum class team_standing {
+    within_share,
+    past_share,
+    // Past its share, and given more than others that ask for as much.
+    ahead,
+};
+
+// What a team was admitted within the window, and what that is compared with; see team_ledger.
+struct team_account {
+    token_count level { 0 };
+    token_count share { 0 };
+    token_count even_level { 0 };
+};
+
+team_standing standing_of(team_account const& account, dispatch_policy const& policy);
+
+// What an engine must offer for a request to be let in, and how long the request waits for that.
+struct admission_terms {
+    // Then it is refused, so that it can come back.
+    milliseconds longest_wait { 0 };
+    // After so long a wait it may go where parts of its prompt are read anew that another engine keeps; none: never.
+    std::optional<milliseconds> patience;
+    // Only the endpoint's places up to this part may be taken.
+    double most_load { 1 };
+    // Whether an engine that still has prompts to read takes it, if its first event is foreseen in time.
+    bool may_queue { true };
+};
+
+admission_terms terms_of(
+    team_standing standing, team_account const& account, milliseconds objective, dispatch_policy const& policy);
+
+} // namespace shedhill::dispatch
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -10,10 +10,8 @@
 
 namespace {
 
-// Parts of prompts that are read anew, though kept elsewhere, are paid for by all. A request goes where they are not
-// kept after a part of its objective only; one of a team that is ahead only while so few places are taken.
+// So little to be read anew is not worth a wait for the endpoint that keeps it.
 constexpr token_count bearable_loss = 300;
-constexpr double load_that_allows_loss = 0.5;
 // While so many wait, a team that is ahead is refused at once.
 constexpr std::size_t many_waiting = 24;
 // A choice costs some microseconds, and a flood has hundreds waiting: who stands far behind is not tried each time.
@@ -32,19 +30,6 @@
 constexpr std::uint16_t status_too_many_requests = 429;
 constexpr std::uint16_t status_unavailable = 503;
 
-milliseconds part_of(milliseconds objective, double part)
-{
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(objective.count()) * part));
-}
-
-// The further a team is ahead of the even level, the less of an endpoint it may fill.
-double most_load_past_share(dispatch_policy const& policy, token_count level, token_count even_level)
-{
-    auto const lead = static_cast<double>(level) / static_cast<double>(std::max<token_count>(even_level, 1)) - 1;
-    return std::clamp(
-        policy.load_past_share - policy.load_less_per_lead * lead, policy.load_far_ahead, policy.load_past_share);
-}
-
 } // namespace
 
 void dispatch_reducer::handle(request_arrived const& arrived, step_context& step)
@@ -123,38 +108,28 @@
     wanted.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
     wanted.is_engine = request.is_engine;
     wanted.tokens_per_event = request.tokens_per_event;
-    auto const stands = standing_of(request, step);
-    if (stands != team_standing::within_share) {
-        wanted.most_load
-            = most_load_past_share(m_options.policy, m_ledger.level(request.account, step.now), m_ledger.even_level());
-        wanted.time_left_ms *= m_options.policy.time_past_share;
-    }
+    auto const terms = terms_for(request, step);
+    wanted.most_load = terms.most_load;
+    wanted.may_queue = terms.may_queue;
     wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
     return m_board.choose(wanted, step.now);
 }
 
+team_account dispatch_reducer::account_of(active_request const& request, step_context const& step)
+{
+    return { m_ledger.level(request.account, step.now), m_ledger.share(), m_ledger.even_level() };
+}
+
 team_standing dispatch_reducer::standing_of(active_request const& request, step_context const& step)
 {
     if (!request.is_engine || request.team.value().empty())
         return team_standing::within_share;
-    auto const level = m_ledger.level(request.account, step.now);
-    if (level <= m_ledger.share())
-        return team_standing::within_share;
-    return level > m_ledger.even_level() ? team_standing::ahead : team_standing::past_share;
+    return dispatch::standing_of(account_of(request, step), m_options.policy);
 }
 
-bool dispatch_reducer::may_lose_parts(active_request const& request, step_context const& step)
+admission_terms dispatch_reducer::terms_for(active_request const& request, step_context const& step)
 {
-    auto const stands = standing_of(request, step);
-    auto const patience = part_of(request.objective,
-        stands == team_standing::within_share ? m_options.policy.patience_within_share
-                                              : m_options.policy.patience_past_share);
-    if (step.now - request.arrived < patience)
-        return false;
-    if (stands != team_standing::ahead)
-        return true;
-    auto const occupied = m_board.occupancy_of(request.pool);
-    return static_cast<double>(occupied.taken) < load_that_allows_loss * occupied.places;
+    return terms_of(standing_of(request, step), account_of(request, step), request.objective, m_options.policy);
 }
 
 bool dispatch_reducer::try_to_send(request_number number, active_request& request, step_context& step)
@@ -169,7 +144,8 @@
     if (!chosen.is_in_time)
         return false;
     // Another endpoint keeps much of the prompt: it may have room soon.
-    if (chosen.lost > bearable_loss && !may_lose_parts(request, step))
+    auto const patience = terms_for(request, step).patience;
+    if (chosen.lost > bearable_loss && (!patience || step.now - request.arrived < *patience))
         return false;
     send(number, request, chosen, step);
     return true;
@@ -261,15 +237,12 @@
     std::size_t tried_in_vain = 0;
     for (auto const& entry : order) {
         auto& request = m_requests.at(entry.number);
-        auto const limit = part_of(request.objective,
-            standing_of(request, step) == team_standing::within_share ? m_options.policy.wait_within_share
-                                                                      : m_options.policy.wait_past_share);
         if (tried_in_vain < most_tries_in_vain && try_to_send(entry.number, request, step)) {
             std::erase(m_waiting, entry.number);
             continue;
         }
         ++tried_in_vain;
-        if (step.now - request.arrived >= limit)
+        if (step.now - request.arrived >= terms_for(request, step).longest_wait)
             end_of_wait(entry.number, request, step);
     }
 }
@@ -277,10 +250,8 @@
 void dispatch_reducer::end_of_wait(request_number number, active_request& request, step_context& step)
 {
     std::erase(m_waiting, number);
-    auto const occupied = m_board.occupancy_of(request.pool);
-    bool const has_room = static_cast<double>(occupied.taken) < m_options.policy.sending_occupancy * occupied.places
-        && standing_of(request, step) != team_standing::ahead;
-    if (has_room || request.arrivals > 0) {
+    // A repeat is not refused: the endpoint's own failure, or silence, would be all that its caller gets.
+    if (request.arrivals > 0) {
         if (auto const chosen = choose(request, step); chosen.endpoint != nullptr)
             return send(number, request, chosen, step);
     }
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -4,6 +4,7 @@
 // but what comes with the event.
 #pragma once
 
+#include "libraries/dispatch/admission_terms.h"
 #include "libraries/dispatch/effects.h"
 #include "libraries/dispatch/endpoint_board.h"
 #include "libraries/dispatch/events.h"
@@ -123,8 +124,6 @@
     // Whether this router is too far behind to take the request; another one may have time for it.
     [[nodiscard]] bool is_overloaded_for(active_request const& request, step_context const& step);
     void admit(request_number number, active_request request, step_context& step);
-    // Whether a request may go where less of its prompt is kept than elsewhere.
-    [[nodiscard]] bool may_lose_parts(active_request const& request, step_context const& step);
     bool try_to_send(request_number number, active_request& request, step_context& step);
     void send(request_number number, active_request& request, endpoint_choice const& chosen, step_context& step);
     // Lets in what may be let in by now, the team with the lowest level first, and refuses what has waited too long.
@@ -133,7 +132,9 @@
     void serve_waiting_again(step_context& step);
     void end_of_wait(request_number number, active_request& request, step_context& step);
     [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
+    [[nodiscard]] team_account account_of(active_request const& request, step_context const& step);
     [[nodiscard]] team_standing standing_of(active_request const& request, step_context const& step);
+    [[nodiscard]] admission_terms terms_for(active_request const& request, step_context const& step);
     [[nodiscard]] milliseconds come_back_after(
         active_request const& request, refusal_reason reason, step_context const& step) const;
 
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -55,6 +55,8 @@
     double time_left_ms { 0 };
     // The part of an endpoint's places that may be taken for this request to be let in.
     double most_load { 1 };
+    // Whether an engine that still has prompts to read may take it.
+    bool may_queue { true };
     bool is_engine { false };
     std::uint32_t tokens_per_event { 1 };
     // May be the one that probes an ejected endpoint.
--- a/libraries/dispatch/overload_guard.h
+++ b/libraries/dispatch/overload_guard.h
@@ -4,20 +4,13 @@
 #pragma once
 
 #include "base/units.h"
+#include "libraries/dispatch/admission_terms.h"
 
 #include <cstddef>
 #include <cstdint>
 
 namespace shedhill::dispatch {
 
-// How a request's team stands against its share and the other teams.
-enum class team_standing {
-    within_share,
-    past_share,
-    // Past its share, and given more than others that ask for as much.
-    ahead,
-};
-
 // What a router knows of the others.
 struct fleet_load {
     // This one included.
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -8,27 +8,25 @@
 namespace shedhill::dispatch {
 
 struct dispatch_policy {
+    // A team's requests are served as owed up to so many times its share: the share is reckoned over windows that do
+    // not begin together everywhere, and from expected costs.
+    double share_margin { 1 };
     // A request waits at a router for this part of its objective at most; then it is refused, so that it can come back.
     // What is within its team's share is likely to be let in soon.
     double wait_within_share { 0.4 };
-    double wait_past_share { 0.23 };
-    // While fewer of the pool's places than this part are taken, a request is sent at the end of its wait rather than
-    // refused, though its first event is foreseen to be late.
-    double sending_occupancy { 0.52 };
-    // The part of the time that is left within which the first event of what is past its team's share must be foreseen.
-    double time_past_share { 0.7 };
+    double wait_past_share { 0.1 };
+    // A request within its team's share goes where parts of its prompt are not kept, though they are elsewhere, after
+    // this part of its objective.
+    double patience { 0.3 };
     // What is past its team's share may take an endpoint's places up to this part, less for each even level of lead,
     // and at least so much.
     double load_past_share { 0.8 };
     double load_less_per_lead { 0.5 };
     double load_far_ahead { 0.25 };
-    // A request goes where parts of its prompt are not kept, though they are elsewhere, after this part of its
-    // objective.
-    double patience_within_share { 0.3 };
-    double patience_past_share { 0.2 };
     // A first event must be foreseen within this part of the time that is left.
     double margin_of_objective { 0.85 };
-    // An engine with so little to read, in milliseconds, takes any prompt, however long its own reading takes.
+    // An engine with so little to read, in milliseconds, counts as having nothing to read: it takes any prompt, however
+    // long its own reading takes.
     double idle_reading_ms { 15 };
     // Reading shared parts anew costs so many times the time that it takes: it holds up all that run there, and drives
     // other parts out.
--- a/meta/experiment.py
+++ b/meta/experiment.py
@@ -26,6 +26,7 @@
 import tempfile
 
 MOST_PRICES = 4
+MOST_OF_A_FINDING = 1500
 TROUBLE_DAYS = "scale-1,scale-2,trouble-1,trouble-2,trouble-3"
 
 Play = collections.namedtuple("Play", "site variant day seed")
@@ -118,6 +119,14 @@
               + ", ".join(f"{text[:34]} {price:.3f}" for text, price in dearest) + " |")
 
 
+def print_broken(results: dict[Play, dict]) -> None:
+    """What the bench saw where a rule was broken: findings, to be traced or listed as open."""
+    for play, report in results.items():
+        if report["breaks"] or report["fault"]:
+            print(f"\nbroken: {pathlib.Path(play.site).stem} {play.day} --seed {play.seed}, {play.variant}: "
+                  f"{json.dumps(report['first'])[:MOST_OF_A_FINDING]} {report['fault'] or ''}")
+
+
 def plot(path: str, sites: list[str], variants: list[str], results: dict[Play, dict]) -> None:
     import matplotlib  # pylint: disable=import-outside-toplevel
     matplotlib.use("Agg")
@@ -172,6 +181,7 @@
     shutil.copytree(arguments.work / "journal", "journal", dirs_exist_ok=True)
     for site in arguments.sites:
         print_site(site, list(arguments.variants), results)
+    print_broken(results)
     if arguments.json:
         rows = [{**play._asdict(), "worth": report["G"], "parts": parts_of(report), "prices": prices_of(report),
                  "breaks": list(report["breaks"])} for play, report in results.items()]
--- /dev/null
+++ b/tests/dispatch/admission_terms_test.cpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// On what terms a team's requests are let in: what is owed may queue, what is past it fills idle time only.
+#include "libraries/dispatch/admission_terms.h"
+#include "tests/dispatch/dispatch_driver.h"
+#include "tests/support/property.h"
+
+namespace shedhill::dispatch {
+
+class admission_terms_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(admission_terms_test);
+    CPPUNIT_TEST(standing_follows_level_share_and_even_level);
+    CPPUNIT_TEST(terms_never_grow_with_the_level);
+    CPPUNIT_TEST(what_is_past_its_share_does_not_queue_at_an_engine);
+    CPPUNIT_TEST(what_is_owed_queues_though_others_are_past_their_share);
+    CPPUNIT_TEST(what_is_past_its_share_is_served_while_an_engine_is_idle);
+    CPPUNIT_TEST(what_is_past_its_share_reads_nothing_anew_that_is_kept_elsewhere);
+    CPPUNIT_TEST(free_places_do_not_send_what_would_be_late);
+    CPPUNIT_TEST_SUITE_END();
+
+    using driver = dispatch_driver;
+
+    static constexpr milliseconds objective { 400 };
+    // The driver's share is 40,000 tokens in a window: one such request uses it up.
+    static constexpr token_count whole_share = 41000;
+
+    void standing_follows_level_share_and_even_level()
+    {
+        dispatch_policy policy;
+        CPPUNIT_ASSERT(standing_of({ 100, 100, 50 }, policy) == team_standing::within_share);
+        CPPUNIT_ASSERT(standing_of({ 101, 100, 150 }, policy) == team_standing::past_share);
+        CPPUNIT_ASSERT(standing_of({ 151, 100, 150 }, policy) == team_standing::ahead);
+        policy.share_margin = 2;
+        CPPUNIT_ASSERT(standing_of({ 151, 100, 150 }, policy) == team_standing::within_share);
+    }
+
+    // Who was given more never has better terms.
+    void terms_never_grow_with_the_level()
+    {
+        testing::check_property("terms never grow with the level", [] {
+            auto const share = *rc::gen::inRange<token_count>(1, 1000);
+            auto const even_level = *rc::gen::inRange<token_count>(1, 1000);
+            auto const less = *rc::gen::inRange<token_count>(0, 3000);
+            auto const more = less + *rc::gen::inRange<token_count>(0, 3000);
+            dispatch_policy const policy;
+            auto const terms_at = [&](token_count level) {
+                team_account const account { level, share, even_level };
+                return terms_of(standing_of(account, policy), account, objective, policy);
+            };
+            auto const better = terms_at(less);
+            auto const worse = terms_at(more);
+            RC_ASSERT(better.longest_wait >= worse.longest_wait);
+            RC_ASSERT(better.most_load >= worse.most_load);
+            RC_ASSERT(better.may_queue || !worse.may_queue);
+            RC_ASSERT(better.patience || !worse.patience);
+            RC_ASSERT(worse.most_load > 0);
+        });
+    }
+
+    void what_is_past_its_share_does_not_queue_at_an_engine()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100) });
+        fleet.ask("/once/", "red-key", whole_share);
+        auto const second = fleet.ask("/once/", "red-key", 1000);
+        fleet.wait(milliseconds(60));
+        CPPUNIT_ASSERT(fleet.sent_for(second).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 429 }, fleet.refusal_of(second)->status);
+        CPPUNIT_ASSERT(fleet.refusal_of(second)->retry_after.has_value());
+    }
+
+    void what_is_owed_queues_though_others_are_past_their_share()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100) });
+        fleet.ask_and_read("/once/", "red-key", whole_share);
+        fleet.ask("/once/", "red-key", 10000);
+        auto const owed = fleet.ask("/once/", "blue-key", 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(owed).size());
+    }
+
+    void what_is_past_its_share_is_served_while_an_engine_is_idle()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100) });
+        fleet.ask_and_read("/once/", "red-key", whole_share);
+        auto const second = fleet.ask("/once/", "red-key", 30000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(second).size());
+    }
+
+    void what_is_past_its_share_reads_nothing_anew_that_is_kept_elsewhere()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100), driver::make_endpoint("e2", "model", 100) });
+        // All prompts of the driver share a part of half their length: one of the two keeps it now.
+        fleet.ask("/once/", "red-key", whole_share);
+        auto const keeper = fleet.sent().front().endpoint;
+        auto const second = fleet.ask("/once/", "red-key", 30000);
+        fleet.wait(milliseconds(30));
+        CPPUNIT_ASSERT(fleet.sent_for(second).empty());
+        fleet.wait(milliseconds(600));
+        fleet.begin(request_number(1));
+        auto const third = fleet.ask("/once/", "red-key", 30000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(third).size());
+        CPPUNIT_ASSERT(fleet.sent_for(third).front().endpoint == keeper);
+    }
+
+    // Places are no measure of what an engine can do: with 99 of 100 free it may be reading for a second.
+    void free_places_do_not_send_what_would_be_late()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100) });
+        fleet.ask("/once/", "red-key", whole_share);
+        auto const owed = fleet.ask("/once/", "blue-key", 1000);
+        fleet.wait(milliseconds(200));
+        CPPUNIT_ASSERT(fleet.sent_for(owed).empty());
+        CPPUNIT_ASSERT(fleet.refusal_of(owed).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_terms_test);
+
+} // namespace shedhill::dispatch
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -103,6 +103,16 @@
 
     void begin(request_number request) { take(answer_began { request, sent_for(request).back().attempt }); }
 
+    // Asks, and lets the engine read the whole prompt: it has nothing left to read then.
+    request_number ask_and_read(std::string path, std::string key, token_count prompt)
+    {
+        constexpr milliseconds longest_reading { 600 };
+        auto const request = ask(std::move(path), std::move(key), prompt);
+        wait(longest_reading);
+        begin(request);
+        return request;
+    }
+
     // Lets time pass, with a tick each ten milliseconds.
     void wait(milliseconds time)
     {
