dispatch, peering: Bound the lead of a team; routers tell each other what changed

What is past its share may now take a quarter of an endpoint's places (0.8 before), less with its lead over the even level, nothing from half an even level on; then it is refused at once. The floor of a quarter however far ahead is gone.

A newcomer is no longer told the same prompt tokens twice.

The pace of the list's feed follows from the bound on leaving endpoints (a third of it) instead of 0.7 s.

--- a/libraries/dispatch/admission_terms.cpp
+++ b/libraries/dispatch/admission_terms.cpp
@@ -18,8 +18,7 @@
 {
     auto const even_level = static_cast<double>(std::max<token_count>(account.even_level, 1));
     auto const lead = static_cast<double>(account.level) / even_level - 1;
-    return std::clamp(policy.load_past_share - policy.load_less_per_lead * lead,
-        std::min(policy.load_far_ahead, policy.load_past_share), policy.load_past_share);
+    return std::clamp(policy.load_past_share - policy.load_less_per_lead * lead, 0.0, policy.load_past_share);
 }
 
 } // namespace
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -87,7 +87,9 @@
     // Who waits already goes first, unless the newcomer's team was given less.
     if (m_waiting.empty() && try_to_send(number, kept, step))
         return;
-    if (m_waiting.size() >= many_waiting && standing_of(kept, step) == team_standing::ahead)
+    // A team that is so far ahead that no endpoint may take it, or that is ahead while many wait, is told at once.
+    if (terms_for(kept, step).most_load <= 0
+        || (m_waiting.size() >= many_waiting && standing_of(kept, step) == team_standing::ahead))
         return refuse(number, kept, status_too_many_requests, refusal_reason::team_over_share, step);
     m_waiting.push_back(number);
     serve_waiting_again(step);
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -157,11 +157,12 @@
     step.effects.emplace_back(stop_process {});
 }
 
-peer_reported dispatch_reducer::take_own_report(instant now)
+peer_reported dispatch_reducer::take_own_report(report_scope scope, instant now)
 {
     peer_reported report;
+    report.scope = scope;
     report.peer = m_options.vm;
-    report.loads = m_board.take_own_loads(now);
+    report.loads = m_board.take_own_loads(scope, now);
     report.teams = m_ledger.own_usage(now);
     report.is_aside = m_overload.is_aside();
     report.busy_part = m_overload.busy_part();
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -48,7 +48,7 @@
     }
 
     // What the other routers are to know. The parts placed are those since the last call.
-    [[nodiscard]] peer_reported take_own_report(instant now);
+    [[nodiscard]] peer_reported take_own_report(report_scope scope, instant now);
     [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const { return m_board.recent_parts(now); }
 
 private:
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -207,6 +207,7 @@
 
 void endpoint_board::note_first_event(endpoint_state& endpoint, first_event const& seen, instant now)
 {
+    endpoint.has_read_untold = true;
     auto const own_time = first_event_time(endpoint, seen.tokens_per_event);
     auto const shown = endpoint.reading.note_read(seen.read_position, own_time, now);
     if (shown > 0) {
@@ -231,16 +232,18 @@
 
 void endpoint_board::take_report(peer_reported const& report, instant now)
 {
-    forget_peer(report.peer);
+    if (report.scope == report_scope::whole)
+        forget_peer(report.peer);
+    auto& told = m_told_running[report.peer];
     for (auto const& load : report.loads) {
         auto* const state = find(load.endpoint);
         if (state == nullptr)
             continue;
-        state->others_running += load.running;
+        auto const before = std::exchange(told[load.endpoint], load.running);
+        state->others_running = state->others_running - std::min(state->others_running, before) + load.running;
         (void)state->reading.note_sent(load.sent, now);
         state->reading.note_told(load.left_to_read_ms, load.read_ago, now);
     }
-    m_reports[report.peer] = report.loads;
     for (auto const& placed : report.parts) {
         if (auto* state = find(placed.endpoint))
             state->places.note(placed.part, now);
@@ -249,15 +252,15 @@
 
 void endpoint_board::forget_peer(vm_name const& peer)
 {
-    auto const reported = m_reports.find(peer);
-    if (reported == m_reports.end())
+    auto const told = m_told_running.find(peer);
+    if (told == m_told_running.end())
         return;
-    for (auto const& load : reported->second) {
+    for (auto const& [endpoint, running] : told->second) {
         // The endpoint may have gone and come since.
-        if (auto* state = find(load.endpoint))
-            state->others_running -= std::min(state->others_running, load.running);
+        if (auto* state = find(endpoint))
+            state->others_running -= std::min(state->others_running, running);
     }
-    m_reports.erase(reported);
+    m_told_running.erase(told);
 }
 
 void endpoint_board::forget_old_parts(instant now)
@@ -276,12 +279,16 @@
     return placed;
 }
 
-std::vector<endpoint_load> endpoint_board::take_own_loads(instant now)
+std::vector<endpoint_load> endpoint_board::take_own_loads(report_scope scope, instant now)
 {
     std::vector<endpoint_load> loads;
     for (auto const& [name, state] : m_endpoints) {
         auto const sent = std::exchange(state->sent_untold, 0);
-        if (state->running > 0 || sent > 0)
+        bool const has_read = std::exchange(state->has_read_untold, false);
+        bool const is_changed = sent > 0 || has_read || state->running != state->running_told;
+        bool const is_told = scope == report_scope::whole ? state->running > 0 || sent > 0 : is_changed;
+        state->running_told = state->running;
+        if (is_told)
             loads.push_back(
                 { state->key, state->running, sent, state->reading.left_ms(now), state->reading.last_read_ago(now) });
     }
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -26,6 +26,10 @@
     std::uint32_t others_running { 0 };
     // Prompt tokens sent there since this router last told the others.
     token_count sent_untold { 0 };
+    // What they were last told of `running`.
+    std::uint32_t running_told { 0 };
+    // A first event has been seen since then.
+    bool has_read_untold { false };
     // How far the engine has read the prompts sent there.
     reading_estimate reading;
     // How much longer first events and answers take here than foreseen.
@@ -114,7 +118,7 @@
     [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const;
 
     // What the others are to know; prompt tokens are those since the last call.
-    [[nodiscard]] std::vector<endpoint_load> take_own_loads(instant now);
+    [[nodiscard]] std::vector<endpoint_load> take_own_loads(report_scope scope, instant now);
 
 private:
     [[nodiscard]] double expected_time(
@@ -130,7 +134,8 @@
     std::unordered_map<endpoint_key, endpoint_state*> m_by_key;
     // Those of a pool that may get new work.
     std::unordered_map<pool_name, std::vector<endpoint_state*>> m_open;
-    std::unordered_map<vm_name, std::vector<endpoint_load>> m_reports;
+    // What each other router has running at each endpoint, as it last told.
+    std::unordered_map<vm_name, std::unordered_map<endpoint_key, std::uint32_t>> m_told_running;
     std::unordered_map<pool_name, double> m_service_time_ms;
     // Prompt tokens that an engine of the pool reads in a millisecond beside its running requests.
     std::unordered_map<pool_name, double> m_read_rate;
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -84,9 +84,13 @@
     std::uint64_t part { 0 };
 };
 
-// The whole of what another router tells of itself, each time anew.
+// Whether a report names all endpoints with something under way, or those of which something changed since the last.
+enum class report_scope { whole, changes };
+
+// What another router tells of itself. Teams are told whole each time.
 struct peer_reported {
     vm_name peer;
+    report_scope scope { report_scope::whole };
     std::vector<endpoint_load> loads;
     std::vector<team_usage> teams;
     std::vector<part_placed> parts;
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -18,11 +18,11 @@
     // A request within its team's share goes where parts of its prompt are not kept, though they are elsewhere, after
     // this part of its objective.
     double patience { 0.3 };
-    // What is past its team's share may take an endpoint's places up to this part, less for each even level of lead,
-    // and at least so much.
-    double load_past_share { 0.8 };
+    // What is past its team's share may take an endpoint's places up to this part, and less for each even level of lead:
+    // half an even level ahead, a team gets nothing more, which bounds the gap between backlogged teams. More runs would
+    // make the steps of what is owed longer and drive shared parts out of the engine's memory.
+    double load_past_share { 0.25 };
     double load_less_per_lead { 0.5 };
-    double load_far_ahead { 0.25 };
     // A first event must be foreseen within this part of the time that is left.
     double margin_of_objective { 0.85 };
     // An engine with so little to read, in milliseconds, counts as having nothing to read: it takes any prompt, however
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -39,7 +39,8 @@
             saturated<std::uint32_t>(load.read_ago.count()));
     std::vector<fbs::Usage> teams;
     for (auto const& usage : state.report.teams)
-        teams.emplace_back(usage.team.value(), usage.asked, usage.admitted);
+        teams.emplace_back(
+            usage.team.value(), saturated<std::uint32_t>(usage.asked), saturated<std::uint32_t>(usage.admitted));
     std::vector<fbs::Placed> parts;
     for (auto const& placed : state.report.parts)
         parts.emplace_back(placed.endpoint.value(), placed.part);
@@ -51,8 +52,9 @@
     auto const address = builder.CreateString(state.address);
     auto const peers = builder.CreateVectorOfStrings(state.peers);
     return fbs::CreateState(builder, vm, address, builder.CreateVectorOfStructs(loads),
-        builder.CreateVectorOfStructs(teams), builder.CreateVectorOfStructs(parts), builder.CreateVector(documents),
-        peers, state.report.is_aside, static_cast<float>(state.report.busy_part));
+        state.report.scope == dispatch::report_scope::whole, builder.CreateVectorOfStructs(teams),
+        builder.CreateVectorOfStructs(parts), builder.CreateVector(documents), peers, state.report.is_aside,
+        static_cast<float>(state.report.busy_part));
 }
 
 result<state_message> decode(fbs::State const& state)
@@ -60,6 +62,7 @@
     state_message made;
     made.report.peer = vm_name(text_of(state.vm()));
     made.address = text_of(state.address());
+    made.report.scope = state.are_loads_whole() ? dispatch::report_scope::whole : dispatch::report_scope::changes;
     made.report.is_aside = state.is_aside();
     made.report.busy_part = state.busy_part() >= 0 ? std::min(static_cast<double>(state.busy_part()), 1.0) : 0;
     if (state.loads() != nullptr) {
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -29,6 +29,8 @@
     double retry_ratio { 0.1 };
     double retry_slack { 10 };
     milliseconds retry_window { 10000 };
+    // From the store's word that an endpoint leaves until no request may reach it any more.
+    milliseconds leaving_bound { 2000 };
     // Over which teams' shares are judged.
     milliseconds share_window { 4000 };
     std::size_t descriptors { 1024 };
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -47,7 +47,7 @@
         , m_peers(loop, settings.peer_address, [this](peering::peer_message message) { take(std::move(message)); })
         , m_configuration(loop, settings.store_address, relay::table_name::configuration,
               { milliseconds(0), long_feed_wait }, [this] { take_configuration_rows(); })
-        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, { list_pace, feed_wait },
+        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, { list_pace(settings), feed_wait },
               [this] { take_endpoint_rows(); })
         , m_routers(loop, settings.store_address, relay::table_name::routers, { routers_pace, long_feed_wait },
               [this] { take_router_rows(); })
@@ -101,18 +101,35 @@
 
 private:
     static constexpr milliseconds peer_interval { 100 };
-    static constexpr milliseconds list_pace { 700 };
+    // How often the whole is told, and the routers that are known.
+    static constexpr milliseconds whole_interval { 1000 };
     static constexpr milliseconds routers_pace { 2000 };
     // Each call to the store has its price. The list's feed comes back often, so that an outage is noticed by it; the
     // feeds of what rarely changes are held longer, and asked anew as soon as the list's feed tells of an outage.
     static constexpr milliseconds feed_wait { 1500 };
     static constexpr milliseconds long_feed_wait { 8000 };
-    // What a peer knows is asked for once the store has not confirmed our own for so long.
-    static constexpr milliseconds out_of_date { 900 };
+    // What a peer knows is asked for once the store has not confirmed our own for so long; of the list, so long after
+    // its feed was due.
+    static constexpr milliseconds configuration_out_of_date { 900 };
+    static constexpr milliseconds list_overdue { 200 };
     static constexpr milliseconds want_interval { 400 };
     static constexpr milliseconds write_interval { 1500 };
     static constexpr milliseconds write_limit { 1200 };
 
+    // The feed answers at once while endpoints write there, and each call has its price: a third of the time in which a
+    // leaving endpoint may still get requests, so that two calls in a row may fail.
+    static milliseconds list_pace(relay::deployment_settings const& settings)
+    {
+        constexpr std::int64_t calls_within_bound = 3;
+        return settings.leaving_bound / calls_within_bound;
+    }
+
+    [[nodiscard]] milliseconds out_of_date(peering::document_kind kind) const
+    {
+        return kind == peering::document_kind::configuration ? configuration_out_of_date
+                                                             : list_pace(m_settings) + list_overdue;
+    }
+
     // The store.
 
     void take_configuration_rows()
@@ -203,22 +220,38 @@
 
     // Peers.
 
+    // Most messages hold only what changed: where many routers tell each other, they would fill the links between
+    // failure domains. Once in a while, and when a router is new, the whole is told, so that a lost message does no
+    // lasting harm.
     void tell_peers(instant now)
     {
+        auto const newcomers = m_peers.take_new();
+        bool const is_whole = !newcomers.empty() || now - m_told_whole_at >= whole_interval;
         peering::state_message state;
-        state.report = m_host.reducer().take_own_report(now);
+        state.report = m_host.reducer().take_own_report(
+            is_whole ? dispatch::report_scope::whole : dispatch::report_scope::changes, now);
         if (!m_peers.has_listeners())
             return;
         state.address = m_peers.own_address();
-        state.peers = m_peers.directory().connected();
+        if (is_whole) {
+            m_told_whole_at = now;
+            state.peers = m_peers.directory().connected();
+        }
         state.documents.push_back({ peering::document_kind::configuration, m_host.reducer().routes().current().revision,
             now - m_configuration.follower().confirmed_at() });
         state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().version(),
             now - m_endpoints.follower().confirmed_at() });
-        auto const newcomers = m_peers.take_new();
         m_peers.tell_all(peering::encode_frame(state));
+        tell_parts(newcomers, std::move(state), now);
+    }
+
+    // A router that has just come up learns where parts of prompts are kept.
+    void tell_parts(std::vector<std::string> const& newcomers, peering::state_message state, instant now)
+    {
         if (newcomers.empty())
             return;
+        state.report.scope = dispatch::report_scope::changes;
+        state.report.loads.clear();
         state.report.parts = m_host.reducer().recent_parts(now);
         auto const frame = peering::encode_frame(std::move(state));
         for (auto const& address : newcomers)
@@ -249,7 +282,7 @@
         bool const is_configuration = told.kind == peering::document_kind::configuration;
         auto& follower = is_configuration ? m_configuration.follower() : m_endpoints.follower();
         auto const own = is_configuration ? m_host.reducer().routes().current().revision : follower.version();
-        if (told.version <= own || now - follower.confirmed_at() < out_of_date || now < m_want_again_at)
+        if (told.version <= own || now - follower.confirmed_at() < out_of_date(told.kind) || now < m_want_again_at)
             return;
         m_want_again_at = now + want_interval;
         m_peers.tell(
@@ -274,7 +307,7 @@
     {
         if (document.kind == peering::document_kind::configuration)
             return take_configuration_text(document.text);
-        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date)
+        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date(document.kind))
             return;
         if (m_endpoints.follower().take_told(std::move(document.rows), document.version)
             == dispatch::table_follower::page_outcome::changed)
@@ -297,6 +330,7 @@
     bool m_is_leaving { false };
     bool m_was_failing { false };
     instant m_told_at {};
+    instant m_told_whole_at {};
     instant m_write_again_at {};
     instant m_want_again_at {};
 };
--- a/services/shedhilld/policy_settings.cpp
+++ b/services/shedhilld/policy_settings.cpp
@@ -34,8 +34,6 @@
         "Percent of an endpoint's places that what is past its share may fill." },
     policy_setting { "load-less-per-lead", &dispatch_policy::load_less_per_lead, percent, 1000,
         "Percent of places less for each even level that a team is ahead." },
-    policy_setting { "load-far-ahead", &dispatch_policy::load_far_ahead, percent, 100,
-        "Percent of places that are left to a team however far it is ahead." },
     policy_setting { "patience", &dispatch_policy::patience, percent, 400,
         "Wait for the endpoint that keeps a prompt's parts, in percent of the objective." },
     policy_setting { "margin-of-objective", &dispatch_policy::margin_of_objective, percent, 400,
