dispatch: Pass an endpoint's own failure on where no other endpoint has room

The answer is kept back anyway, so it is passed on. Ruled out: sick endpoints. 75 of 130 such requests fail at a second endpoint too and 36 pass there: the failure lies mostly in the request.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -160,6 +160,7 @@
     if (request.attempt == attempt_number())
         step.effects.emplace_back(time_event { timed::wait, request.pool, step.now - request.arrived });
     request.at = phase::running;
+    request.is_failure_kept = false;
     request.attempt = attempt_number(request.attempt.value() + 1);
     request.endpoint = endpoint.entry.name;
     request.tried.push_back(request.endpoint);
@@ -258,6 +259,8 @@
             return send(number, request, chosen, step);
     }
     auto const reason = m_board.has_endpoints(request.pool) ? refusal_reason::no_place : refusal_reason::no_endpoint;
+    if (request.is_failure_kept)
+        return pass_failure(number, request, reason, step);
     if (request.has_answer_begun || request.may_have_run)
         return finish_failed(number, request, reason, step);
     auto const status
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -209,6 +209,7 @@
         return send(number, request, chosen, step);
     if (is_urgent)
         return finish_failed(number, request, refusal_reason::no_endpoint, step);
+    request.is_failure_kept = end == attempt_end::failed;
     m_waiting.push_back(number);
 }
 
@@ -291,6 +292,8 @@
         request.may_have_run = true;
     }
     auto const reason = request.ends_at_route_limit ? refusal_reason::time_limit : refusal_reason::deadline_passed;
+    if (request.is_failure_kept)
+        return pass_failure(number, request, reason, step);
     if (request.has_answer_begun)
         return finish_failed(number, request, reason, step);
     refuse(number, request, request.may_have_run ? status_gateway_timeout : status_unavailable, reason, step);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -100,6 +100,8 @@
         milliseconds first_event_after { 0 };
         // An earlier attempt may have run: nothing can be called "not run" any more.
         bool may_have_run { false };
+        // The endpoint's own failure is kept back, and would be the answer if no other attempt follows.
+        bool is_failure_kept { false };
     };
 
     struct step_context {
--- a/tests/dispatch/dispatch_outcomes_test.cpp
+++ b/tests/dispatch/dispatch_outcomes_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(an_unknown_end_is_never_called_not_run);
     CPPUNIT_TEST(an_unknown_end_is_repeated_where_that_is_allowed);
     CPPUNIT_TEST(an_endpoints_own_failure_is_repeated_where_that_is_allowed);
+    CPPUNIT_TEST(an_endpoints_own_failure_is_passed_on_where_no_other_has_room);
     CPPUNIT_TEST(what_was_not_run_goes_to_another_endpoint);
     CPPUNIT_TEST(no_more_endpoints_than_allowed_see_a_request);
     CPPUNIT_TEST(sends_that_never_left_do_not_count_as_attempts);
@@ -105,6 +106,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.reducer().active_requests());
     }
 
+    // Found on the users' platform: callers got a 502 of ours in place of the endpoint's answer.
+    void an_endpoints_own_failure_is_passed_on_where_no_other_has_room()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain") });
+        auto const look = fleet.ask("/look/");
+        fleet.end(look, attempt_end::failed, 500);
+        CPPUNIT_ASSERT(!fleet.is_passed_on(look));
+        fleet.wait(milliseconds(400));
+        CPPUNIT_ASSERT(fleet.is_passed_on(look));
+        CPPUNIT_ASSERT(!fleet.refusal_of(look));
+        // Nothing was read of an answer that broke off: there is nothing to pass on.
+        auto const broken = fleet.ask("/look/");
+        fleet.end(broken, attempt_end::broken);
+        fleet.wait(milliseconds(400));
+        CPPUNIT_ASSERT(!fleet.is_passed_on(broken));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 502 }, fleet.refusal_of(broken)->status);
+    }
+
     void what_was_not_run_goes_to_another_endpoint()
     {
         driver fleet;
