--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -10,8 +10,10 @@
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/exchange.h"
 #include "libraries/relay/status_server.h"
+#include "libraries/relay/stop_sequence.h"
 #include "services/shedhilld/counter_names.h"
 #include "services/shedhilld/endpoint_connections.h"
+#include "services/shedhilld/exchange_table.h"
 #include "services/shedhilld/fleet_knowledge.h"
 
 #include <array>
@@ -108,9 +110,6 @@
     static constexpr milliseconds usual_tick { 20 };
     static constexpr milliseconds check_interval { 24 };
     static constexpr milliseconds connect_limit { 160 };
-    // The balancer asks each second and leaves a router out after two bad answers.
-    static constexpr milliseconds balancer_notice { 2700 };
-    static constexpr milliseconds stop_margin { 700 };
 
     static dispatch::dispatch_options make_options(
         relay::deployment_settings const& settings, dispatch::dispatch_policy const& policy)
@@ -139,9 +138,9 @@
     void on_request(relay::caller_connection& connection, relay::caller_request request) override
     {
         // Where many callers stay connected, descriptors run short: who has been served is let go.
-        if (m_stop_asked_at != instant {} || m_callers.size() > most_kept_callers() || sends_callers_away())
+        if (m_stop.has_begun() || m_callers.size() > most_kept_callers() || sends_callers_away())
             connection.close_after_answer();
-        if (m_is_closing) {
+        if (m_stop.is_closing()) {
             CallerBinding::append_refusal(connection.out(),
                 { status_unavailable, dispatch::name_of(dispatch::refusal_reason::stopping), stopping_return, true },
                 request);
@@ -158,8 +157,7 @@
             m_metrics.add("shedhill_refusals_total{reason=\"bad_request\"}");
             return connection.finish_answer();
         }
-        m_request_of_caller[connection.number()] = arrived.request;
-        m_exchanges.emplace(arrived.request,
+        m_exchanges.add(arrived.request,
             std::make_unique<exchange>(m_loop, static_cast<relay::exchange_owner&>(*this), arrived.request,
                 std::move(request), connection.shared_from_this()));
         on_event(std::move(arrived));
@@ -177,11 +175,8 @@
     void on_caller_gone(relay::caller_connection& connection) override
     {
         auto const number = connection.number();
-        if (auto const found = m_request_of_caller.find(number); found != m_request_of_caller.end()) {
-            on_event(dispatch::caller_left { found->second });
-            m_over.push_back(found->second);
-            m_request_of_caller.erase(found);
-        }
+        if (auto const request = m_exchanges.forget_caller(number))
+            on_event(dispatch::caller_left { *request });
         m_loop.at_end_of_round([this, number] { m_callers.erase(number); });
     }
 
@@ -204,7 +199,7 @@
         m_connections.keep(attempt.endpoint, std::move(connection));
     }
 
-    void on_exchange_over(request_number request) override { m_over.push_back(request); }
+    void on_exchange_over(request_number request) override { m_exchanges.note_over(request); }
 
     void take_events()
     {
@@ -213,15 +208,7 @@
             m_events.pop_front();
             reduce(std::move(happened));
         }
-        for (auto const request : std::exchange(m_over, {})) {
-            auto const found = m_exchanges.find(request);
-            if (found == m_exchanges.end())
-                continue;
-            auto const caller = m_request_of_caller.find(found->second->caller().number());
-            if (caller != m_request_of_caller.end() && caller->second == request)
-                m_request_of_caller.erase(caller);
-            m_exchanges.erase(found);
-        }
+        m_exchanges.remove_over();
     }
 
     void reduce(dispatch::event_body happened)
@@ -231,15 +218,9 @@
             std::visit([this](auto& body) { carry_out(body); }, effect);
     }
 
-    exchange* find_exchange(request_number request)
-    {
-        auto const found = m_exchanges.find(request);
-        return found == m_exchanges.end() ? nullptr : found->second.get();
-    }
-
     void carry_out(dispatch::send_attempt& sent)
     {
-        auto* const served = find_exchange(sent.request);
+        auto* const served = m_exchanges.find(sent.request);
         if (served == nullptr)
             return;
         auto connection = m_connections.take(sent.endpoint, sent.connection, m_loop.now());
@@ -250,25 +231,25 @@
 
     void carry_out(dispatch::cancel_attempt const& cancelled)
     {
-        if (auto* const served = find_exchange(cancelled.request))
+        if (auto* const served = m_exchanges.find(cancelled.request))
             served->drop_attempt();
     }
 
     void carry_out(dispatch::answer_refusal const& refusal)
     {
-        if (auto* const served = find_exchange(refusal.request))
+        if (auto* const served = m_exchanges.find(refusal.request))
             served->refuse(refusal);
     }
 
     void carry_out(dispatch::pass_answer const& passed)
     {
-        if (auto* const served = find_exchange(passed.request))
+        if (auto* const served = m_exchanges.find(passed.request))
             served->pass_kept_answer();
     }
 
     void carry_out(dispatch::break_answer const& broken)
     {
-        if (auto* const served = find_exchange(broken.request))
+        if (auto* const served = m_exchanges.find(broken.request))
             served->break_off();
     }
 
@@ -297,7 +278,7 @@
     // Not before the balancer has noticed: until then they would come back here.
     [[nodiscard]] bool sends_callers_away() const
     {
-        return m_sends_away_since != instant {} && m_loop.now() - m_sends_away_since >= balancer_notice;
+        return m_sends_away_since != instant {} && m_loop.now() - m_sends_away_since >= relay::balancer_notice;
     }
 
     // Half of the descriptors are for callers who rest between requests; the others are for those being served.
@@ -307,7 +288,7 @@
 
     void tick(instant now, milliseconds lag, signal_flags& signals)
     {
-        if (signals.stop != 0 && m_stop_asked_at == instant {})
+        if (signals.stop != 0 && !m_stop.has_begun())
             begin_stop(now);
         if (signals.reload != 0) {
             signals.reload = 0;
@@ -322,14 +303,12 @@
             m_checked_at = now;
             check_times(now);
         }
-        if (m_stop_asked_at != instant {})
-            go_on_stopping(now);
+        go_on_stopping(now);
     }
 
     void check_times(instant now)
     {
-        for (auto const& [number, served] : m_exchanges)
-            served->check_time(now, connect_limit);
+        m_exchanges.for_each([now](exchange& served) { served.check_time(now, connect_limit); });
         take_events();
         m_connections.close_old(now);
         auto const& limits = m_reducer.routes().current().limits;
@@ -348,7 +327,7 @@
 
     void begin_stop(instant now)
     {
-        m_stop_asked_at = now;
+        m_stop.begin(now);
         m_knowledge.leave();
         log_state("stop_requested", dispatch::log_fields().add("open", m_exchanges.size()).take());
         reduce(dispatch::drain_requested {});
@@ -356,17 +335,19 @@
 
     void go_on_stopping(instant now)
     {
-        auto const since = now - m_stop_asked_at;
-        if (since >= balancer_notice && !std::exchange(m_is_closing, true))
-            close_idle_callers();
-        bool const is_last_moment = since >= m_settings.stop_time - stop_margin;
-        if (since < balancer_notice && !is_last_moment)
-            return;
-        if (!m_exchanges.empty() && !is_last_moment)
+        if (!m_stop.has_begun())
             return;
         bool const has_half_a_request
             = std::ranges::any_of(m_callers, [](auto const& entry) { return entry.second->has_begun_request(); });
-        m_is_over = is_last_moment || !has_half_a_request;
+        switch (m_stop.advance({ m_exchanges.size(), has_half_a_request }, m_settings.stop_time, now)) {
+        case relay::stop_step::wait:
+            return;
+        case relay::stop_step::close_callers:
+            return close_idle_callers();
+        case relay::stop_step::end_process:
+            m_is_over = true;
+            return;
+        }
     }
 
     void close_idle_callers()
@@ -434,19 +415,15 @@
     std::uint64_t m_last_caller { 0 };
     std::uint64_t m_last_request { 0 };
     std::unordered_map<std::uint64_t, std::shared_ptr<relay::caller_connection>> m_callers;
-    std::unordered_map<std::uint64_t, request_number> m_request_of_caller;
-    std::unordered_map<request_number, std::unique_ptr<exchange>> m_exchanges;
+    exchange_table<exchange> m_exchanges;
     std::deque<dispatch::event_body> m_events;
-    std::vector<request_number> m_over;
     bool m_is_drain_scheduled { false };
 
     bool m_is_ready { false };
     // This router has stepped aside; the epoch while it has not.
     instant m_sends_away_since {};
     bool m_is_over { false };
-    // The balancer has noticed the stop: nothing new is taken any more.
-    bool m_is_closing { false };
-    instant m_stop_asked_at {};
+    relay::stop_sequence m_stop;
     instant m_ticked_at {};
     instant m_checked_at {};
 };
--- /dev/null
+++ b/services/shedhilld/exchange_table.h
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The exchanges that are open at a router, and whose request each caller's connection waits for.
+#pragma once
+
+#include "base/identifiers.h"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace shedhill::daemon {
+
+template <typename Exchange>
+class exchange_table {
+public:
+    using caller_number = std::uint64_t;
+
+    void add(request_number request, std::unique_ptr<Exchange> opened)
+    {
+        m_request_of_caller[opened->caller().number()] = request;
+        m_exchanges.emplace(request, std::move(opened));
+    }
+
+    [[nodiscard]] Exchange* find(request_number request)
+    {
+        auto const found = m_exchanges.find(request);
+        return found == m_exchanges.end() ? nullptr : found->second.get();
+    }
+
+    // The caller waits for nothing any more. The request that it waited for, if any; that exchange is over.
+    std::optional<request_number> forget_caller(caller_number caller)
+    {
+        auto const found = m_request_of_caller.find(caller);
+        if (found == m_request_of_caller.end())
+            return std::nullopt;
+        auto const request = found->second;
+        m_request_of_caller.erase(found);
+        m_over.push_back(request);
+        return request;
+    }
+
+    // The exchange may be on the stack now: it goes with the next call of remove_over().
+    void note_over(request_number request) { m_over.push_back(request); }
+
+    void remove_over()
+    {
+        for (auto const request : std::exchange(m_over, {})) {
+            auto const found = m_exchanges.find(request);
+            if (found == m_exchanges.end())
+                continue;
+            auto const caller = m_request_of_caller.find(found->second->caller().number());
+            if (caller != m_request_of_caller.end() && caller->second == request)
+                m_request_of_caller.erase(caller);
+            m_exchanges.erase(found);
+        }
+    }
+
+    template <typename Action>
+    void for_each(Action&& action)
+    {
+        for (auto const& [number, served] : m_exchanges)
+            action(*served);
+    }
+
+    [[nodiscard]] std::size_t size() const { return m_exchanges.size(); }
+
+private:
+    std::unordered_map<request_number, std::unique_ptr<Exchange>> m_exchanges;
+    // Invariant: a caller's connection waits for one request at most, which is in m_exchanges or in m_over.
+    std::unordered_map<caller_number, request_number> m_request_of_caller;
+    std::vector<request_number> m_over;
+};
+
+} // namespace shedhill::daemon
