dispatch, shedhilld: A large fleet shares out the calls that follow the list

Routers now tell each other the version of the newest change to the list, not the store's, which moves with every write; whoever knows less asks. A router's own pace is at most 0.8 s, which keeps the gap that store_outage_watch expects.

Two tests for the follower.

--- a/libraries/dispatch/store_outage_watch.cpp
+++ b/libraries/dispatch/store_outage_watch.cpp
@@ -24,11 +24,15 @@
     m_peers_confirmed_at = confirmed_at;
 }
 
+bool store_outage_watch::is_heard_by_peers(instant now) const
+{
+    return m_peers_confirmed_at != instant {} && now - m_peers_confirmed_at < unheard;
+}
+
 store_contact store_outage_watch::contact(own_store_contact const& own, instant now) const
 {
     store_contact made { now - std::max(own.confirmed_at, m_peers_confirmed_at) >= unheard, own.returned_at };
-    bool const is_heard_by_peers = m_peers_confirmed_at != instant {} && now - m_peers_confirmed_at < unheard;
-    if (is_heard_by_peers)
+    if (is_heard_by_peers(now))
         made.returned_at = std::min(made.returned_at, m_peers_heard_since);
     return made;
 }
--- a/libraries/dispatch/store_outage_watch.h
+++ b/libraries/dispatch/store_outage_watch.h
@@ -20,6 +20,8 @@
     // Another router tells when the store last confirmed the list to it. Reports may come late and out of order.
     void note_peer_confirmed(instant confirmed_at);
 
+    // Whether another router has heard the store of late.
+    [[nodiscard]] bool is_heard_by_peers(instant now) const;
     [[nodiscard]] store_contact contact(own_store_contact const& own, instant now) const;
 
 private:
--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -48,6 +48,7 @@
         if (known != m_rows.end() && known->second.version >= changed.version)
             continue;
         is_changed = true;
+        m_changed_version = std::max(m_changed_version, changed.version);
         if (changed.is_gone)
             m_rows.erase(changed.key);
         else
@@ -85,6 +86,7 @@
     m_has_rows = true;
     m_rows = read;
     m_version = read_version;
+    note_changes(m_rows);
     m_confirmed_at = now;
     return page_outcome::changed;
 }
@@ -104,12 +106,19 @@
     m_next_at = now + m_back_off / 2 + milliseconds(static_cast<std::int64_t>(draw % spread));
 }
 
+void table_follower::note_changes(std::map<std::string, row> const& rows)
+{
+    for (auto const& [key, known] : rows)
+        m_changed_version = std::max(m_changed_version, known.version);
+}
+
 table_follower::page_outcome table_follower::take_told(std::map<std::string, row> rows, std::uint64_t version)
 {
     if (version <= m_version)
         return page_outcome::out_of_date;
     m_rows = std::move(rows);
     m_version = version;
+    note_changes(m_rows);
     m_has_rows = true;
     // A read from before this would be out of date; the feed goes on from here.
     m_must_read = false;
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -61,6 +61,10 @@
 
     [[nodiscard]] std::map<std::string, row> const& rows() const { return m_rows; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
+    // Of the newest change to the rows that is known: what two followers compare to tell who knows more.
+    [[nodiscard]] std::uint64_t changed_version() const { return m_changed_version; }
+    // The least time between two calls of the feed from now on.
+    void set_pace(milliseconds pace) { m_options.pace = pace; }
     // Whether the rows were ever known.
     [[nodiscard]] bool has_rows() const { return m_has_rows; }
     // When the store last confirmed them.
@@ -71,6 +75,7 @@
 
 private:
     void note_answer(instant now);
+    void note_changes(std::map<std::string, row> const& rows);
     page_outcome take_read_page(
         std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
 
@@ -82,6 +87,8 @@
     bool m_has_rows { false };
     // Of the store, up to which m_rows is complete. Never decreases.
     std::uint64_t m_version { 0 };
+    // Never decreases, and never above m_version.
+    std::uint64_t m_changed_version { 0 };
     // Pages of a read that is not yet whole.
     std::map<std::string, row> m_reading;
     std::uint64_t m_reading_version { 0 };
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -48,8 +48,8 @@
         , m_peers(loop, settings.peer_address, [this](peering::peer_message message) { take(std::move(message)); })
         , m_configuration(loop, settings.store_address, relay::table_name::configuration,
               { milliseconds(0), long_feed_wait }, [this] { take_configuration_rows(); })
-        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, { list_pace(settings), feed_wait },
-              [this] { take_endpoint_rows(); })
+        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints,
+              { own_list_pace(settings), feed_wait }, [this] { take_endpoint_rows(); })
         , m_routers(loop, settings.store_address, relay::table_name::routers, { routers_pace, long_feed_wait },
               [this] { take_router_rows(); })
         , m_writer(loop, settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
@@ -75,6 +75,7 @@
     void tick(instant now, std::uint64_t draw)
     {
         m_configuration.tick(now, draw);
+        m_endpoints.follower().set_pace(list_pace(now));
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
         if (std::exchange(m_was_failing, m_endpoints.follower().is_failing()) != m_endpoints.follower().is_failing()) {
@@ -118,16 +119,31 @@
 
     // The feed answers at once while endpoints write there, and each call has its price: a third of the time in which a
     // leaving endpoint may still get requests, so that two calls in a row may fail.
-    static milliseconds list_pace(relay::deployment_settings const& settings)
+    static milliseconds own_list_pace(relay::deployment_settings const& settings)
     {
         constexpr std::int64_t calls_within_bound = 3;
-        return settings.leaving_bound / calls_within_bound;
+        // With the time that a call is held, within the gap that store_outage_watch expects.
+        constexpr milliseconds most { 800 };
+        return std::min(settings.leaving_bound / calls_within_bound, most);
+    }
+
+    // In a large fleet the calls are shared out: a change reaches whoever follows the feed at the moment, and the
+    // others ask it. While none of the others hears the store, each is on its own.
+    [[nodiscard]] milliseconds list_pace(instant now) const
+    {
+        constexpr std::size_t routers_enough = 8;
+        constexpr std::size_t most_stretch = 4;
+        auto const own = own_list_pace(m_settings);
+        if (!m_outages.is_heard_by_peers(now))
+            return own;
+        auto const stretch = std::clamp<std::size_t>(m_peers.listeners() / routers_enough, 1, most_stretch);
+        return own * static_cast<std::int64_t>(stretch);
     }
 
     [[nodiscard]] milliseconds out_of_date(peering::document_kind kind) const
     {
         return kind == peering::document_kind::configuration ? configuration_out_of_date
-                                                             : list_pace(m_settings) + list_overdue;
+                                                             : own_list_pace(m_settings) + list_overdue;
     }
 
     // What others have sent in the last moments is what a choice knows least of, so a small fleet tells more often;
@@ -252,7 +268,7 @@
         }
         state.documents.push_back({ peering::document_kind::configuration, m_host.reducer().routes().current().revision,
             now - m_configuration.follower().confirmed_at() });
-        state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().version(),
+        state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().changed_version(),
             now - m_endpoints.follower().confirmed_at() });
         m_peers.tell_all(peering::encode_frame(state));
         tell_parts(newcomers, std::move(state), now);
@@ -294,7 +310,7 @@
     {
         bool const is_configuration = told.kind == peering::document_kind::configuration;
         auto& follower = is_configuration ? m_configuration.follower() : m_endpoints.follower();
-        auto const own = is_configuration ? m_host.reducer().routes().current().revision : follower.version();
+        auto const own = is_configuration ? m_host.reducer().routes().current().revision : follower.changed_version();
         if (told.version <= own || now - follower.confirmed_at() < out_of_date(told.kind) || now < m_want_again_at)
             return;
         m_want_again_at = now + want_interval;
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(a_table_is_read_and_then_followed);
     CPPUNIT_TEST(a_lost_history_is_read_anew_and_never_goes_back);
     CPPUNIT_TEST(a_store_that_is_away_is_asked_less_and_less);
+    CPPUNIT_TEST(the_newest_change_is_told_apart_from_the_stores_version);
+    CPPUNIT_TEST(the_pace_can_be_changed);
     CPPUNIT_TEST(rows_told_by_a_peer_are_followed_on);
     CPPUNIT_TEST(a_part_counts_only_behind_kept_ones);
     CPPUNIT_TEST(the_endpoint_that_keeps_the_parts_is_preferred);
@@ -193,6 +195,37 @@
         CPPUNIT_ASSERT(follower.is_failing());
     }
 
+    // Heartbeats of other tables move the store's version; who knows more of these rows is told by their changes.
+    void the_newest_change_is_told_apart_from_the_stores_version()
+    {
+        table_follower follower({ milliseconds(0), milliseconds(1500) });
+        (void)follower.take_next(at(1000));
+        follower.take_page({ { "a", "1", 3, false }, { "b", "1", 5, false } }, 9, false, at(1000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, follower.changed_version());
+        (void)follower.take_next(at(1001));
+        follower.take_page({}, 20, false, at(1002));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 20 }, follower.version());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, follower.changed_version());
+        (void)follower.take_next(at(1003));
+        follower.take_page({ { "b", "", 22, true } }, 25, false, at(1004));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 22 }, follower.changed_version());
+        // A whole read shows no row for what is gone.
+        (void)follower.take_told({ { "a", { "1", 3 } } }, 30);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 22 }, follower.changed_version());
+    }
+
+    void the_pace_can_be_changed()
+    {
+        table_follower follower({ milliseconds(100), milliseconds(1500) });
+        (void)follower.take_next(at(1000));
+        follower.take_page({}, 5, false, at(1010));
+        follower.set_pace(milliseconds(1000));
+        CPPUNIT_ASSERT(follower.take_next(at(1100)).kind == table_follower::call_kind::follow);
+        follower.take_page({}, 6, false, at(1110));
+        CPPUNIT_ASSERT(follower.take_next(at(2099)).kind == table_follower::call_kind::none);
+        CPPUNIT_ASSERT(follower.take_next(at(2100)).kind == table_follower::call_kind::follow);
+    }
+
     void rows_told_by_a_peer_are_followed_on()
     {
         table_follower follower({ milliseconds(0), milliseconds(1500) });
