dispatch: After a start of all routers the share grows with what is known

A share now covers the time for which some router has known the fleet's sums, and a second more; routers tell each other that span, so one that starts alone goes by the whole window at once.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -61,7 +61,7 @@
     if (m_peers.insert_or_assign(report.peer, peer_state { step.now, report.is_aside, report.busy_part }).second)
         step.effects.emplace_back(
             log_line { severity::failure, "peer_regained", log_fields().add("peer", report.peer.value()).take() });
-    m_ledger.take_report(report.peer, report.teams);
+    m_ledger.take_report(report.peer, report.teams, report.known_span, step.now);
     m_board.take_report(report, step.now);
     m_retries.set_routers(std::max(m_peers.size() + 1, m_options.retries.routers));
 }
@@ -164,6 +164,7 @@
     report.peer = m_options.vm;
     report.loads = m_board.take_own_loads(scope, now);
     report.teams = m_ledger.own_usage(now);
+    report.known_span = m_ledger.known_span(now);
     report.is_aside = m_overload.is_aside();
     report.busy_part = m_overload.busy_part();
     report.parts = std::move(m_placed);
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -93,6 +93,8 @@
     report_scope scope { report_scope::whole };
     std::vector<endpoint_load> loads;
     std::vector<team_usage> teams;
+    // For how long it has known the fleet's sums, up to their window.
+    milliseconds known_span { 0 };
     std::vector<part_placed> parts;
     // It takes no new callers for now, since it has more to do than it can.
     bool is_aside { false };
--- a/libraries/dispatch/team_ledger.cpp
+++ b/libraries/dispatch/team_ledger.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t ms_per_second = 1000;
+// After a start of all routers the share begins with so much of the window: engines that were idle can take about a
+// second's worth at once and still begin in time.
+constexpr milliseconds head_start { 1000 };
 
 void add(team_usage& sum, team_usage const& usage, int sign)
 {
@@ -62,8 +65,10 @@
     return level;
 }
 
-void team_ledger::take_report(vm_name const& peer, std::vector<team_usage> const& teams)
+void team_ledger::take_report(
+    vm_name const& peer, std::vector<team_usage> const& teams, milliseconds known_span, instant now)
 {
+    m_known_since = std::min(m_known_since.value_or(now), now - known_span);
     forget_peer(peer);
     for (auto const& usage : teams)
         add(m_others[usage.team], usage, 1);
@@ -82,6 +87,9 @@
 
 void team_ledger::update_shares(token_count tokens_per_second, instant now)
 {
+    if (!m_known_since)
+        m_known_since = now;
+    auto const span = std::min(known_span(now) + head_start, m_window);
     auto all = m_others;
     for (auto const& usage : own_usage(now))
         add(all[usage.team], usage, 1);
@@ -92,10 +100,15 @@
         admitted += usage.admitted;
     }
     m_even_level = fill(demands, admitted);
-    m_share = tokens_per_second > 0 ? fill(std::move(demands), tokens_per_second * m_window.count() / ms_per_second)
+    m_share = tokens_per_second > 0 ? fill(std::move(demands), tokens_per_second * span.count() / ms_per_second)
                                     : std::numeric_limits<token_count>::max();
 }
 
+milliseconds team_ledger::known_span(instant now) const
+{
+    return m_known_since ? std::clamp(now - *m_known_since, milliseconds(0), m_window) : milliseconds(0);
+}
+
 std::vector<team_usage> team_ledger::own_usage(instant now)
 {
     std::vector<team_usage> usage;
--- a/libraries/dispatch/team_ledger.h
+++ b/libraries/dispatch/team_ledger.h
@@ -6,6 +6,7 @@
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/sliding_sum.h"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -20,13 +21,17 @@
     void charge(team_key team, instant now, token_count amount);
     [[nodiscard]] token_count level(team_key team, instant now);
 
-    // Another router's sums within the window replace what it told before.
-    void take_report(vm_name const& peer, std::vector<team_usage> const& teams);
+    // Another router's sums within the window replace what it told before. It has known the fleet's sums for the span.
+    void take_report(vm_name const& peer, std::vector<team_usage> const& teams, milliseconds known_span, instant now);
     void forget_peer(vm_name const& peer);
 
     // Computes the shares anew from what all teams ask for, at the rate that is owed to all together.
     void update_shares(token_count tokens_per_second, instant now);
-    // What a team may have within a window; without a limit while none was computed.
+    // How long the fleet's sums have been known, up to the window.
+    [[nodiscard]] milliseconds known_span(instant now) const;
+    // What a team may have within a window, or in the time for which the sums are known and a little more: routers that
+    // all start at once know of nothing that was admitted, and would let in a whole window's share of all teams in a
+    // moment. Without a limit while none was computed.
     [[nodiscard]] token_count share() const { return m_share; }
     // What each team that asked for more would have, had all that was admitted within the window been shared evenly;
     // without a limit where everyone got what it asked for.
@@ -47,6 +52,8 @@
     own_sums& sums_of(team_key team);
 
     milliseconds m_window;
+    // Since when some router has known the sums; none before the first computation.
+    std::optional<instant> m_known_since;
     std::unordered_map<team_key, own_sums> m_own;
     std::unordered_map<vm_name, std::vector<team_usage>> m_reports;
     // Derived from m_reports: their sums for each team.
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -53,8 +53,8 @@
     auto const peers = builder.CreateVectorOfStrings(state.peers);
     return fbs::CreateState(builder, vm, address, builder.CreateVectorOfStructs(loads),
         state.report.scope == dispatch::report_scope::whole, builder.CreateVectorOfStructs(teams),
-        builder.CreateVectorOfStructs(parts), builder.CreateVector(documents), peers, state.report.is_aside,
-        static_cast<float>(state.report.busy_part));
+        saturated<std::uint32_t>(state.report.known_span.count()), builder.CreateVectorOfStructs(parts),
+        builder.CreateVector(documents), peers, state.report.is_aside, static_cast<float>(state.report.busy_part));
 }
 
 result<state_message> decode(fbs::State const& state)
@@ -62,6 +62,7 @@
     state_message made;
     made.report.peer = vm_name(text_of(state.vm()));
     made.address = text_of(state.address());
+    made.report.known_span = milliseconds(state.known_span_ms());
     made.report.scope = state.are_loads_whole() ? dispatch::report_scope::whole : dispatch::report_scope::changes;
     made.report.is_aside = state.is_aside();
     made.report.busy_part = state.busy_part() >= 0 ? std::min(static_cast<double>(state.busy_part()), 1.0) : 0;
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -68,6 +68,9 @@
     {
         take(configuration_learned { usual_configuration() });
         take(endpoints_listed { std::move(endpoints) });
+        // Teams' sums are known for a whole window then, so that shares are whole.
+        constexpr milliseconds window { 4000 };
+        wait(window);
     }
 
     effect_list take(event_body body)
