--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -17,8 +17,9 @@
     double patience_within_share { 0.3 };
     double patience_past_share { 4 };
     // The part of the time left within which an engine that has prompts to read must be foreseen to begin what is past
-    // its team's share; at 0 only an engine that has nothing to read takes it.
-    double queueing_past_share { 0 };
+    // its team's share; at 0 only an engine that has nothing to read takes it. Flat from 0 to 0.7; in between, so that
+    // engines do not idle for a moment after each prompt.
+    double queueing_past_share { 0.35 };
     // What is past its team's share may take an endpoint's places up to this part, and less for each even level of
     // lead: half an even level ahead, a team gets nothing more, which bounds the gap between backlogged teams. More
     // runs would make the steps of what is owed longer and drive shared parts out of the engine's memory.
