--- a/libraries/dispatch/admission_terms.h
+++ b/libraries/dispatch/admission_terms.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// How a team stands, and on what terms its requests are let in. What is owed to a team may stand in an engine's queue and
-// have parts of prompts read anew; what is past that fills the time and the places that are left over.
+// How a team stands, and on what terms its requests are let in. What is owed to a team may stand in an engine's queue
+// and have parts of prompts read anew; what is past that fills the time and the places that are left over.
 #pragma once
 
 #include "libraries/dispatch/policy.h"
