--- a/meta/credit.py
+++ b/meta/credit.py
@@ -13,6 +13,8 @@
 import sys
 
 MOST_LINES = 8
+# The part of an objective after which a wait at a router counts as the cause of a late first event.
+LONG_WAIT = 0.3
 
 
 def share(part: int, whole: int) -> str:
@@ -49,7 +51,7 @@
             if start < 0:
                 continue
             try:
-                lines.append(json.loads(line[start:]))
+                lines.append(json.loads(line[start:].rstrip()))
             except ValueError:
                 continue
     return lines
@@ -61,23 +63,42 @@
     return "ahead" if line["level"] > line["even_level"] else "past share"
 
 
+def print_first_events(lines: list[dict]) -> None:
+    """Streams by objective and standing: how many began late, where they waited, and how far off the foreseen time was."""
+    sent = {line["id"]: line for line in lines if line["event"] == "sent" and "share" in line}
+    rows = collections.defaultdict(list)
+    for line in lines:
+        if line["event"] == "answered" and line["events"] > 0 and line["id"] in sent:
+            rows[(line["objective_ms"], standing(sent[line["id"]]))].append((line, sent[line["id"]]))
+    print("\nfirst events: objective and standing, streams, late, late after a long wait here, seen less foreseen in ms "
+          "(first decile, median, ninth decile)")
+    for (objective, name), pairs in sorted(rows.items()):
+        late = [start for end, start in pairs if end["first_ms"] > objective]
+        waited = sum(1 for start in late if start["waited_ms"] > LONG_WAIT * objective)
+        off = sorted(end["first_ms"] - start["waited_ms"] - start["expected_ms"] for end, start in pairs)
+        print(f"  {objective:>5} ms {name:<14}{len(pairs):>6}  {share(len(late), len(pairs))}  {waited:>4}  "
+              f"{off[len(off) // 10]:>5} {off[len(off) // 2]:>5} {off[9 * len(off) // 10]:>5}")
+
+
 def print_log(lines: list[dict]) -> None:
     refused: collections.Counter = collections.Counter()
     waited = collections.defaultdict(list)
     lost: collections.Counter = collections.Counter()
     for line in lines:
-        if line["event"] == "refused":
-            refused[(line.get("team", ""), line["reason"], line["vm"])] += 1
+        # Refusals before a team is known have no share.
+        if line["event"] == "refused" and "share" in line:
+            refused[(standing(line), line["reason"])] += 1
         elif line["event"] == "sent" and "share" in line:
             waited[standing(line)].append(line["waited_ms"])
             lost[standing(line)] += line["lost"]
-    print("\nrefused most (lines of the log; it is bounded)")
-    for (team, reason, vm), count in refused.most_common(MOST_LINES):
-        print(f"  {count:>6}  {team or '-'}  {reason}  at {vm}")
+    print("\nrefused, by standing and reason (lines of the log; it is bounded)")
+    for (name, reason), count in refused.most_common(MOST_LINES):
+        print(f"  {count:>6}  {name}  {reason}")
     print("\nsent by standing: requests, wait in ms (median, most), tokens read though kept elsewhere")
     for name, waits in sorted(waited.items()):
         waits.sort()
         print(f"  {name:<14}{len(waits):>6}  {waits[len(waits) // 2]:>4} {waits[-1]:>6}  {lost[name]}")
+    print_first_events(lines)
 
 
 def main() -> None:
