peering: Tell the version of the newest change beside the list

The document now carries the version of the newest change; the follower never takes it for newer than the rows. Test extended.

--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -112,13 +112,15 @@
         m_changed_version = std::max(m_changed_version, known.version);
 }
 
-table_follower::page_outcome table_follower::take_told(std::map<std::string, row> rows, std::uint64_t version)
+table_follower::page_outcome table_follower::take_told(
+    std::map<std::string, row> rows, std::uint64_t version, std::uint64_t changed_version)
 {
     if (version <= m_version)
         return page_outcome::out_of_date;
     m_rows = std::move(rows);
     m_version = version;
     note_changes(m_rows);
+    m_changed_version = std::max(m_changed_version, std::min(changed_version, m_version));
     m_has_rows = true;
     // A read from before this would be out of date; the feed goes on from here.
     m_must_read = false;
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -57,7 +57,8 @@
     void take_failure(failure what, instant now, std::uint64_t draw);
 
     // The rows as another router told them, while the store itself does not answer here.
-    page_outcome take_told(std::map<std::string, row> rows, std::uint64_t version);
+    // They do not show what is gone: the version of the newest change is told beside them.
+    page_outcome take_told(std::map<std::string, row> rows, std::uint64_t version, std::uint64_t changed_version);
 
     [[nodiscard]] std::map<std::string, row> const& rows() const { return m_rows; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -110,8 +110,8 @@
             rows.push_back(
                 fbs::CreateRow(builder, builder.CreateString(key), builder.CreateString(row.value), row.version));
         auto const text = builder.CreateString(document.text);
-        auto const encoded = fbs::CreateDocument(
-            builder, static_cast<std::uint8_t>(document.kind), document.version, text, builder.CreateVector(rows));
+        auto const encoded = fbs::CreateDocument(builder, static_cast<std::uint8_t>(document.kind), document.version,
+            text, builder.CreateVector(rows), document.changed_version);
         return fbs::CreateMessage(builder, 0, encoded);
     }
 
@@ -161,7 +161,7 @@
         return peer_message(TRY(decode(*message->state())));
     if (auto const* document = message->document()) {
         auto const kind = TRY(kind_of(document->kind()));
-        document_message made { kind, document->version(), text_of(document->text()), {} };
+        document_message made { kind, document->version(), text_of(document->text()), document->changed_version(), {} };
         if (document->rows() != nullptr) {
             for (auto const* row : *document->rows())
                 made.rows[text_of(row->key())] = { text_of(row->value()), row->version() };
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -37,6 +37,8 @@
     std::uint64_t version { 0 };
     // The configuration as it was declared.
     std::string text;
+    // Of the newest change to the list, which may be that a row is gone.
+    std::uint64_t changed_version { 0 };
     // The list of endpoints, row by row.
     std::map<std::string, dispatch::table_follower::row> rows;
 };
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -320,12 +320,13 @@
 
     void take_part(peering::document_wanted const& wanted)
     {
-        peering::document_message answer { wanted.kind, 0, {}, {} };
+        peering::document_message answer { wanted.kind, 0, {}, 0, {} };
         if (wanted.kind == peering::document_kind::configuration) {
             answer.version = m_host.reducer().routes().current().revision;
             answer.text = m_configuration_text;
         } else {
             answer.version = m_endpoints.follower().version();
+            answer.changed_version = m_endpoints.follower().changed_version();
             answer.rows = m_endpoints.follower().rows();
         }
         if (answer.version > wanted.version)
@@ -338,7 +339,7 @@
             return take_configuration_text(document.text);
         if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date(document.kind))
             return;
-        if (m_endpoints.follower().take_told(std::move(document.rows), document.version)
+        if (m_endpoints.follower().take_told(std::move(document.rows), document.version, document.changed_version)
             == dispatch::table_follower::page_outcome::changed)
             take_endpoint_rows();
     }
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -347,10 +347,12 @@
         auto const read = peering::decode_body(std::string_view(frame).substr(peering::frame_head_size));
         auto const& back = std::get<peering::state_message>(*read);
         CPPUNIT_ASSERT_EQUAL(token_of(state), token_of(back));
-        peering::document_message document { peering::document_kind::endpoints, 9, "text", { { "k", { "v", 3 } } } };
+        peering::document_message document { peering::document_kind::endpoints, 9, "text", 7, { { "k", { "v", 3 } } } };
         auto const other = peering::encode_frame(document);
         auto const document_back = peering::decode_body(std::string_view(other).substr(peering::frame_head_size));
-        CPPUNIT_ASSERT_EQUAL(std::string("v"), std::get<peering::document_message>(*document_back).rows.at("k").value);
+        auto const& told = std::get<peering::document_message>(*document_back);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), told.rows.at("k").value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, told.changed_version);
     }
 
     static std::string token_of(peering::state_message const& state)
