--- a/tests/dispatch/load_reports_test.cpp
+++ b/tests/dispatch/load_reports_test.cpp
@@ -24,6 +24,7 @@
     {
         endpoint_board board(failure_domain("north"));
         std::vector<endpoint_entry> entries;
+        entries.reserve(names.size());
         for (auto const* name : names)
             entries.push_back(dispatch_driver::make_endpoint(name, "model", 100));
         board.take_list(entries);
