dispatch: A plain service with a free place always takes a request

For engines the foreseen queue runs off by itself; a plain service's time does not.

With a free place nothing is gained by a refusal: the request begins at once. So an endpoint that has nothing before the request is in time, for plain services as for engines. One test, which fails without the change.

--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -154,9 +154,12 @@
         auto const slots = std::max(state->entry.slots, 1U);
         auto const load = static_cast<double>(state->all_running()) / slots;
         bool const is_free = !wanted.is_engine || state->all_running() < wanted.most_load * slots;
-        bool const has_nothing_to_read = wanted.is_engine && state->reading.left_ms(now) <= m_policy.idle_reading_ms;
+        // With nothing before it a request begins as soon as it can, however slow the endpoint is thought to be; if it
+        // were refused for that, no answer would ever correct the belief.
+        bool const has_nothing_before
+            = wanted.is_engine ? state->reading.left_ms(now) <= m_policy.idle_reading_ms : state->all_running() < slots;
         auto const time_left = wanted.time_left_ms * wanted.queueing_part * m_policy.margin_of_objective;
-        bool const is_quick = has_nothing_to_read || expected <= time_left;
+        bool const is_quick = has_nothing_before || expected <= time_left;
         auto cost = expected + m_policy.full_endpoint_ms * load * load;
         if (wanted.is_engine)
             cost += m_policy.reading_weight * state->reading.time_of(unkept);
--- a/tests/dispatch/dispatch_outcomes_test.cpp
+++ b/tests/dispatch/dispatch_outcomes_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(an_unknown_end_is_repeated_where_that_is_allowed);
     CPPUNIT_TEST(an_endpoints_own_failure_is_repeated_where_that_is_allowed);
     CPPUNIT_TEST(an_endpoints_own_failure_is_passed_on_where_no_other_has_room);
+    CPPUNIT_TEST(a_plain_service_that_was_slow_is_tried_again);
     CPPUNIT_TEST(what_was_not_run_goes_to_another_endpoint);
     CPPUNIT_TEST(no_more_endpoints_than_allowed_see_a_request);
     CPPUNIT_TEST(sends_that_never_left_do_not_count_as_attempts);
@@ -106,6 +107,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.reducer().active_requests());
     }
 
+    // Found by the soak (seed 7031): answers that came late for a while, through a link that delayed them, taught the
+    // router a time over the objective; it then refused everything with all places free, and never learnt better.
+    void a_plain_service_that_was_slow_is_tried_again()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        for (int index = 0; index < 20; ++index) {
+            auto const slow = fleet.ask("/look/");
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(slow).size());
+            fleet.wait(milliseconds(1500));
+            fleet.end(slow, attempt_end::complete, 200, true);
+        }
+        auto const next = fleet.ask("/look/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(next).size());
+    }
+
     // Found on the users' platform: callers got a 502 of ours in place of the endpoint's answer.
     void an_endpoints_own_failure_is_passed_on_where_no_other_has_room()
     {
