--- a/meta/make_days.py
+++ b/meta/make_days.py
@@ -120,6 +120,8 @@
 
 
 def main() -> None:
+    if len(sys.argv) >= 3:
+        pathlib.Path(sys.argv[2]).mkdir(parents=True, exist_ok=True)
     if len(sys.argv) >= 3 and sys.argv[1] == "cover":
         cover(pathlib.Path(sys.argv[2]))
     elif len(sys.argv) == 5 and sys.argv[1] == "pairs":
