--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -117,8 +117,8 @@
     static constexpr milliseconds write_interval { 1500 };
     static constexpr milliseconds write_limit { 1200 };
 
-    // The feed answers at once while endpoints write there, and each call has its price: a third of the time in which a
-    // leaving endpoint may still get requests, so that two calls in a row may fail.
+    // Each call has its price, and between two of them nothing is learnt: a third of the time in which a leaving
+    // endpoint may still get requests, so that two calls in a row may fail.
     static milliseconds own_list_pace(relay::deployment_settings const& settings)
     {
         constexpr std::int64_t calls_within_bound = 3;
