--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -171,11 +171,8 @@
         request.read_position = m_board.note_sent(endpoint, chosen.unkept, step.now);
     if (endpoint.health.is_ejected())
         endpoint.health.note_probe_sent();
-    for (std::size_t index = 0; request.is_engine && index + 1 < request.cost.parts.size(); ++index) {
-        auto const part = request.cost.parts[index].id;
-        endpoint.places.note(part, step.now);
-        m_placed.push_back({ endpoint.key, part });
-    }
+    for (std::size_t index = 0; request.is_engine && index + 1 < request.cost.parts.size(); ++index)
+        note_placed({ endpoint.key, request.cost.parts[index].id }, step);
     if (request.charged == 0 && !request.team.value().empty() && request.is_engine) {
         request.charged = request.cost.weighted();
         m_ledger.charge(request.account, step.now, request.charged);
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -6,12 +6,21 @@
 #include "libraries/dispatch/log_fields.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shedhill::dispatch {
 
 namespace {
 
 constexpr milliseconds peer_silence_limit { 1500 };
+// The routers of a failure domain do not all end at once often, and taking their sums for nothing would let in twice
+// what is owed; another of them tells within a second.
+constexpr milliseconds domain_silence_limit { 3000 };
+// A router that has told nothing of its failure domain for so long begins anew.
+constexpr milliseconds domain_report_gap { 1000 };
+// A use of a part is not told again within this time: parts are believed for many seconds, and the ones that most
+// requests share would fill the messages.
+constexpr milliseconds use_known_for { 1000 };
 constexpr milliseconds deadline_interval { 40 };
 constexpr milliseconds parts_interval { 2000 };
 constexpr milliseconds shares_interval { 100 };
@@ -56,24 +65,77 @@
     serve_waiting(step);
 }
 
+source_place dispatch_reducer::place_of(peer_reported const& report) const
+{
+    bool const is_neighbour = report.subject == report_subject::router && report.domain == m_options.domain;
+    return is_neighbour ? source_place::own_domain : source_place::elsewhere;
+}
+
+bool dispatch_reducer::is_known_otherwise(peer_reported const& report) const
+{
+    if (report.subject == report_subject::domain)
+        return report.domain == m_options.domain;
+    return m_peers.contains(peer_reported { .subject = report_subject::domain, .domain = report.domain }.source());
+}
+
+void dispatch_reducer::forget_single_routers(failure_domain const& domain, step_context& step)
+{
+    std::vector<report_source> single;
+    for (auto const& [source, state] : m_peers) {
+        if (state.subject == report_subject::router && state.domain == domain)
+            single.push_back(source);
+    }
+    for (auto const& source : single)
+        handle(peer_lost { source }, step);
+}
+
+std::size_t dispatch_reducer::other_routers() const
+{
+    std::size_t routers = 0;
+    for (auto const& [source, state] : m_peers)
+        routers += state.routers;
+    return routers;
+}
+
 void dispatch_reducer::handle(peer_reported const& report, step_context& step)
 {
-    if (m_peers.insert_or_assign(report.peer, peer_state { step.now, report.is_aside, report.busy_part }).second)
-        step.effects.emplace_back(
-            log_line { severity::failure, "peer_regained", log_fields().add("peer", report.peer.value()).take() });
-    m_ledger.take_report(report.peer, report.teams, report.known_span, step.now);
-    m_board.take_report(report, step.now);
-    m_retries.set_routers(std::max(m_peers.size() + 1, m_options.retries.routers));
+    if (is_known_otherwise(report))
+        return;
+    if (report.subject == report_subject::domain)
+        forget_single_routers(report.domain, step);
+    peer_state const state { step.now, report.subject, report.domain, report.routers, report.routers_aside,
+        report.busy_part };
+    if (m_peers.insert_or_assign(report.source(), state).second)
+        step.effects.emplace_back(log_line { severity::failure, "peer_regained",
+            log_fields().add("peer", report.source().value()).add("teller", report.peer.value()).take() });
+    auto const place = place_of(report);
+    m_ledger.take_report(report, place, step.now);
+    m_board.take_report(report, place, step.now);
+    if (place == source_place::own_domain && step.now - m_domain_told_at < domain_report_gap)
+        m_domain_placed.insert(m_domain_placed.end(), report.parts.begin(), report.parts.end());
+    m_retries.set_routers(std::max(other_routers() + 1, m_options.retries.routers));
 }
 
 void dispatch_reducer::handle(peer_lost const& lost, step_context& step)
 {
-    if (m_peers.erase(lost.peer) == 0)
+    if (m_peers.erase(lost.source) == 0)
         return;
-    m_ledger.forget_peer(lost.peer);
-    m_board.forget_peer(lost.peer);
+    m_ledger.forget(lost.source);
+    m_board.forget(lost.source);
     step.effects.emplace_back(
-        log_line { severity::failure, "peer_lost", log_fields().add("peer", lost.peer.value()).take() });
+        log_line { severity::failure, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
+}
+
+void dispatch_reducer::forget_silent_peers(step_context& step)
+{
+    std::vector<report_source> silent;
+    for (auto const& [source, state] : m_peers) {
+        auto const limit = state.subject == report_subject::domain ? domain_silence_limit : peer_silence_limit;
+        if (step.now - state.heard_at > limit)
+            silent.push_back(source);
+    }
+    for (auto const& source : silent)
+        handle(peer_lost { source }, step);
 }
 
 void dispatch_reducer::handle(drain_requested const&, step_context& step)
@@ -104,13 +166,7 @@
         }
         for (auto const number : over)
             end_at_deadline(number, m_requests.at(number), step);
-        std::vector<vm_name> silent;
-        for (auto const& [peer, state] : m_peers) {
-            if (step.now - state.heard_at > peer_silence_limit)
-                silent.push_back(peer);
-        }
-        for (auto const& peer : silent)
-            handle(peer_lost { peer }, step);
+        forget_silent_peers(step);
     }
     if (step.now - m_parts_checked >= parts_interval) {
         m_parts_checked = step.now;
@@ -122,14 +178,14 @@
 fleet_load dispatch_reducer::load_of_fleet() const
 {
     fleet_load load;
-    load.routers = m_peers.size() + 1;
+    load.routers = other_routers() + 1;
     double busy = 0;
-    for (auto const& [peer, state] : m_peers) {
-        load.others_aside += state.is_aside ? 1 : 0;
-        busy += state.is_aside ? 0 : state.busy_part;
+    for (auto const& [source, state] : m_peers) {
+        load.others_aside += state.routers_aside;
+        busy += state.busy_part * (state.routers - std::min(state.routers_aside, state.routers));
     }
-    if (m_peers.size() > load.others_aside)
-        load.others_busy_part = busy / static_cast<double>(m_peers.size() - load.others_aside);
+    if (load.routers - 1 > load.others_aside)
+        load.others_busy_part = busy / static_cast<double>(load.routers - 1 - load.others_aside);
     return load;
 }
 
@@ -162,14 +218,58 @@
     peer_reported report;
     report.scope = scope;
     report.peer = m_options.vm;
+    report.domain = m_options.domain;
     report.loads = m_board.take_own_loads(scope, now);
-    report.teams = m_ledger.own_usage(now);
+    report.teams = m_own_usage_told.take(m_ledger.own_usage(now), scope);
     report.known_span = m_ledger.known_span(now);
-    report.is_aside = m_overload.is_aside();
+    report.routers_aside = m_overload.is_aside() ? 1 : 0;
     report.busy_part = m_overload.busy_part();
-    report.parts = std::move(m_placed);
-    m_placed.clear();
+    report.parts = std::exchange(m_placed, {});
     return report;
 }
 
+peer_reported dispatch_reducer::take_domain_report(report_scope scope, instant now)
+{
+    if (now - std::exchange(m_domain_told_at, now) >= domain_report_gap) {
+        scope = report_scope::whole;
+        m_board.skip_domain_loads();
+        m_domain_placed.clear();
+    }
+    peer_reported report;
+    report.subject = report_subject::domain;
+    report.scope = scope;
+    report.peer = m_options.vm;
+    report.domain = m_options.domain;
+    report.loads = m_board.take_domain_loads(scope, now);
+    report.teams = m_domain_usage_told.take(m_ledger.domain_usage(now), scope);
+    report.known_span = m_ledger.known_span(now);
+    report.parts = std::exchange(m_domain_placed, {});
+    report.routers_aside = m_overload.is_aside() ? 1 : 0;
+    auto busy = m_overload.is_aside() ? 0 : m_overload.busy_part();
+    for (auto const& [source, state] : m_peers) {
+        if (state.subject != report_subject::router || state.domain != m_options.domain)
+            continue;
+        ++report.routers;
+        report.routers_aside += state.routers_aside;
+        busy += state.routers_aside > 0 ? 0 : state.busy_part;
+    }
+    if (report.routers > report.routers_aside)
+        report.busy_part = busy / (report.routers - report.routers_aside);
+    return report;
+}
+
+void dispatch_reducer::note_placed(part_placed const& placed, step_context const& step)
+{
+    auto* const endpoint = m_board.find(placed.endpoint);
+    if (endpoint == nullptr)
+        return;
+    auto const before = endpoint->places.last_use(placed.part);
+    endpoint->places.note(placed.part, step.now);
+    if (step.now - before < use_known_for)
+        return;
+    m_placed.push_back(placed);
+    if (step.now - m_domain_told_at < domain_report_gap)
+        m_domain_placed.push_back(placed);
+}
+
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -13,6 +13,7 @@
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/route_table.h"
 #include "libraries/dispatch/team_ledger.h"
+#include "libraries/dispatch/told_usage.h"
 
 #include <list>
 #include <unordered_map>
@@ -49,6 +50,8 @@
 
     // What the other routers are to know. The parts placed are those since the last call.
     [[nodiscard]] peer_reported take_own_report(report_scope scope, instant now);
+    // What other failure domains are to know of this one. Tells the whole where none was told for a while.
+    [[nodiscard]] peer_reported take_domain_report(report_scope scope, instant now);
     [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const { return m_board.recent_parts(now); }
 
 private:
@@ -156,6 +159,13 @@
     void forget(request_number number);
 
     [[nodiscard]] fleet_load load_of_fleet() const;
+    [[nodiscard]] source_place place_of(peer_reported const& report) const;
+    // Whether the report tells of routers that are known otherwise: they would count twice.
+    [[nodiscard]] bool is_known_otherwise(peer_reported const& report) const;
+    void forget_single_routers(failure_domain const& domain, step_context& step);
+    void forget_silent_peers(step_context& step);
+    void note_placed(part_placed const& placed, step_context const& step);
+    [[nodiscard]] std::size_t other_routers() const;
     void update_ready(step_context& step);
     void stop_if_drained(step_context& step);
 
@@ -169,11 +179,20 @@
     std::list<request_number> m_waiting;
     struct peer_state {
         instant heard_at {};
-        bool is_aside { false };
+        report_subject subject { report_subject::router };
+        failure_domain domain;
+        std::uint32_t routers { 1 };
+        std::uint32_t routers_aside { 0 };
         double busy_part { 0 };
     };
-    std::unordered_map<vm_name, peer_state> m_peers;
+    // Invariant: no router is in it beside its whole failure domain.
+    std::unordered_map<report_source, peer_state> m_peers;
+    // Parts placed since they were last told, by this router and by its failure domain.
     std::vector<part_placed> m_placed;
+    std::vector<part_placed> m_domain_placed;
+    told_usage m_own_usage_told;
+    told_usage m_domain_usage_told;
+    instant m_domain_told_at {};
     instant m_deadlines_checked {};
     instant m_parts_checked {};
     instant m_shares_updated {};
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -47,6 +47,14 @@
     return static_cast<double>(rendezvous_weight(part, endpoint.value()) >> 11U) * 0x1.0p-53;
 }
 
+// A whole report names each endpoint where something is under way, one of changes what is not as it was told.
+bool is_worth_telling(told_load const& told, std::uint32_t running, report_scope scope)
+{
+    if (scope == report_scope::whole)
+        return running > 0 || told.sent > 0;
+    return told.sent > 0 || told.has_read || running != told.running;
+}
+
 } // namespace
 
 void endpoint_board::take_list(std::vector<endpoint_entry> const& entries)
@@ -204,13 +212,16 @@
 
 token_count endpoint_board::note_sent(endpoint_state& endpoint, token_count unkept, instant now)
 {
-    endpoint.sent_untold += unkept;
+    endpoint.own_told.sent += unkept;
+    endpoint.domain_told.sent += unkept;
     return endpoint.reading.note_sent(unkept, now);
 }
 
 void endpoint_board::note_first_event(endpoint_state& endpoint, first_event const& seen, instant now)
 {
-    endpoint.has_read_untold = true;
+    endpoint.own_told.has_read = true;
+    endpoint.domain_told.has_read = true;
+    endpoint.domain_read_at = now;
     auto const own_time = first_event_time(endpoint, seen.tokens_per_event);
     auto const shown = endpoint.reading.note_read(seen.read_position, own_time, now);
     if (shown > 0) {
@@ -233,19 +244,36 @@
     }
 }
 
-void endpoint_board::take_report(peer_reported const& report, instant now)
+void endpoint_board::count_running(told_running& told, endpoint_key endpoint, std::uint32_t running)
+{
+    auto const before = std::exchange(told.at[endpoint], running);
+    // The endpoint may have gone and come since.
+    auto* const state = find(endpoint);
+    if (state == nullptr)
+        return;
+    state->others_running = state->others_running - std::min(state->others_running, before) + running;
+    if (told.place == source_place::own_domain)
+        state->neighbours_running = state->neighbours_running - std::min(state->neighbours_running, before) + running;
+}
+
+void endpoint_board::take_report(peer_reported const& report, source_place place, instant now)
 {
+    auto const source = report.source();
     if (report.scope == report_scope::whole)
-        forget_peer(report.peer);
-    auto& told = m_told_running[report.peer];
+        forget(source);
+    auto& told = m_told_running.try_emplace(source, told_running { place, {} }).first->second;
     for (auto const& load : report.loads) {
         auto* const state = find(load.endpoint);
         if (state == nullptr)
             continue;
-        auto const before = std::exchange(told[load.endpoint], load.running);
-        state->others_running = state->others_running - std::min(state->others_running, before) + load.running;
+        count_running(told, load.endpoint, load.running);
         (void)state->reading.note_sent(load.sent, now);
         state->reading.note_told(load.left_to_read_ms, load.read_ago, now);
+        if (place == source_place::own_domain) {
+            state->domain_told.sent += load.sent;
+            state->domain_told.has_read = true;
+            state->domain_read_at = std::max(state->domain_read_at, now - load.read_ago);
+        }
     }
     for (auto const& placed : report.parts) {
         if (auto* state = find(placed.endpoint))
@@ -253,17 +281,15 @@
     }
 }
 
-void endpoint_board::forget_peer(vm_name const& peer)
+void endpoint_board::forget(report_source const& source)
 {
-    auto const told = m_told_running.find(peer);
-    if (told == m_told_running.end())
+    auto const found = m_told_running.find(source);
+    if (found == m_told_running.end())
         return;
-    for (auto const& [endpoint, running] : told->second) {
-        // The endpoint may have gone and come since.
-        if (auto* state = find(endpoint))
-            state->others_running -= std::min(state->others_running, running);
-    }
-    m_told_running.erase(told);
+    auto const endpoints = found->second.at;
+    for (auto const& [endpoint, running] : endpoints)
+        count_running(found->second, endpoint, 0);
+    m_told_running.erase(found);
 }
 
 void endpoint_board::forget_old_parts(instant now)
@@ -286,16 +312,31 @@
 {
     std::vector<endpoint_load> loads;
     for (auto const& [name, state] : m_endpoints) {
-        auto const sent = std::exchange(state->sent_untold, 0);
-        bool const has_read = std::exchange(state->has_read_untold, false);
-        bool const is_changed = sent > 0 || has_read || state->running != state->running_told;
-        bool const is_told = scope == report_scope::whole ? state->running > 0 || sent > 0 : is_changed;
-        state->running_told = state->running;
-        if (is_told)
+        auto const before = std::exchange(state->own_told, { 0, state->running, false });
+        if (is_worth_telling(before, state->running, scope))
+            loads.push_back({ state->key, state->running, before.sent, state->reading.left_ms(now),
+                state->reading.last_read_ago(now) });
+    }
+    return loads;
+}
+
+std::vector<endpoint_load> endpoint_board::take_domain_loads(report_scope scope, instant now)
+{
+    std::vector<endpoint_load> loads;
+    for (auto const& [name, state] : m_endpoints) {
+        auto const running = state->running + state->neighbours_running;
+        auto const before = std::exchange(state->domain_told, { 0, running, false });
+        if (is_worth_telling(before, running, scope))
             loads.push_back(
-                { state->key, state->running, sent, state->reading.left_ms(now), state->reading.last_read_ago(now) });
+                { state->key, running, before.sent, state->reading.left_ms(now), now - state->domain_read_at });
     }
     return loads;
 }
 
+void endpoint_board::skip_domain_loads()
+{
+    for (auto const& [name, state] : m_endpoints)
+        state->domain_told = {};
+}
+
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -8,6 +8,7 @@
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/prompt_places.h"
 #include "libraries/dispatch/reading_estimate.h"
+#include "libraries/dispatch/team_ledger.h"
 
 #include <memory>
 #include <unordered_map>
@@ -15,6 +16,15 @@
 
 namespace shedhill::dispatch {
 
+// What the others were told of one endpoint, and what has happened there since.
+struct told_load {
+    // Prompt tokens sent there since.
+    token_count sent { 0 };
+    std::uint32_t running { 0 };
+    // A first event has been seen since.
+    bool has_read { false };
+};
+
 struct endpoint_state {
     endpoint_entry entry;
     // Of its name.
@@ -24,12 +34,13 @@
     // Attempts under way: of this router, and of all others as they last told.
     std::uint32_t running { 0 };
     std::uint32_t others_running { 0 };
-    // Prompt tokens sent there since this router last told the others.
-    token_count sent_untold { 0 };
-    // What they were last told of `running`.
-    std::uint32_t running_told { 0 };
-    // A first event has been seen since then.
-    bool has_read_untold { false };
+    // What was last told of this router's own part, and of that of its failure domain.
+    told_load own_told;
+    told_load domain_told;
+    // Attempts under way of the other routers of this failure domain; a part of others_running.
+    std::uint32_t neighbours_running { 0 };
+    // When a first event was last seen by a router of this failure domain.
+    instant domain_read_at {};
     // How far the engine has read the prompts sent there.
     reading_estimate reading;
     // How much longer first events and answers take here than foreseen.
@@ -111,14 +122,18 @@
     // requests by which it could show that it is not.
     void fade_slowness();
 
-    void take_report(peer_reported const& report, instant now);
-    void forget_peer(vm_name const& peer);
+    void take_report(peer_reported const& report, source_place place, instant now);
+    void forget(report_source const& source);
     void forget_old_parts(instant now);
     // Everything that was placed of late, for a router that knows nothing yet.
     [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const;
 
     // What the others are to know; prompt tokens are those since the last call.
     [[nodiscard]] std::vector<endpoint_load> take_own_loads(report_scope scope, instant now);
+    // The same for all routers of this failure domain together.
+    [[nodiscard]] std::vector<endpoint_load> take_domain_loads(report_scope scope, instant now);
+    // What was sent before counts as told: nobody was told for a while, and it is out of date.
+    void skip_domain_loads();
 
 private:
     [[nodiscard]] double expected_time(
@@ -134,8 +149,14 @@
     std::unordered_map<endpoint_key, endpoint_state*> m_by_key;
     // Those of a pool that may get new work.
     std::unordered_map<pool_name, std::vector<endpoint_state*>> m_open;
-    // What each other router has running at each endpoint, as it last told.
-    std::unordered_map<vm_name, std::unordered_map<endpoint_key, std::uint32_t>> m_told_running;
+    struct told_running {
+        source_place place { source_place::elsewhere };
+        std::unordered_map<endpoint_key, std::uint32_t> at;
+    };
+    void count_running(told_running& told, endpoint_key endpoint, std::uint32_t running);
+
+    // What each source of reports has running at each endpoint, as it last told.
+    std::unordered_map<report_source, told_running> m_told_running;
     std::unordered_map<pool_name, double> m_service_time_ms;
     // Prompt tokens that an engine of the pool reads in a millisecond beside its running requests.
     std::unordered_map<pool_name, double> m_read_rate;
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -64,7 +64,7 @@
 struct endpoint_load {
     endpoint_key endpoint;
     std::uint32_t running { 0 };
-    // Prompt tokens sent there since its last word that the endpoint does not keep.
+    // Prompt tokens sent there since the last report that the endpoint does not keep.
     token_count sent { 0 };
     // What it holds that the engine has still to read, in milliseconds, and how long ago a first event last showed it.
     double left_to_read_ms { 0 };
@@ -76,6 +76,8 @@
     // Weighted tokens asked for and admitted within the sliding window.
     token_count asked { 0 };
     token_count admitted { 0 };
+
+    bool operator==(team_usage const&) const = default;
 };
 
 // A prompt part that a router has sent to an endpoint since its last word.
@@ -84,26 +86,44 @@
     std::uint64_t part { 0 };
 };
 
-// Whether a report names all endpoints with something under way, or those of which something changed since the last.
+// Whether a report names all endpoints with something under way and all teams, or those of which something changed
+// since the last.
 enum class report_scope { whole, changes };
 
-// What another router tells of itself. Teams are told whole each time.
+// Of whom a report tells: of the router that sends it, or of all routers of its failure domain, added up.
+enum class report_subject { router, domain };
+
+// A router or a failure domain, as what it reported is kept.
+using report_source = strong_type<std::string, struct report_source_tag>;
+
+// What another router tells.
 struct peer_reported {
-    vm_name peer;
+    vm_name peer {};
     report_scope scope { report_scope::whole };
-    std::vector<endpoint_load> loads;
-    std::vector<team_usage> teams;
+    std::vector<endpoint_load> loads {};
+    std::vector<team_usage> teams {};
     // For how long it has known the fleet's sums, up to their window.
     milliseconds known_span { 0 };
-    std::vector<part_placed> parts;
-    // It takes no new callers for now, since it has more to do than it can.
-    bool is_aside { false };
-    // The part of its time in which it does not wait, from 0 to 1.
+    std::vector<part_placed> parts {};
+    // Routers that take no new callers for now, since they have more to do than they can.
+    std::uint32_t routers_aside { 0 };
+    // The part of their time in which the others do not wait, from 0 to 1.
     double busy_part { 0 };
+    report_subject subject { report_subject::router };
+    // Of the router that tells; empty where it is not known.
+    failure_domain domain {};
+    // How many routers it tells of.
+    std::uint32_t routers { 1 };
+
+    [[nodiscard]] report_source source() const
+    {
+        return subject == report_subject::domain ? report_source("domain " + domain.value())
+                                                 : report_source("router " + peer.value());
+    }
 };
 
 struct peer_lost {
-    vm_name peer;
+    report_source source;
 };
 
 struct drain_requested { };
--- a/libraries/dispatch/prompt_places.cpp
+++ b/libraries/dispatch/prompt_places.cpp
@@ -17,6 +17,12 @@
     return std::max<token_count>(unkept, 0);
 }
 
+instant prompt_places::last_use(std::uint64_t part) const
+{
+    auto const found = m_used_at.find(part);
+    return found == m_used_at.end() ? instant {} : found->second;
+}
+
 std::vector<std::uint64_t> prompt_places::used_since(instant then) const
 {
     std::vector<std::uint64_t> parts;
--- a/libraries/dispatch/prompt_places.h
+++ b/libraries/dispatch/prompt_places.h
@@ -13,6 +13,8 @@
 class prompt_places {
 public:
     void note(std::uint64_t part, instant now) { m_used_at[part] = now; }
+    // The epoch where it is not known.
+    [[nodiscard]] instant last_use(std::uint64_t part) const;
     // Tokens of the prompt that would have to be read anew, if parts that were not used since then are gone. A part is
     // of use only if all before it are kept too.
     [[nodiscard]] token_count unkept_tokens(request_cost const& cost, instant kept_since) const;
--- a/libraries/dispatch/store_outage_watch.cpp
+++ b/libraries/dispatch/store_outage_watch.cpp
@@ -15,13 +15,14 @@
 
 } // namespace
 
-void store_outage_watch::note_peer_confirmed(instant confirmed_at)
+void store_outage_watch::note_peer_confirmed(instant confirmed_at, instant returned_at)
 {
     if (confirmed_at <= m_peers_confirmed_at)
         return;
     if (m_peers_confirmed_at != instant {} && confirmed_at - m_peers_confirmed_at > longest_usual_gap)
         m_peers_heard_since = confirmed_at;
     m_peers_confirmed_at = confirmed_at;
+    m_peers_returned_at = returned_at;
 }
 
 bool store_outage_watch::is_heard_by_peers(instant now) const
@@ -32,7 +33,9 @@
 store_contact store_outage_watch::contact(own_store_contact const& own, instant now) const
 {
     store_contact made { now - std::max(own.confirmed_at, m_peers_confirmed_at) >= unheard, own.returned_at };
-    if (is_heard_by_peers(now))
+    if (is_heard_by_peers(now) && !own.is_followed)
+        made.returned_at = std::max(m_peers_returned_at, m_peers_heard_since);
+    else if (is_heard_by_peers(now))
         made.returned_at = std::min(made.returned_at, m_peers_heard_since);
     return made;
 }
--- a/libraries/dispatch/store_outage_watch.h
+++ b/libraries/dispatch/store_outage_watch.h
@@ -13,12 +13,14 @@
     instant confirmed_at {};
     // When it last answered here again after an outage; the epoch if it never did.
     instant returned_at {};
+    // Whether this router follows the list, or learns of changes from those that do.
+    bool is_followed { true };
 };
 
 class store_outage_watch {
 public:
     // Another router tells when the store last confirmed the list to it. Reports may come late and out of order.
-    void note_peer_confirmed(instant confirmed_at);
+    void note_peer_confirmed(instant confirmed_at, instant returned_at = {});
 
     // Whether another router has heard the store of late.
     [[nodiscard]] bool is_heard_by_peers(instant now) const;
@@ -27,6 +29,8 @@
 private:
     // The latest that another router told.
     instant m_peers_confirmed_at {};
+    // When the store returned after an outage, as the router that told this latest confirmation knows.
+    instant m_peers_returned_at {};
     // Since when the other routers' confirmations have followed one another without an outage between them; the epoch
     // if there was none since the first.
     instant m_peers_heard_since {};
--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -18,12 +18,20 @@
 
 } // namespace
 
+void table_follower::set_options(follower_options options)
+{
+    if (options.pace < m_options.pace && !is_failing())
+        m_next_at = std::min(m_next_at, m_called_at + options.pace);
+    m_options = options;
+}
+
 table_follower::next_call table_follower::take_next(instant now)
 {
     if (m_is_calling || now < m_next_at)
         return {};
     m_is_calling = true;
     m_called = m_must_read ? call_kind::read : call_kind::follow;
+    m_called_at = now;
     m_next_at = now + m_options.pace;
     next_call call { m_called, {}, m_version, m_options.wait };
     if (m_must_read && !m_reading.empty())
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -64,8 +64,8 @@
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     // Of the newest change to the rows that is known: what two followers compare to tell who knows more.
     [[nodiscard]] std::uint64_t changed_version() const { return m_changed_version; }
-    // The least time between two calls of the feed from now on.
-    void set_pace(milliseconds pace) { m_options.pace = pace; }
+    // How often and how long the feed is asked from now on. A shorter pace holds for the next call already.
+    void set_options(follower_options options);
     // Whether the rows were ever known.
     [[nodiscard]] bool has_rows() const { return m_has_rows; }
     // When the store last confirmed them.
@@ -94,6 +94,7 @@
     std::map<std::string, row> m_reading;
     std::uint64_t m_reading_version { 0 };
     instant m_next_at {};
+    instant m_called_at {};
     instant m_confirmed_at {};
     instant m_returned_at {};
     // Invariant: not 0 from a call that got no answer until the next one that does.
--- a/libraries/dispatch/team_ledger.cpp
+++ b/libraries/dispatch/team_ledger.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace shedhill::dispatch {
 
@@ -65,24 +66,40 @@
     return level;
 }
 
-void team_ledger::take_report(
-    vm_name const& peer, std::vector<team_usage> const& teams, milliseconds known_span, instant now)
+void team_ledger::add_told(report& told, team_usage const& usage)
 {
-    m_known_since = std::min(m_known_since.value_or(now), now - known_span);
-    forget_peer(peer);
-    for (auto const& usage : teams)
-        add(m_others[usage.team], usage, 1);
-    m_reports[peer] = teams;
+    auto const before = std::exchange(told.teams[usage.team], usage);
+    auto const replace_in = [&](usage_by_team& sums) {
+        auto& sum = sums[usage.team];
+        sum.team = usage.team;
+        add(sum, before, -1);
+        add(sum, usage, 1);
+    };
+    replace_in(m_others);
+    if (told.place == source_place::own_domain)
+        replace_in(m_neighbours);
 }
 
-void team_ledger::forget_peer(vm_name const& peer)
+void team_ledger::take_report(peer_reported const& told, source_place place, instant now)
 {
-    auto const reported = m_reports.find(peer);
-    if (reported == m_reports.end())
+    m_known_since = std::min(m_known_since.value_or(now), now - told.known_span);
+    auto const source = told.source();
+    if (told.scope == report_scope::whole)
+        forget(source);
+    auto& known = m_reports.try_emplace(source, report { place, {} }).first->second;
+    for (auto const& usage : told.teams)
+        add_told(known, usage);
+}
+
+void team_ledger::forget(report_source const& source)
+{
+    auto const known = m_reports.find(source);
+    if (known == m_reports.end())
         return;
-    for (auto const& usage : reported->second)
-        add(m_others[usage.team], usage, -1);
-    m_reports.erase(reported);
+    auto const teams = known->second.teams;
+    for (auto const& [team, usage] : teams)
+        add_told(known->second, { team, 0, 0 });
+    m_reports.erase(known);
 }
 
 void team_ledger::update_shares(token_count tokens_per_second, instant now)
@@ -120,4 +137,20 @@
     return usage;
 }
 
+std::vector<team_usage> team_ledger::domain_usage(instant now)
+{
+    auto sums = m_neighbours;
+    for (auto const& own : own_usage(now)) {
+        auto& sum = sums[own.team];
+        sum.team = own.team;
+        add(sum, own, 1);
+    }
+    std::vector<team_usage> usage;
+    for (auto const& [team, sum] : sums) {
+        if (sum.asked != 0 || sum.admitted != 0)
+            usage.push_back(sum);
+    }
+    return usage;
+}
+
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/team_ledger.h
+++ b/libraries/dispatch/team_ledger.h
@@ -12,6 +12,9 @@
 
 namespace shedhill::dispatch {
 
+// Whether a report counts in what its reader tells of its own failure domain.
+enum class source_place { own_domain, elsewhere };
+
 class team_ledger {
 public:
     explicit team_ledger(milliseconds window);
@@ -21,9 +24,10 @@
     void charge(team_key team, instant now, token_count amount);
     [[nodiscard]] token_count level(team_key team, instant now);
 
-    // Another router's sums within the window replace what it told before. It has known the fleet's sums for the span.
-    void take_report(vm_name const& peer, std::vector<team_usage> const& teams, milliseconds known_span, instant now);
-    void forget_peer(vm_name const& peer);
+    // The sums within the window of another router, or of another failure domain. A whole report replaces all that the
+    // source told before, changes replace it team by team; so a report that is repeated adds nothing.
+    void take_report(peer_reported const& report, source_place place, instant now);
+    void forget(report_source const& source);
 
     // Computes the shares anew from what all teams ask for, at the rate that is owed to all together.
     void update_shares(token_count tokens_per_second, instant now);
@@ -39,6 +43,8 @@
 
     // This router's own sums, for the others.
     [[nodiscard]] std::vector<team_usage> own_usage(instant now);
+    // The same, added to those of the routers of its failure domain, for other failure domains.
+    [[nodiscard]] std::vector<team_usage> domain_usage(instant now);
 
 private:
     static constexpr std::size_t window_spans = 16;
@@ -49,15 +55,24 @@
         sliding_sum<window_spans> admitted;
     };
 
+    using usage_by_team = std::unordered_map<team_key, team_usage>;
+
+    struct report {
+        source_place place { source_place::elsewhere };
+        usage_by_team teams;
+    };
+
     own_sums& sums_of(team_key team);
+    void add_told(report& told, team_usage const& usage);
 
     milliseconds m_window;
     // Since when some router has known the sums; none before the first computation.
     std::optional<instant> m_known_since;
     std::unordered_map<team_key, own_sums> m_own;
-    std::unordered_map<vm_name, std::vector<team_usage>> m_reports;
-    // Derived from m_reports: their sums for each team.
-    std::unordered_map<team_key, team_usage> m_others;
+    std::unordered_map<report_source, report> m_reports;
+    // Derived from m_reports: their sums for each team, and those of this failure domain's routers alone.
+    usage_by_team m_others;
+    usage_by_team m_neighbours;
     token_count m_share;
     token_count m_even_level;
 };
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -1,11 +1,18 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Which routers there may be, and when to connect to each: from the table of routers, the seeds of the settings, and
-// what other routers tell. An address that nobody vouches for any more is forgotten once it does not answer.
+// Which routers there may be, and which of them to connect to. Routers are known from the table of routers, the seeds of
+// the settings, and what other routers tell; one that nobody vouches for any more is forgotten once it does not answer.
+//
+// A small fleet connects all to all. In a larger one a router connects to the routers of its own failure domain only.
+// The one of them with the most to spend, of those who are heard, is the domain's teller: it connects to one contact in
+// each other failure domain, and whoever is connected to from another failure domain connects back. So the cost of a
+// router grows with its failure domain, and what passes between failure domains with their number.
 #pragma once
 
 #include "base/units.h"
+#include "libraries/peering/fleet_member.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,50 +20,84 @@
 
 class peer_directory {
 public:
-    explicit peer_directory(std::string own_address)
-        : m_own_address(std::move(own_address))
+    explicit peer_directory(fleet_member self)
+        : m_self(std::move(self))
     {
     }
 
-    void set_own_address(std::string address) { m_own_address = std::move(address); }
-    // The whole table of routers: key and address of each.
-    void take_table(std::map<std::string, std::string> const& rows);
-    void add_seed(std::string const& address) { learn(address).is_seed = true; }
-    // Another router knows of this address.
-    void add_told(std::string const& address, instant now) { learn(address).told_at = now; }
-    // This router itself has spoken: it is up, and is connected to without waiting.
-    void note_heard(std::string const& address, instant now);
+    [[nodiscard]] fleet_member const& self() const { return m_self; }
+    void set_own_address(std::string address) { m_self.address = std::move(address); }
+    // The whole table of routers: key and member of each.
+    void take_table(std::map<std::string, fleet_member> const& rows);
+    void add_seed(std::string const& address) { learn({ address, {}, 0 }).is_seed = true; }
+    // Another router knows of this one.
+    void add_told(fleet_member const& member, instant now) { learn(member).told_at = now; }
+    // This router itself has spoken: it is up, and is connected to without waiting. While it has more to do than it can,
+    // it does not tell for its failure domain.
+    void note_heard(fleet_member const& member, bool is_aside, instant now);
+    // Sums of the failure domain came from one of its routers.
+    void note_domain_heard(failure_domain const& domain, instant now) { m_domains[domain].heard_at = now; }
 
     void note_connected(std::string const& address);
     void note_lost(std::string const& address, instant now, std::uint64_t draw);
     // Addresses that are due to be connected to; each counts as being tried from now on.
     [[nodiscard]] std::vector<std::string> take_due(instant now);
+    // Routers that are connected and need not be any more; each counts as not connected from now on.
+    [[nodiscard]] std::vector<std::string> take_needless(instant now);
 
     // Rows of routers that have not answered for long, to be removed from the table.
     [[nodiscard]] std::vector<std::string> rows_of_the_dead(instant now) const;
-    [[nodiscard]] std::vector<std::string> connected() const;
+    // All that are thought to be there, this one included.
+    [[nodiscard]] std::vector<fleet_member> members() const;
     // Routers there may be, this one included.
-    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::size_t size() const { return m_peers.size() + 1; }
+    // Whether all routers are connected to all.
+    [[nodiscard]] bool is_full_mesh() const;
+    // Whether the router is told what this one does by itself; others are told the sums of the failure domain.
+    [[nodiscard]] bool is_told_singly(std::string const& address) const;
 
 private:
     struct peer {
+        fleet_member member;
         // Its key in the table, or empty.
         std::string row;
         bool is_seed { false };
         bool is_connected { false };
         bool is_trying { false };
+        bool is_aside { false };
+        // By another router, and by itself.
         instant told_at {};
+        instant heard_at {};
         instant next_try {};
         instant down_since {};
         milliseconds back_off { 0 };
+        // Not chosen as a contact until then.
+        instant avoided_until {};
     };
 
-    peer& learn(std::string const& address);
+    // Another failure domain.
+    struct domain_state {
+        // The contact's address, or empty.
+        std::string contact;
+        instant chosen_at {};
+        instant heard_at {};
+    };
+
+    peer& learn(fleet_member const& member);
+    [[nodiscard]] bool is_own_domain(peer const& known) const { return known.member.domain == m_self.domain; }
+    [[nodiscard]] bool is_teller(instant now) const;
+    [[nodiscard]] bool is_wanted(peer const& known, instant now) const;
+    void forget_unvouched(instant now);
+    void choose_contacts(instant now);
+    void replace_contact(failure_domain const& domain, domain_state& state, instant now);
+    [[nodiscard]] bool has_failed(domain_state const& state, instant now) const;
 
-    std::string m_own_address;
+    fleet_member m_self;
     // By address; never contains the own one.
     std::map<std::string, peer> m_peers;
-    peer m_self;
+    peer m_nobody;
+    std::map<failure_domain, domain_state> m_domains;
+    std::optional<instant> m_started_at;
 };
 
 } // namespace shedhill::peering
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -22,6 +22,13 @@
     return static_cast<document_kind>(number);
 }
 
+// Ages are never longer than this; what a sender tells beyond it would overflow sums of times.
+milliseconds to_milliseconds(std::uint64_t told)
+{
+    constexpr std::uint64_t longest = 1ULL << 40U;
+    return milliseconds(static_cast<std::int64_t>(std::min(told, longest)));
+}
+
 // The value, or the most that the field holds.
 template <typename Field, typename Value>
 Field saturated(Value value)
@@ -47,14 +54,22 @@
     std::vector<flatbuffers::Offset<fbs::DocumentVersion>> documents;
     for (auto const& document : state.documents)
         documents.push_back(fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(document.kind),
-            document.version, static_cast<std::uint64_t>(document.age.count())));
+            document.version, static_cast<std::uint64_t>(document.age.count()),
+            document.returned_ago ? static_cast<std::uint64_t>(document.returned_ago->count()) + 1 : 0));
+    std::vector<std::string> members;
+    for (auto const& member : state.members)
+        members.push_back(to_text(member));
     auto const vm = builder.CreateString(state.report.peer.value());
     auto const address = builder.CreateString(state.address);
-    auto const peers = builder.CreateVectorOfStrings(state.peers);
+    auto const peers = builder.CreateVectorOfStrings(members);
+    auto const domain = builder.CreateString(state.report.domain.value());
     return fbs::CreateState(builder, vm, address, builder.CreateVectorOfStructs(loads),
         state.report.scope == dispatch::report_scope::whole, builder.CreateVectorOfStructs(teams),
         saturated<std::uint32_t>(state.report.known_span.count()), builder.CreateVectorOfStructs(parts),
-        builder.CreateVector(documents), peers, state.report.is_aside, static_cast<float>(state.report.busy_part));
+        builder.CreateVector(documents), peers, state.report.routers_aside > 0,
+        static_cast<float>(state.report.busy_part), domain, state.weight,
+        state.report.subject == dispatch::report_subject::domain, saturated<std::uint16_t>(state.report.routers),
+        saturated<std::uint16_t>(state.report.routers_aside), state.number, state.is_passed_on);
 }
 
 result<state_message> decode(fbs::State const& state)
@@ -64,7 +79,13 @@
     made.address = text_of(state.address());
     made.report.known_span = milliseconds(state.known_span_ms());
     made.report.scope = state.are_loads_whole() ? dispatch::report_scope::whole : dispatch::report_scope::changes;
-    made.report.is_aside = state.is_aside();
+    made.report.domain = failure_domain(text_of(state.domain()));
+    made.report.subject = state.is_of_domain() ? dispatch::report_subject::domain : dispatch::report_subject::router;
+    made.report.routers = state.routers();
+    made.report.routers_aside = std::min<std::uint32_t>(state.routers_aside(), state.routers());
+    made.weight = state.weight();
+    made.number = state.number();
+    made.is_passed_on = state.is_passed_on();
     made.report.busy_part = state.busy_part() >= 0 ? std::min(static_cast<double>(state.busy_part()), 1.0) : 0;
     if (state.loads() != nullptr) {
         for (auto const* load : *state.loads())
@@ -83,13 +104,15 @@
     if (state.documents() != nullptr) {
         for (auto const* document : *state.documents()) {
             auto const kind = TRY(kind_of(document->kind()));
-            made.documents.push_back(
-                { kind, document->version(), milliseconds(static_cast<std::int64_t>(document->age_ms())) });
+            document_version told { kind, document->version(), to_milliseconds(document->age_ms()) };
+            if (document->returned_ago_ms() > 0)
+                told.returned_ago = to_milliseconds(document->returned_ago_ms() - 1);
+            made.documents.push_back(told);
         }
     }
     if (state.peers() != nullptr) {
         for (auto const* peer : *state.peers())
-            made.peers.push_back(text_of(peer));
+            made.members.push_back(parse_member(text_of(peer)));
     }
     return made;
 }
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/table_follower.h"
+#include "libraries/peering/fleet_member.h"
 
 #include <map>
 #include <optional>
@@ -23,13 +24,23 @@
     std::uint64_t version { 0 };
     // Since the store last confirmed it, at the sender.
     milliseconds age { 0 };
+    // Since the store returned after an outage, as the sender knows; none where it did not.
+    std::optional<milliseconds> returned_ago {};
 };
 
 struct state_message {
     dispatch::peer_reported report;
+    // Of the sender. With its weight and the report's failure domain it makes a fleet_member.
     std::string address;
+    std::uint32_t weight { 0 };
     std::vector<document_version> documents;
-    std::vector<std::string> peers;
+    std::vector<fleet_member> members {};
+    // Rises with each message that the sender makes.
+    std::uint64_t number { 0 };
+    // Another router passes on what the sender told it.
+    bool is_passed_on { false };
+
+    [[nodiscard]] fleet_member sender() const { return { address, report.domain, weight }; }
 };
 
 struct document_message {
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -34,6 +34,8 @@
     // Over which teams' shares are judged.
     milliseconds share_window { 4000 };
     std::size_t descriptors { 1024 };
+    // Of a core, that the process may use; 0 where it is not told.
+    double processor_share { 0 };
 
     bool operator==(deployment_settings const&) const = default;
 };
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -2,6 +2,8 @@
 // Links to and from other routers.
 #include "libraries/relay/peer_mesh.h"
 
+#include <algorithm>
+
 namespace shedhill::relay {
 
 namespace {
@@ -119,11 +121,10 @@
     std::string m_in;
 };
 
-peer_mesh::peer_mesh(event_loop& loop, std::string own_address, message_function on_message)
+peer_mesh::peer_mesh(event_loop& loop, peering::fleet_member self, message_function on_message)
     : m_loop(loop)
-    , m_own_address(std::move(own_address))
     , m_on_message(std::move(on_message))
-    , m_directory(m_own_address)
+    , m_directory(std::move(self))
     , m_listener(loop, [this](int descriptor) { accept(descriptor); })
 {
 }
@@ -132,12 +133,11 @@
 
 result<void> peer_mesh::open()
 {
-    TRY_VOID(m_listener.open(m_own_address));
+    TRY_VOID(m_listener.open(own_address()));
     // Port 0 lets the system choose; the others are told the real one.
-    if (m_own_address.ends_with(":0")) {
-        m_own_address = m_own_address.substr(0, m_own_address.size() - 1) + std::to_string(m_listener.port());
-        m_directory.set_own_address(m_own_address);
-    }
+    if (own_address().ends_with(":0"))
+        m_directory.set_own_address(
+            own_address().substr(0, own_address().size() - 1) + std::to_string(m_listener.port()));
     return {};
 }
 
@@ -158,6 +158,8 @@
         if (link->is_late(now))
             link->lose();
     }
+    for (auto const& address : m_directory.take_needless(now))
+        m_outgoing.erase(address);
     for (auto const& address : m_directory.take_due(now)) {
         auto const made = std::make_shared<outgoing_link>(*this, address);
         m_outgoing.insert_or_assign(address, made);
@@ -166,10 +168,26 @@
     }
 }
 
-void peer_mesh::tell_all(std::string const& frame)
+void peer_mesh::tell_routers(std::string const& frame)
+{
+    for (auto const& [address, link] : m_outgoing) {
+        if (m_directory.is_told_singly(address))
+            link->tell(frame);
+    }
+}
+
+void peer_mesh::tell_domains(std::string const& frame)
+{
+    for (auto const& [address, link] : m_outgoing) {
+        if (!m_directory.is_told_singly(address))
+            link->tell(frame);
+    }
+}
+
+bool peer_mesh::is_linked_to_domains() const
 {
-    for (auto const& [address, link] : m_outgoing)
-        link->tell(frame);
+    return std::ranges::any_of(m_outgoing,
+        [this](auto const& entry) { return entry.second->is_up() && !m_directory.is_told_singly(entry.first); });
 }
 
 void peer_mesh::tell(std::string const& address, std::string const& frame)
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -19,7 +19,7 @@
 public:
     using message_function = std::function<void(peering::peer_message message)>;
 
-    peer_mesh(event_loop& loop, std::string own_address, message_function on_message);
+    peer_mesh(event_loop& loop, peering::fleet_member self, message_function on_message);
     ~peer_mesh();
     peer_mesh(peer_mesh const&) = delete;
     peer_mesh& operator=(peer_mesh const&) = delete;
@@ -27,16 +27,19 @@
     result<void> open();
     void tick(std::uint64_t draw);
 
-    // To all routers that are connected; those that do not read fast enough are left out.
-    void tell_all(std::string const& frame);
+    // To the routers that are connected and are told what each does by itself, or to those of other failure domains,
+    // which are told sums; those that do not read fast enough are left out.
+    void tell_routers(std::string const& frame);
+    void tell_domains(std::string const& frame);
+    [[nodiscard]] bool is_linked_to_domains() const;
     void tell(std::string const& address, std::string const& frame);
     // Routers that were connected since the last call: they may know nothing yet.
     [[nodiscard]] std::vector<std::string> take_new() { return std::exchange(m_new, {}); }
 
     [[nodiscard]] peering::peer_directory& directory() { return m_directory; }
-    [[nodiscard]] std::string const& own_address() const { return m_own_address; }
+    [[nodiscard]] std::string const& own_address() const { return m_directory.self().address; }
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
-    // Routers that are told.
+    // Routers that are connected or being connected to.
     [[nodiscard]] std::size_t listeners() const { return m_outgoing.size(); }
 
 private:
@@ -46,7 +49,6 @@
     void accept(int descriptor);
 
     event_loop& m_loop;
-    std::string m_own_address;
     message_function m_on_message;
     peering::peer_directory m_directory;
     listener_socket m_listener;
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -1,18 +1,20 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// What a router learns from the store and from other routers, and what it tells them: the configuration in force, the
-// list of endpoints, who the other routers are, and their loads. Where the store does not answer here, another router's
-// word takes its place.
+// What a router learns from the store, or in its place from other routers: the configuration in force, the list of
+// endpoints, and who the other routers are. A few routers of each failure domain follow the store; the others learn
+// from them what has changed, and so does whoever cannot hear it.
 #pragma once
 
 #include "libraries/dispatch/dispatch_reducer.h"
 #include "libraries/dispatch/endpoint_roster.h"
 #include "libraries/dispatch/log_fields.h"
 #include "libraries/dispatch/store_outage_watch.h"
+#include "libraries/peering/follow_duty.h"
 #include "libraries/relay/deployment.h"
-#include "libraries/relay/peer_mesh.h"
 #include "libraries/relay/store_session.h"
+#include "services/shedhilld/fleet_reports.h"
 
 #include <algorithm>
+#include <array>
 #include <concepts>
 #include <map>
 #include <string>
@@ -45,7 +47,8 @@
         : m_loop(loop)
         , m_settings(settings)
         , m_host(host)
-        , m_peers(loop, settings.peer_address, [this](peering::peer_message message) { take(std::move(message)); })
+        , m_reports(loop, settings, *this)
+        , m_duty(settings.vm)
         , m_configuration(loop, settings.store_address, relay::table_name::configuration,
               { milliseconds(0), long_feed_wait }, [this] { take_configuration_rows(); })
         , m_endpoints(loop, settings.store_address, relay::table_name::endpoints,
@@ -61,7 +64,7 @@
     {
         if (m_settings.peer_address.empty())
             return {};
-        TRY_VOID(m_peers.open());
+        TRY_VOID(m_reports.open());
         add_seeds(m_settings.seeds);
         return {};
     }
@@ -69,13 +72,13 @@
     void add_seeds(std::vector<std::string> const& seeds)
     {
         for (auto const& seed : seeds)
-            m_peers.directory().add_seed(seed);
+            m_reports.directory().add_seed(seed);
     }
 
     void tick(instant now, std::uint64_t draw)
     {
+        set_paces(now);
         m_configuration.tick(now, draw);
-        m_endpoints.follower().set_pace(list_pace(now));
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
         if (std::exchange(m_was_failing, m_endpoints.follower().is_failing()) != m_endpoints.follower().is_failing()) {
@@ -85,25 +88,88 @@
         m_writer.check_time(now);
         if (m_roster.drop_lapsed(now))
             m_host.learn(dispatch::endpoints_listed { m_roster.entries() });
-        if (m_settings.peer_address.empty() || now - m_told_at < peer_interval(m_peers.listeners()))
-            return;
-        m_told_at = now;
-        m_peers.tick(draw);
-        tell_peers(now);
-        keep_own_row(now);
+        if (!m_settings.peer_address.empty() && m_reports.tick(now, draw))
+            keep_own_row(now);
     }
 
     // The own row is not written again.
     void leave() { m_is_leaving = true; }
 
-    [[nodiscard]] std::string const& peer_address() const { return m_peers.own_address(); }
-    [[nodiscard]] std::uint16_t peer_port() const { return m_peers.port(); }
-    [[nodiscard]] milliseconds configuration_age() { return m_loop.now() - m_configuration.follower().confirmed_at(); }
-    [[nodiscard]] milliseconds endpoint_list_age() { return m_loop.now() - m_endpoints.follower().confirmed_at(); }
+    [[nodiscard]] std::string const& peer_address() { return m_reports.self().address; }
+    [[nodiscard]] std::uint16_t peer_port() const { return m_reports.port(); }
+    // Since the store confirmed the document to this router, or to another one that told the same version.
+    [[nodiscard]] milliseconds configuration_age()
+    {
+        return m_loop.now()
+            - std::max(m_configuration.follower().confirmed_at(), told_of(document_kind::configuration).confirmed_at);
+    }
+    [[nodiscard]] milliseconds endpoint_list_age()
+    {
+        return m_loop.now()
+            - std::max(m_endpoints.follower().confirmed_at(), told_of(document_kind::endpoints).confirmed_at);
+    }
+
+    // What the reports between routers ask for and bring.
+
+    [[nodiscard]] dispatch::dispatch_reducer& reducer() { return m_host.reducer(); }
+    void learn(dispatch::event_body event) { m_host.learn(std::move(event)); }
+
+    [[nodiscard]] std::vector<peering::document_version> own_documents(instant now)
+    {
+        auto const returned_at = list_contact(now).returned_at;
+        std::optional<milliseconds> returned_ago;
+        if (returned_at != instant {})
+            returned_ago = now - returned_at;
+        return { { document_kind::configuration, reducer().routes().current().revision,
+                     now - m_configuration.follower().confirmed_at() },
+            { document_kind::endpoints, m_endpoints.follower().changed_version(),
+                now - m_endpoints.follower().confirmed_at(), returned_ago } };
+    }
+
+    void take_documents(peering::state_message const& state, instant now)
+    {
+        for (auto const& document : state.documents) {
+            auto const confirmed_at = now - document.age;
+            if (document.kind == document_kind::endpoints)
+                note_list_confirmed(document, state, now);
+            if (document.version == own_version(document.kind))
+                told_of(document.kind).confirmed_at = std::max(told_of(document.kind).confirmed_at, confirmed_at);
+            want_if_later(document, state.address, now);
+        }
+    }
+
+    void take(peering::document_wanted const& wanted)
+    {
+        if (own_version(wanted.kind) > wanted.version)
+            m_reports.tell(wanted.address, frame_of(wanted.kind));
+    }
+
+    void take(peering::document_message& document)
+    {
+        if (document.kind == document_kind::configuration)
+            return take_configuration_text(document.text);
+        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date(document.kind))
+            return;
+        if (m_endpoints.follower().take_told(std::move(document.rows), document.version, document.changed_version)
+            == dispatch::table_follower::page_outcome::changed)
+            take_endpoint_rows();
+    }
 
 private:
-    // How often the whole is told, and the routers that are known.
-    static constexpr milliseconds whole_interval { 1000 };
+    using document_kind = peering::document_kind;
+
+    // What other routers tell of one document.
+    struct told_document {
+        // When the store confirmed the version that is known here to one of them.
+        instant confirmed_at {};
+        instant want_again_at {};
+        // The document as it was last passed on, and its version.
+        std::uint64_t frame_version { 0 };
+        std::string frame;
+    };
+
+    [[nodiscard]] told_document& told_of(document_kind kind) { return m_told.at(static_cast<std::size_t>(kind)); }
+
     static constexpr milliseconds routers_pace { 2000 };
     // Each call to the store has its price. The list's feed comes back often, so that an outage is noticed by it; the
     // feeds of what rarely changes are held longer, and asked anew as soon as the list's feed tells of an outage.
@@ -114,6 +180,12 @@
     static constexpr milliseconds configuration_out_of_date { 900 };
     static constexpr milliseconds list_overdue { 200 };
     static constexpr milliseconds want_interval { 400 };
+    // Where others follow the store, this router asks it so seldom, in case that all of them are wrong.
+    static constexpr milliseconds second_hand_pace { 60000 };
+    // A router that has just started has not heard yet who follows the store. It reads it at once in any case.
+    static constexpr milliseconds first_listening { 800 };
+    // Beyond its pace and the time that it is held, a feed's answer and the report that tells of it take so long.
+    static constexpr milliseconds report_delay { 300 };
     static constexpr milliseconds write_interval { 1500 };
     static constexpr milliseconds write_limit { 1200 };
 
@@ -127,36 +199,32 @@
         return std::min(settings.leaving_bound / calls_within_bound, most);
     }
 
-    // In a large fleet the calls are shared out: a change reaches whoever follows the feed at the moment, and the
-    // others ask it. While none of the others hears the store, each is on its own.
-    [[nodiscard]] milliseconds list_pace(instant now) const
+    // Where some routers follow the list for others, an outage of these must show within the bound.
+    [[nodiscard]] milliseconds list_wait(instant now) const
     {
-        constexpr std::size_t routers_enough = 8;
-        constexpr std::size_t most_stretch = 4;
-        auto const own = own_list_pace(m_settings);
-        if (!m_outages.is_heard_by_peers(now))
-            return own;
-        auto const stretch = std::clamp<std::size_t>(m_peers.listeners() / routers_enough, 1, most_stretch);
-        return own * static_cast<std::int64_t>(stretch);
+        constexpr std::int64_t part_of_bound = 8;
+        return m_duty.is_shared(now) ? std::min(feed_wait, m_settings.leaving_bound * 3 / part_of_bound) : feed_wait;
     }
 
-    [[nodiscard]] milliseconds out_of_date(peering::document_kind kind) const
+    void set_paces(instant now)
     {
-        return kind == peering::document_kind::configuration ? configuration_out_of_date
-                                                             : own_list_pace(m_settings) + list_overdue;
+        auto const pace = own_list_pace(m_settings);
+        auto const wait = list_wait(now);
+        if (m_started_at == instant {})
+            m_started_at = now;
+        m_is_following = now - m_started_at >= first_listening && m_duty.is_own(pace + wait + report_delay, now);
+        m_endpoints.follower().set_options({ m_is_following ? pace : second_hand_pace, wait });
+        m_configuration.follower().set_options({ m_is_following ? milliseconds(0) : second_hand_pace, long_feed_wait });
+        m_routers.follower().set_options({ m_is_following ? routers_pace : second_hand_pace, long_feed_wait });
     }
 
-    // What others have sent in the last moments is what a choice knows least of, so a small fleet tells more often;
-    // each message costs a few system calls at both ends, so that a router sends so many a second at the most.
-    // Measured: docs/DECISIONS.md.
-    static milliseconds peer_interval(std::size_t listeners)
+    // From when on another router's later version is asked for.
+    [[nodiscard]] milliseconds out_of_date(document_kind kind) const
     {
-        constexpr std::int64_t messages_per_second = 300;
-        constexpr std::int64_t ms_per_second = 1000;
-        constexpr milliseconds least { 32 };
-        constexpr milliseconds most { 100 };
-        return std::clamp(
-            milliseconds(static_cast<std::int64_t>(listeners) * ms_per_second / messages_per_second), least, most);
+        if (!m_is_following)
+            return milliseconds(0);
+        return kind == document_kind::configuration ? configuration_out_of_date
+                                                    : own_list_pace(m_settings) + list_overdue;
     }
 
     // The store.
@@ -182,20 +250,43 @@
         m_host.learn(dispatch::configuration_learned { std::move(*parsed) });
     }
 
+    [[nodiscard]] dispatch::store_contact list_contact(instant now)
+    {
+        auto const& follower = m_endpoints.follower();
+        return m_outages.contact({ follower.confirmed_at(), follower.returned_at(), m_is_following }, now);
+    }
+
+    // One row of the list as it was read, so that only rows that changed are read again.
+    struct parsed_row {
+        std::uint64_t version { 0 };
+        std::optional<dispatch::endpoint_entry> entry;
+    };
+
+    parsed_row parse_row(std::string const& key, dispatch::table_follower::row const& row)
+    {
+        if (auto const known = m_parsed.find(key); known != m_parsed.end() && known->second.version == row.version)
+            return std::move(known->second);
+        parsed_row parsed { row.version, std::nullopt };
+        if (auto entry = TableBinding::parse_endpoint(key, row.value))
+            parsed.entry = std::move(*entry);
+        else
+            m_host.count("shedhill_bad_documents_total");
+        return parsed;
+    }
+
     void take_endpoint_rows()
     {
         std::vector<dispatch::endpoint_entry> shown;
+        std::map<std::string, parsed_row> parsed;
         for (auto const& [key, row] : m_endpoints.follower().rows()) {
-            if (auto entry = TableBinding::parse_endpoint(key, row.value))
-                shown.push_back(std::move(*entry));
-            else
-                m_host.count("shedhill_bad_documents_total");
+            auto const& read = parsed.emplace(key, parse_row(key, row)).first->second;
+            if (read.entry)
+                shown.push_back(*read.entry);
         }
+        m_parsed = std::move(parsed);
         auto const now = m_loop.now();
-        auto const& follower = m_endpoints.follower();
-        auto const contact = m_outages.contact({ follower.confirmed_at(), follower.returned_at() }, now);
         auto const kept_before = m_roster.kept_count();
-        bool const is_changed = m_roster.take(std::move(shown), contact, now);
+        bool const is_changed = m_roster.take(std::move(shown), list_contact(now), now);
         if (m_roster.kept_count() > kept_before)
             note_kept_endpoints();
         if (is_changed)
@@ -211,10 +302,10 @@
 
     void take_router_rows()
     {
-        std::map<std::string, std::string> rows;
+        std::map<std::string, peering::fleet_member> rows;
         for (auto const& [key, row] : m_routers.follower().rows())
-            rows.emplace(key, row.value);
-        m_peers.directory().take_table(rows);
+            rows.emplace(key, peering::parse_member(row.value));
+        m_reports.directory().take_table(rows);
     }
 
     // The own row is written where it is missing, and rows of the dead are removed: one call at a time.
@@ -224,13 +315,19 @@
             return;
         auto const& rows = m_routers.follower().rows();
         auto const own = rows.find(m_settings.vm.value());
-        if (!m_is_leaving && (own == rows.end() || own->second.value != m_peers.own_address())) {
+        auto const text = peering::to_text(m_reports.self());
+        // Rows that were read before the last write do not show it: a router that does not follow them would write on.
+        bool const shows_last_write = m_routers.follower().confirmed_at() > m_row_written_at;
+        if (!m_is_leaving && shows_last_write && (own == rows.end() || own->second.value != text)) {
             m_write_again_at = now + write_interval;
             return m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
-                                      m_settings.vm.value(), m_peers.own_address()),
+                                      m_settings.vm.value(), text),
                 write_limit);
         }
-        for (auto const& dead : m_peers.directory().rows_of_the_dead(now)) {
+        // Who does not follow the rows does not see that one was removed already.
+        if (!m_is_following)
+            return;
+        for (auto const& dead : m_reports.directory().rows_of_the_dead(now)) {
             auto const row = rows.find(dead);
             if (row == rows.end())
                 continue;
@@ -243,111 +340,68 @@
 
     void take_written(unsigned status)
     {
-        if (status == 0 || TableBinding::verdict_of(status) == relay::store_verdict::failed)
+        if (status != 0 && TableBinding::verdict_of(status) != relay::store_verdict::failed)
+            m_row_written_at = m_loop.now();
+        else
             m_host.count("shedhill_store_write_failures_total");
     }
 
-    // Peers.
-
-    // Most messages hold only what changed: where many routers tell each other, they would fill the links between
-    // failure domains. Once in a while, and when a router is new, the whole is told, so that a lost message does no
-    // lasting harm.
-    void tell_peers(instant now)
-    {
-        auto const newcomers = m_peers.take_new();
-        bool const is_whole = !newcomers.empty() || now - m_told_whole_at >= whole_interval;
-        peering::state_message state;
-        state.report = m_host.reducer().take_own_report(
-            is_whole ? dispatch::report_scope::whole : dispatch::report_scope::changes, now);
-        if (m_peers.listeners() == 0)
-            return;
-        state.address = m_peers.own_address();
-        if (is_whole) {
-            m_told_whole_at = now;
-            state.peers = m_peers.directory().connected();
-        }
-        state.documents.push_back({ peering::document_kind::configuration, m_host.reducer().routes().current().revision,
-            now - m_configuration.follower().confirmed_at() });
-        state.documents.push_back({ peering::document_kind::endpoints, m_endpoints.follower().changed_version(),
-            now - m_endpoints.follower().confirmed_at() });
-        m_peers.tell_all(peering::encode_frame(state));
-        tell_parts(newcomers, std::move(state), now);
-    }
-
-    // A router that has just come up learns where parts of prompts are kept.
-    void tell_parts(std::vector<std::string> const& newcomers, peering::state_message state, instant now)
-    {
-        if (newcomers.empty())
-            return;
-        state.report.scope = dispatch::report_scope::changes;
-        state.report.loads.clear();
-        state.report.parts = m_host.reducer().recent_parts(now);
-        auto const frame = peering::encode_frame(std::move(state));
-        for (auto const& address : newcomers)
-            m_peers.tell(address, frame);
-    }
+    // Other routers.
 
-    void take(peering::peer_message message)
+    void note_list_confirmed(peering::document_version const& told, peering::state_message const& state, instant now)
     {
-        std::visit([this](auto& body) { take_part(body); }, message);
+        auto const confirmed_at = now - told.age;
+        m_outages.note_peer_confirmed(confirmed_at, told.returned_ago ? now - *told.returned_ago : instant {});
+        bool const is_neighbour
+            = state.report.subject == dispatch::report_subject::router && state.report.domain == m_settings.domain;
+        if (is_neighbour)
+            m_duty.note_heard(state.report.peer, confirmed_at, now);
     }
 
-    void take_part(peering::state_message& state)
+    [[nodiscard]] std::uint64_t own_version(document_kind kind)
     {
-        auto const now = m_loop.now();
-        m_peers.directory().note_heard(state.address, now);
-        for (auto const& address : state.peers)
-            m_peers.directory().add_told(address, now);
-        for (auto const& document : state.documents) {
-            if (document.kind == peering::document_kind::endpoints)
-                m_outages.note_peer_confirmed(now - document.age);
-            want_if_later(document, state.address, now);
-        }
-        m_host.learn(std::move(state.report));
+        return kind == document_kind::configuration ? reducer().routes().current().revision
+                                                    : m_endpoints.follower().changed_version();
     }
 
     void want_if_later(peering::document_version const& told, std::string const& address, instant now)
     {
-        bool const is_configuration = told.kind == peering::document_kind::configuration;
-        auto& follower = is_configuration ? m_configuration.follower() : m_endpoints.follower();
-        auto const own = is_configuration ? m_host.reducer().routes().current().revision : follower.changed_version();
-        if (told.version <= own || now - follower.confirmed_at() < out_of_date(told.kind) || now < m_want_again_at)
+        auto& follower
+            = told.kind == document_kind::configuration ? m_configuration.follower() : m_endpoints.follower();
+        auto const own = own_version(told.kind);
+        auto& known = told_of(told.kind);
+        if (told.version <= own || now - follower.confirmed_at() < out_of_date(told.kind) || now < known.want_again_at)
             return;
-        m_want_again_at = now + want_interval;
-        m_peers.tell(
-            address, peering::encode_frame(peering::document_wanted { told.kind, own, m_peers.own_address() }));
+        known.want_again_at = now + want_interval;
+        m_reports.tell(
+            address, peering::encode_frame(peering::document_wanted { told.kind, own, m_reports.self().address }));
     }
 
-    void take_part(peering::document_wanted const& wanted)
+    // Many routers ask for the same version at once: it is encoded once.
+    [[nodiscard]] std::string const& frame_of(document_kind kind)
     {
-        peering::document_message answer { wanted.kind, 0, {}, 0, {} };
-        if (wanted.kind == peering::document_kind::configuration) {
-            answer.version = m_host.reducer().routes().current().revision;
-            answer.text = m_configuration_text;
+        auto& known = told_of(kind);
+        auto const version = own_version(kind);
+        if (known.frame_version == version)
+            return known.frame;
+        peering::document_message document { kind, version, {}, 0, {} };
+        if (kind == document_kind::configuration) {
+            document.text = m_configuration_text;
         } else {
-            answer.version = m_endpoints.follower().version();
-            answer.changed_version = m_endpoints.follower().changed_version();
-            answer.rows = m_endpoints.follower().rows();
+            document.version = m_endpoints.follower().version();
+            document.changed_version = version;
+            document.rows = m_endpoints.follower().rows();
         }
-        if (answer.version > wanted.version)
-            m_peers.tell(wanted.address, peering::encode_frame(std::move(answer)));
-    }
-
-    void take_part(peering::document_message& document)
-    {
-        if (document.kind == peering::document_kind::configuration)
-            return take_configuration_text(document.text);
-        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date(document.kind))
-            return;
-        if (m_endpoints.follower().take_told(std::move(document.rows), document.version, document.changed_version)
-            == dispatch::table_follower::page_outcome::changed)
-            take_endpoint_rows();
+        known.frame = peering::encode_frame(std::move(document));
+        known.frame_version = version;
+        return known.frame;
     }
 
     relay::event_loop& m_loop;
     relay::deployment_settings const& m_settings;
     Host& m_host;
-    relay::peer_mesh m_peers;
+    fleet_reports<fleet_knowledge> m_reports;
+    peering::follow_duty m_duty;
     relay::table_session<TableBinding> m_configuration;
     relay::table_session<TableBinding> m_endpoints;
     relay::table_session<TableBinding> m_routers;
@@ -357,12 +411,17 @@
     std::string m_configuration_text;
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
+    std::map<std::string, parsed_row> m_parsed;
+    // By kind.
+    std::array<told_document, static_cast<std::size_t>(document_kind::count)> m_told {};
+    // This router follows the store, or learns from the neighbours that do.
+    bool m_is_following { false };
     bool m_is_leaving { false };
     bool m_was_failing { false };
-    instant m_told_at {};
-    instant m_told_whole_at {};
+    instant m_started_at {};
+    // When a write, of the own row or of one that was removed, was last confirmed.
+    instant m_row_written_at {};
     instant m_write_again_at {};
-    instant m_want_again_at {};
 };
 
 } // namespace shedhill::daemon
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -99,10 +99,14 @@
     {
         team_ledger ledger(milliseconds(4000));
         ledger.charge(key_of(team_name("red")), at(1000), 10);
-        ledger.take_report(vm_name("b"), { { key_of(team_name("red")), 500, 100 } }, milliseconds(0), at(1000));
-        ledger.take_report(vm_name("b"), { { key_of(team_name("red")), 600, 150 } }, milliseconds(0), at(1000));
+        peer_reported report;
+        report.peer = vm_name("b");
+        report.teams = { { key_of(team_name("red")), 500, 100 } };
+        ledger.take_report(report, source_place::own_domain, at(1000));
+        report.teams = { { key_of(team_name("red")), 600, 150 } };
+        ledger.take_report(report, source_place::own_domain, at(1000));
         CPPUNIT_ASSERT_EQUAL(token_count { 160 }, ledger.level(key_of(team_name("red")), at(1000)));
-        ledger.forget_peer(vm_name("b"));
+        ledger.forget(report.source());
         CPPUNIT_ASSERT_EQUAL(token_count { 10 }, ledger.level(key_of(team_name("red")), at(1000)));
     }
 
@@ -126,7 +130,11 @@
     {
         team_ledger ledger(milliseconds(4000));
         ledger.update_shares(1000, at(1000));
-        ledger.take_report(vm_name("b"), { { key_of(team_name("red")), 1000000, 0 } }, milliseconds(4000), at(1100));
+        peer_reported report;
+        report.peer = vm_name("b");
+        report.teams = { { key_of(team_name("red")), 1000000, 0 } };
+        report.known_span = milliseconds(4000);
+        ledger.take_report(report, source_place::own_domain, at(1100));
         ledger.update_shares(1000, at(1100));
         CPPUNIT_ASSERT_EQUAL(token_count { 4000 }, ledger.share());
     }
@@ -253,11 +261,18 @@
         table_follower follower({ milliseconds(100), milliseconds(1500) });
         (void)follower.take_next(at(1000));
         follower.take_page({}, 5, false, at(1010));
-        follower.set_pace(milliseconds(1000));
+        follower.set_options({ milliseconds(1000), milliseconds(1500) });
         CPPUNIT_ASSERT(follower.take_next(at(1100)).kind == table_follower::call_kind::follow);
         follower.take_page({}, 6, false, at(1110));
         CPPUNIT_ASSERT(follower.take_next(at(2099)).kind == table_follower::call_kind::none);
         CPPUNIT_ASSERT(follower.take_next(at(2100)).kind == table_follower::call_kind::follow);
+        follower.take_page({}, 7, false, at(2110));
+        // A shorter one does not wait for the end of the longer one.
+        follower.set_options({ milliseconds(200), milliseconds(700) });
+        CPPUNIT_ASSERT(follower.take_next(at(2299)).kind == table_follower::call_kind::none);
+        auto const next = follower.take_next(at(2300));
+        CPPUNIT_ASSERT(next.kind == table_follower::call_kind::follow);
+        CPPUNIT_ASSERT(next.wait == milliseconds(700));
     }
 
     void rows_told_by_a_peer_are_followed_on()
@@ -339,11 +354,12 @@
         keeper->places.note(77, at(1000));
         // Another router's requests count too.
         board.take_report(
-            { vm_name("b"), report_scope::whole, { { key_of(endpoint_name("e1")), 8, 0 } }, {}, {} }, at(1000));
+            { vm_name("b"), report_scope::whole, { { key_of(endpoint_name("e1")), 8, 0 } }, {}, {} },
+            source_place::own_domain, at(1000));
         auto const chosen = board.choose(usual_choice(cost, excluded), at(1001));
         CPPUNIT_ASSERT_EQUAL(std::string("e2"), chosen.endpoint->entry.name.value());
         CPPUNIT_ASSERT_EQUAL(token_count { 5500 }, chosen.lost);
-        board.forget_peer(vm_name("b"));
+        board.forget(peer_reported { .peer = vm_name("b") }.source());
         CPPUNIT_ASSERT_EQUAL(
             std::string("e1"), board.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name.value());
     }
@@ -370,7 +386,7 @@
             for (auto const until = now + time; now < until; now += 100) {
                 board.take_report(
                     { vm_name("b"), report_scope::whole, { { key_of(endpoint_name("e1")), 10, 3000 } }, {}, {} },
-                    at(now));
+                    source_place::own_domain, at(now));
                 board.fade_slowness();
             }
         };
--- a/tests/dispatch/load_reports_test.cpp
+++ b/tests/dispatch/load_reports_test.cpp
@@ -79,7 +79,7 @@
         report.peer = vm_name("b");
         report.scope = scope;
         report.loads = from.take_own_loads(scope, now);
-        to.take_report(report, now);
+        to.take_report(report, source_place::own_domain, now);
     }
 
     // After each report the other router counts just what runs here.
@@ -98,7 +98,7 @@
                 for (auto const* name : names)
                     RC_ASSERT(endpoint(there, name).others_running == endpoint(here, name).running);
             }
-            there.forget_peer(vm_name("b"));
+            there.forget(peer_reported { .peer = vm_name("b") }.source());
             for (auto const* name : names)
                 RC_ASSERT(endpoint(there, name).others_running == 0U);
         });
--- a/tests/dispatch/store_outage_watch_test.cpp
+++ b/tests/dispatch/store_outage_watch_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(the_return_is_the_first_routers);
     CPPUNIT_TEST(an_endpoint_that_left_during_an_own_outage_is_gone);
     CPPUNIT_TEST(late_reports_change_nothing);
+    CPPUNIT_TEST(who_does_not_follow_goes_by_what_followers_tell);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(std::int64_t time) { return instant(milliseconds(time)); }
@@ -72,6 +73,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, roster.entries().size());
     }
 
+    // A short outage shows only to those who follow the list: entries that lapsed in it are kept by what they tell.
+    void who_does_not_follow_goes_by_what_followers_tell()
+    {
+        store_outage_watch watch;
+        own_store_contact const not_following { at(1000), {}, false };
+        watch.note_peer_confirmed(at(9000));
+        CPPUNIT_ASSERT(watch.contact(not_following, at(9100)).returned_at == instant {});
+        watch.note_peer_confirmed(at(10700), at(10700));
+        CPPUNIT_ASSERT(!watch.contact(not_following, at(10800)).is_away);
+        CPPUNIT_ASSERT(watch.contact(not_following, at(10800)).returned_at == at(10700));
+    }
+
     void late_reports_change_nothing()
     {
         store_outage_watch watch;
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -340,7 +340,14 @@
         state.report.parts = { { key_of(endpoint_name("e")), 77 } };
         state.address = "10.0.0.1:1";
         state.documents = { { peering::document_kind::endpoints, 9, milliseconds(30) } };
-        state.peers = { "10.0.0.2:1" };
+        state.members = { { "10.0.0.2:1", failure_domain("south"), 90 } };
+        state.number = 12;
+        state.is_passed_on = true;
+        state.weight = 500;
+        state.report.domain = failure_domain("north");
+        state.report.subject = dispatch::report_subject::domain;
+        state.report.routers = 20;
+        state.report.routers_aside = 2;
         auto const frame = peering::encode_frame(state);
         CPPUNIT_ASSERT_EQUAL(frame.size(), *peering::frame_size(frame));
         CPPUNIT_ASSERT(!peering::frame_size(frame.substr(0, 3)));
@@ -360,15 +367,18 @@
         auto const* const scope = state.report.scope == dispatch::report_scope::whole ? " whole " : " changes ";
         return state.report.peer.value() + scope + std::to_string(state.report.loads.at(0).sent)
             + std::to_string(state.report.teams.at(0).admitted) + std::to_string(state.report.parts.at(0).part)
-            + state.address + std::to_string(state.documents.at(0).version) + state.peers.at(0);
+            + state.address + std::to_string(state.documents.at(0).version) + to_text(state.members.at(0))
+            + std::to_string(state.number) + (state.is_passed_on ? " passed on " : " ") + to_text(state.sender())
+            + state.report.source().value() + std::to_string(state.report.routers)
+            + std::to_string(state.report.routers_aside);
     }
 
     void peers_are_tried_with_back_off_and_forgotten()
     {
         auto const at = [](std::int64_t time) { return instant(milliseconds(time)); };
-        peering::peer_directory directory("own:1");
+        peering::peer_directory directory({ "own:1", {}, 0 });
         directory.add_seed("own:1");
-        directory.take_table({ { "a", "a:1" }, { "me", "own:1" } });
+        directory.take_table({ { "a", { "a:1", {}, 0 } }, { "me", { "own:1", {}, 0 } } });
         CPPUNIT_ASSERT(directory.take_due(at(1000)) == std::vector<std::string> { "a:1" });
         CPPUNIT_ASSERT(directory.take_due(at(1000)).empty());
         directory.note_lost("a:1", at(1000), 0);
