--- a/libraries/peering/domain_tellers.cpp
+++ b/libraries/peering/domain_tellers.cpp
@@ -12,8 +12,7 @@
 
 } // namespace
 
-bool domain_tellers::accepts(
-    failure_domain const& domain, vm_name const& teller, std::uint64_t number, instant now)
+bool domain_tellers::accepts(failure_domain const& domain, vm_name const& teller, std::uint64_t number, instant now)
 {
     auto const [found, is_first] = m_tellers.try_emplace(domain, teller_state { teller, number, now });
     auto& known = found->second;
--- a/libraries/peering/domain_tellers.h
+++ b/libraries/peering/domain_tellers.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Of the routers that tell the sums of another failure domain, the one whose word is taken. Each sum holds what was sent
-// since the same router's last one, so that two tellers at a time, as there are for a moment when one takes over from
-// another, would count it twice.
+// Of the routers that tell the sums of another failure domain, the one whose word is taken. Each sum holds what was
+// sent since the same router's last one, so that two tellers at a time, as there are for a moment when one takes over
+// from another, would count it twice.
 #pragma once
 
 #include "base/identifiers.h"
@@ -15,8 +15,7 @@
 class domain_tellers {
 public:
     // Whether the sums are taken: the first time that they come, from the teller that is heard.
-    [[nodiscard]] bool accepts(
-        failure_domain const& domain, vm_name const& teller, std::uint64_t number, instant now);
+    [[nodiscard]] bool accepts(failure_domain const& domain, vm_name const& teller, std::uint64_t number, instant now);
 
 private:
     struct teller_state {
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Which routers there may be, and which of them to connect to. Routers are known from the table of routers, the seeds of
-// the settings, and what other routers tell; one that nobody vouches for any more is forgotten once it does not answer.
+// Which routers there may be, and which of them to connect to. Routers are known from the table of routers, the seeds
+// of the settings, and what other routers tell; one that nobody vouches for any more is forgotten once it does not
+// answer.
 //
 // A small fleet connects all to all. In a larger one a router connects to the routers of its own failure domain only.
 // The one of them with the most to spend, of those who are heard, is the domain's teller: it connects to one contact in
@@ -32,8 +33,8 @@
     void add_seed(std::string const& address) { learn({ address, {}, 0 }).is_seed = true; }
     // Another router knows of this one.
     void add_told(fleet_member const& member, instant now) { learn(member).told_at = now; }
-    // This router itself has spoken: it is up, and is connected to without waiting. While it has more to do than it can,
-    // it does not tell for its failure domain.
+    // This router itself has spoken: it is up, and is connected to without waiting. While it has more to do than it
+    // can, it does not tell for its failure domain.
     void note_heard(fleet_member const& member, bool is_aside, instant now);
     // Sums of the failure domain came from one of its routers.
     void note_domain_heard(failure_domain const& domain, instant now) { m_domains[domain].heard_at = now; }
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// What routers tell each other: to those of the same failure domain each router what it does by itself, to other failure
-// domains one router the sums of its own, which whoever is told passes on to its neighbours. So a message a router and
-// tenth of a second crosses between two failure domains, however many routers there are.
+// What routers tell each other: to those of the same failure domain each router what it does by itself, to other
+// failure domains one router the sums of its own, which whoever is told passes on to its neighbours. So a message a
+// router and tenth of a second crosses between two failure domains, however many routers there are.
 #pragma once
 
 #include "libraries/dispatch/dispatch_reducer.h"
@@ -19,9 +19,8 @@
 
 // What the reports are made from, and who takes what others tell.
 template <typename Owner>
-concept reports_owner
-    = requires(Owner& owner, peering::state_message& state, peering::document_message& document,
-        peering::document_wanted const& wanted, dispatch::event_body event, instant now)
+concept reports_owner = requires(Owner& owner, peering::state_message& state, peering::document_message& document,
+    peering::document_wanted const& wanted, dispatch::event_body event, instant now)
 {
     {
         owner.reducer()
@@ -114,9 +113,8 @@
 
     [[nodiscard]] bool has_newcomer(std::vector<std::string> const& newcomers, bool is_told_singly)
     {
-        return std::ranges::any_of(newcomers, [&](auto const& address) {
-            return directory().is_told_singly(address) == is_told_singly;
-        });
+        return std::ranges::any_of(
+            newcomers, [&](auto const& address) { return directory().is_told_singly(address) == is_told_singly; });
     }
 
     // Most messages hold only what changed. Once in a while, and when a router is new, the whole is told, so that a
@@ -182,8 +180,8 @@
         if (state.is_passed_on)
             directory().add_told(state.sender(), now);
         else
-            directory().note_heard(state.sender(), state.report.routers_aside > 0
-                    && state.report.subject == dispatch::report_subject::router, now);
+            directory().note_heard(state.sender(),
+                state.report.routers_aside > 0 && state.report.subject == dispatch::report_subject::router, now);
         m_owner.take_documents(state, now);
         if (state.report.subject == dispatch::report_subject::domain && !takes_sums(state, now))
             return;
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -353,8 +353,7 @@
         keeper->places.note(1, at(1000));
         keeper->places.note(77, at(1000));
         // Another router's requests count too.
-        board.take_report(
-            { vm_name("b"), report_scope::whole, { { key_of(endpoint_name("e1")), 8, 0 } }, {}, {} },
+        board.take_report({ vm_name("b"), report_scope::whole, { { key_of(endpoint_name("e1")), 8, 0 } }, {}, {} },
             source_place::own_domain, at(1000));
         auto const chosen = board.choose(usual_choice(cost, excluded), at(1001));
         CPPUNIT_ASSERT_EQUAL(std::string("e2"), chosen.endpoint->entry.name.value());
