relay, dispatch: A full link counts as overload, and own trouble ejects nobody

It took its slow connects for ill endpoints (3,866 of 4,054 attempts failed not sent after 160 ms, at endpoints that others reach) and ejected them; the overload guard watches time alone and saw nothing.

Now the loop counts what its sockets carry against what the settings say of the link, and a link over 0.8 in the fuller direction counts as overload: less is taken, the router steps aside while others have room, and what fails meanwhile is not held against endpoints.

Ruled out: the processor (0.3 busy); the endpoints (reached by all other routers at the same time); the fleet's own talk (3 to 7 per cent of the link before traffic begins).

It stays full: one caller alone sends more than it carries.

Tests: the meter, a full link and one that is full for a moment, own trouble ejects nobody (fails without the change).

--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -152,7 +152,9 @@
     if (endpoint == nullptr)
         return;
     --endpoint->running;
-    if (verdict == nullptr)
+    // What fails while this router is behind, or its link is full, says nothing of the endpoint.
+    bool const is_own_trouble = m_overload.is_behind() && verdict != nullptr && *verdict == attempt_verdict::failed;
+    if (verdict == nullptr || is_own_trouble)
         return endpoint->health.note_probe_over();
     if (!endpoint->health.note(*verdict, step.now))
         return;
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -21,6 +21,7 @@
 // A use of a part is not told again within this time: parts are believed for many seconds, and the ones that most
 // requests share would fill the messages.
 constexpr milliseconds use_known_for { 1000 };
+constexpr double percent = 100;
 constexpr milliseconds deadline_interval { 40 };
 constexpr milliseconds parts_interval { 2000 };
 constexpr milliseconds shares_interval { 100 };
@@ -147,7 +148,7 @@
 
 void dispatch_reducer::handle(tick const& ticked, step_context& step)
 {
-    m_overload.note_tick(ticked.lag, ticked.busy_part);
+    m_overload.note_tick({ ticked.lag, ticked.busy_part, ticked.link_part });
     if (m_overload.update_aside(load_of_fleet(), step.now))
         update_ready(step);
     if (step.now - m_shares_updated >= shares_interval) {
@@ -202,6 +203,7 @@
             .add("aside", m_overload.is_aside() ? 1 : 0)
             .add("draining", m_is_draining ? 1 : 0)
             .add("active", m_requests.size())
+            .add("busy_percent", static_cast<int>(m_overload.busy_part() * percent))
             .take() });
 }
 
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -107,7 +107,7 @@
     std::vector<part_placed> parts {};
     // Routers that take no new callers for now, since they have more to do than they can.
     std::uint32_t routers_aside { 0 };
-    // The part of their time in which the others do not wait, from 0 to 1.
+    // The part of what the others can do that is in use, of their time or their links, from 0 to 1.
     double busy_part { 0 };
     report_subject subject { report_subject::router };
     // Of the router that tells; empty where it is not known.
@@ -133,6 +133,8 @@
     milliseconds lag { 0 };
     // The part of the time since the last tick in which the process did not wait for anything, from 0 to 1.
     double busy_part { 0 };
+    // The part of the VM's link that was in use in that time, in the fuller direction, from 0 to 1.
+    double link_part { 0 };
 };
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
--- a/libraries/dispatch/overload_guard.cpp
+++ b/libraries/dispatch/overload_guard.cpp
@@ -15,6 +15,10 @@
 // A process that hardly ever waits has more to do than it can: what comes queues up where it is not seen.
 constexpr double too_busy = 0.94;
 constexpr double busy_enough = 0.85;
+// What queues up before a link that is this full takes longer than a tenth of a second: measured on links of 10 Mbit/s.
+constexpr double weight_of_the_newest_link = 0.03;
+constexpr double too_full = 0.8;
+constexpr double full_enough = 0.65;
 constexpr double rise_per_tick = 0.03;
 constexpr double fall_per_tick = 0.015;
 constexpr double most_refused_part = 0.9;
@@ -33,17 +37,21 @@
 
 } // namespace
 
-void overload_guard::note_tick(milliseconds lag, double busy_part)
+void overload_guard::note_tick(own_load const& seen)
 {
-    m_lag_ms += weight_of_the_newest * (static_cast<double>(lag.count()) - m_lag_ms);
-    m_busy_part += weight_of_the_newest * (busy_part - m_busy_part);
-    if (m_busy_part > too_busy)
+    m_lag_ms += weight_of_the_newest * (static_cast<double>(seen.lag.count()) - m_lag_ms);
+    m_busy_part += weight_of_the_newest * (seen.busy_part - m_busy_part);
+    m_link_part += weight_of_the_newest_link * (seen.link_part - m_link_part);
+    if (m_busy_part > too_busy || m_link_part > too_full)
         m_refused_part = std::min(m_refused_part + rise_per_tick, most_refused_part);
-    else if (m_busy_part < busy_enough)
+    else if (m_busy_part < busy_enough && m_link_part < full_enough)
         m_refused_part = std::max(m_refused_part - fall_per_tick, 0.0);
 }
 
-bool overload_guard::is_behind() const { return m_lag_ms >= bearable_lag_ms || m_busy_part > too_busy; }
+bool overload_guard::is_behind() const
+{
+    return m_lag_ms >= bearable_lag_ms || m_busy_part > too_busy || m_link_part > too_full;
+}
 
 double overload_guard::refused_part(team_standing standing) const
 {
--- a/libraries/dispatch/overload_guard.h
+++ b/libraries/dispatch/overload_guard.h
@@ -6,11 +6,22 @@
 #include "base/units.h"
 #include "libraries/dispatch/admission_terms.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
 namespace shedhill::dispatch {
 
+// What a router has seen of itself since its last tick.
+struct own_load {
+    // How much later than wanted the tick came.
+    milliseconds lag { 0 };
+    // The part of the time in which the process did not wait.
+    double busy_part { 0 };
+    // The part of the link that was in use.
+    double link_part { 0 };
+};
+
 // What a router knows of the others.
 struct fleet_load {
     // This one included.
@@ -22,9 +33,8 @@
 
 class overload_guard {
 public:
-    // Called at each tick: how much later than wanted it came, and the part of the time since the last one in which
-    // the process did not wait.
-    void note_tick(milliseconds lag, double busy_part);
+    // Called at each tick.
+    void note_tick(own_load const& seen);
 
     // What is timed here, such as how long an endpoint took, tells more of this router than of others.
     [[nodiscard]] bool is_behind() const;
@@ -35,15 +45,17 @@
     // a while, while others have time, steps aside: it takes no new callers for some time, the longer the oftener. At
     // most a part of the routers may be aside at once. Whether it has stepped aside or come back.
     bool update_aside(fleet_load const& fleet, instant now);
-    [[nodiscard]] double busy_part() const { return m_busy_part; }
+    // The part of its time, or of its link if that is more, that is in use.
+    [[nodiscard]] double busy_part() const { return std::max(m_busy_part, m_link_part); }
     [[nodiscard]] bool is_aside() const { return m_is_aside; }
 
 private:
     [[nodiscard]] double refused_part(team_standing standing) const;
 
-    // Both smoothed over about a tenth of a second.
+    // Smoothed over about a tenth of a second, the link over about half a second: a large body fills it for a moment.
     double m_lag_ms { 0 };
     double m_busy_part { 0 };
+    double m_link_part { 0 };
     // Rises while there is too much to do, and falls while there is time.
     double m_refused_part { 0 };
     // Since when much is turned away; the epoch while it is not.
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -34,6 +34,8 @@
     // Over which teams' shares are judged.
     milliseconds share_window { 4000 };
     std::size_t descriptors { 1024 };
+    // What the VM's link carries in each direction; 0 where it is not told.
+    double link_megabits_per_second { 0 };
     // Of a core, that the process may use; 0 where it is not told.
     double processor_share { 0 };
 
--- a/libraries/relay/event_loop.cpp
+++ b/libraries/relay/event_loop.cpp
@@ -64,6 +64,8 @@
     return 1 - static_cast<double>(std::exchange(m_waited_ns, 0)) / static_cast<double>(passed);
 }
 
+double event_loop::take_link_part() { return m_link.take_part(steady_ns()); }
+
 watch_id event_loop::watch(int descriptor, io_handler& handler, interest wanted)
 {
     if (m_free_slots.empty()) {
--- a/libraries/relay/event_loop.h
+++ b/libraries/relay/event_loop.h
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/units.h"
+#include "libraries/relay/link_meter.h"
 
 #include <array>
 #include <cstdint>
@@ -64,6 +65,10 @@
     void refresh_now();
     // The part of the time since the last call in which the loop did not wait, from 0 to 1.
     [[nodiscard]] double take_busy_part();
+    // What all sockets of the loop carry.
+    [[nodiscard]] link_meter& link() { return m_link; }
+    // The part of the link that was in use since the last call, from 0 to 1.
+    [[nodiscard]] double take_link_part();
 
     // One buffer for all reads: what is read is handled before the next read.
     [[nodiscard]] std::array<char, read_buffer_size>& read_buffer() { return m_read_buffer; }
@@ -81,6 +86,7 @@
     std::int64_t m_waited_ns { 0 };
     std::int64_t m_busy_since_ns { 0 };
     instant m_now {};
+    link_meter m_link;
     std::vector<watched_slot> m_slots;
     std::vector<std::uint32_t> m_free_slots;
     std::vector<std::function<void()>> m_at_end;
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -2,6 +2,7 @@
 // Sockets by the system's calls.
 #include "libraries/relay/socket.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <charconv>
@@ -101,6 +102,7 @@
 {
     auto& buffer = m_loop.read_buffer();
     auto const count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    m_loop.link().note_received(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
     if (count > 0)
         return { std::string_view(buffer.data(), static_cast<std::size_t>(count)), read_end::drained };
     if (count == 0)
@@ -126,6 +128,7 @@
             return true;
         }
         m_written += static_cast<std::size_t>(count);
+        m_loop.link().note_sent(static_cast<std::size_t>(count));
     }
     m_out.clear();
     if (m_out.capacity() > compacted_size)
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -53,6 +53,7 @@
 
     result<void> open()
     {
+        m_loop.link().set_megabits_per_second(m_settings.link_megabits_per_second);
         TRY_VOID(m_caller_listener.open(m_settings.caller_address));
         TRY_VOID(m_ready_server.open(m_settings.ready_address));
         if (!m_settings.metrics_address.empty())
@@ -294,7 +295,7 @@
             signals.reload = 0;
             reload();
         }
-        reduce(dispatch::tick { lag, m_loop.take_busy_part() });
+        reduce(dispatch::tick { lag, m_loop.take_busy_part(), m_loop.take_link_part() });
         m_log.flush();
         take_events();
         auto const draw = m_random();
--- a/tests/dispatch/dispatch_outcomes_test.cpp
+++ b/tests/dispatch/dispatch_outcomes_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(a_stalled_look_is_sent_again);
     CPPUNIT_TEST(a_failing_endpoint_is_ejected_and_probed);
     CPPUNIT_TEST(not_all_endpoints_are_ejected);
+    CPPUNIT_TEST(own_trouble_ejects_nobody);
     CPPUNIT_TEST(an_older_configuration_is_not_taken);
     CPPUNIT_TEST(a_drain_ends_when_nothing_is_in_flight);
     CPPUNIT_TEST(the_log_tells_the_cause_of_a_refusal);
@@ -381,6 +382,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("bad"), fleet.sent_for(probe)[0].endpoint.value());
     }
 
+    // Connects fail at all endpoints alike while the own link is full.
+    void own_trouble_ejects_nobody()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain", 100), driver::make_endpoint("e2", "plain", 100) });
+        constexpr int enough = 200;
+        auto const have_link = [&](double part) {
+            for (int ticks = 0; ticks < enough; ++ticks)
+                fleet.take(tick { milliseconds(0), 0.3, part });
+        };
+        auto const fail_some = [&] {
+            for (int index = 0; index < 12; ++index) {
+                auto const request = fleet.ask("/order/");
+                if (!fleet.sent_for(request).empty())
+                    fleet.end(request, attempt_end::not_sent);
+            }
+        };
+        have_link(0.95);
+        fail_some();
+        CPPUNIT_ASSERT(fleet.log().find("endpoint_ejected") == std::string::npos);
+        have_link(0.1);
+        fail_some();
+        CPPUNIT_ASSERT(fleet.log().find("endpoint_ejected") != std::string::npos);
+    }
+
     void not_all_endpoints_are_ejected()
     {
         driver fleet;
--- a/tests/dispatch/overload_guard_test.cpp
+++ b/tests/dispatch/overload_guard_test.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST_SUITE(overload_guard_test);
     CPPUNIT_TEST(a_router_with_time_refuses_nothing);
     CPPUNIT_TEST(a_router_that_never_waits_refuses_more_and_more);
+    CPPUNIT_TEST(a_full_link_is_an_overload_too);
+    CPPUNIT_TEST(a_link_that_is_full_for_a_moment_is_no_overload);
     CPPUNIT_TEST(teams_past_their_share_are_refused_first);
     CPPUNIT_TEST(a_lasting_overload_makes_it_step_aside_and_come_back);
     CPPUNIT_TEST(few_are_aside_at_once);
@@ -25,7 +27,7 @@
     static void play(overload_guard& guard, double busy_part, int ticks)
     {
         for (int tick = 0; tick < ticks; ++tick)
-            guard.note_tick(in_time, busy_part);
+            guard.note_tick({ in_time, busy_part, 0 });
     }
 
     static int refused_of_thousand(overload_guard const& guard, team_standing standing)
@@ -40,7 +42,7 @@
     static std::int64_t overload_from(overload_guard& guard, std::int64_t time)
     {
         for (auto now = time; now < time + 5000; now += 20) {
-            guard.note_tick(in_time, 1);
+            guard.note_tick({ in_time, 1, 0 });
             if (guard.update_aside({ routers, 0, 0.3 }, at(now)))
                 return now;
         }
@@ -52,7 +54,7 @@
     {
         auto now = time;
         for (; guard.is_aside() && now < time + 100000; now += 20) {
-            guard.note_tick(in_time, 0.2);
+            guard.note_tick({ in_time, 0.2, 0 });
             (void)guard.update_aside({ routers, 0, 0.3 }, at(now));
         }
         return now;
@@ -79,6 +81,31 @@
         CPPUNIT_ASSERT_EQUAL(0, refused_of_thousand(guard, team_standing::within_share));
     }
 
+    // A router that a few busy callers came to had a link of 10 Mbit/s full while its processor was used by a third:
+    // it refused nothing, and took 5,088 of 5,232 failed connects of the fleet for ill endpoints.
+    void a_full_link_is_an_overload_too()
+    {
+        overload_guard guard;
+        for (int tick = 0; tick < 300; ++tick)
+            guard.note_tick({ in_time, 0.3, 0.7 });
+        CPPUNIT_ASSERT(!guard.is_behind());
+        CPPUNIT_ASSERT_EQUAL(0, refused_of_thousand(guard, team_standing::ahead));
+        for (int tick = 0; tick < 300; ++tick)
+            guard.note_tick({ in_time, 0.3, 0.95 });
+        CPPUNIT_ASSERT(guard.is_behind());
+        CPPUNIT_ASSERT(refused_of_thousand(guard, team_standing::within_share) > 0);
+        CPPUNIT_ASSERT(guard.busy_part() > 0.9);
+    }
+
+    // A body of 64 kB fills such a link for 50 ms: that alone is none.
+    void a_link_that_is_full_for_a_moment_is_no_overload()
+    {
+        overload_guard guard;
+        for (int tick = 0; tick < 300; ++tick)
+            guard.note_tick({ in_time, 0.3, tick % 20 < 6 ? 1.0 : 0.2 });
+        CPPUNIT_ASSERT(!guard.is_behind());
+    }
+
     void teams_past_their_share_are_refused_first()
     {
         overload_guard guard;
@@ -89,7 +116,7 @@
         CPPUNIT_ASSERT(within < past && past < ahead);
         overload_guard late;
         for (int tick = 0; tick < 50; ++tick)
-            late.note_tick(milliseconds(100), 0.5);
+            late.note_tick({ milliseconds(100), 0.5, 0 });
         CPPUNIT_ASSERT_EQUAL(1000, refused_of_thousand(late, team_standing::past_share));
         CPPUNIT_ASSERT(refused_of_thousand(late, team_standing::within_share) < 1000);
     }
