dispatch, peering: A few routers look for the store's return, and tell the others

Now the list's feed alone looks whether the store is back; the other tables wait up to 3 s, and are asked at once when the list is answered. Routers beyond the first two of their failure domain wait up to 3 s for the list too: they are told.

--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr milliseconds first_back_off { 100 };
-constexpr milliseconds longest_back_off { 800 };
 // A read that was out of date is repeated after this time.
 constexpr milliseconds out_of_date_pause { 300 };
 // A store that did not confirm the rows for so long, and did not answer, was away.
@@ -25,6 +24,12 @@
     m_options = options;
 }
 
+void table_follower::end_back_off(instant now)
+{
+    if (is_failing())
+        m_next_at = std::min(m_next_at, now);
+}
+
 table_follower::next_call table_follower::take_next(instant now)
 {
     if (m_is_calling || now < m_next_at)
@@ -109,7 +114,7 @@
         m_next_at = now;
         return;
     }
-    m_back_off = std::clamp(m_back_off * 2, first_back_off, longest_back_off);
+    m_back_off = std::clamp(m_back_off * 2, first_back_off, m_options.longest_back_off);
     auto const spread = static_cast<std::uint64_t>(m_back_off.count());
     m_next_at = now + m_back_off / 2 + milliseconds(static_cast<std::int64_t>(draw % spread));
 }
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -17,6 +17,8 @@
     milliseconds pace { 0 };
     // How long the store may hold a call that has nothing to tell.
     milliseconds wait { 1500 };
+    // While the store does not answer, the time between two calls rises to this.
+    milliseconds longest_back_off { 800 };
 };
 
 class table_follower {
@@ -66,6 +68,8 @@
     [[nodiscard]] std::uint64_t changed_version() const { return m_changed_version; }
     // How often and how long the feed is asked from now on. A shorter pace holds for the next call already.
     void set_options(follower_options options);
+    // Something shows that the store answers: a call that waits for the end of its back-off is made now.
+    void end_back_off(instant now);
     // Whether the rows were ever known.
     [[nodiscard]] bool has_rows() const { return m_has_rows; }
     // When the store last confirmed them.
--- a/libraries/peering/follow_duty.cpp
+++ b/libraries/peering/follow_duty.cpp
@@ -30,13 +30,24 @@
     std::erase_if(m_routers, [now](auto const& entry) { return !is_heard(entry.second, now); });
 }
 
-bool follow_duty::is_own(milliseconds longest_age, instant now) const
+template <typename Condition>
+std::size_t follow_duty::count_before(instant now, Condition&& condition) const
 {
-    auto const others = std::ranges::count_if(m_routers, [&](auto const& entry) {
+    return static_cast<std::size_t>(std::ranges::count_if(m_routers, [&](auto const& entry) {
         auto const& known = entry.second;
-        return known.rank < m_own_rank && is_heard(known, now) && now - known.confirmed_at <= longest_age;
-    });
-    return static_cast<std::size_t>(others) < followers;
+        return known.rank < m_own_rank && is_heard(known, now) && condition(known);
+    }));
+}
+
+bool follow_duty::is_own(milliseconds longest_age, instant now) const
+{
+    auto const is_fresh = [&](router_state const& known) { return now - known.confirmed_at <= longest_age; };
+    return count_before(now, is_fresh) < followers;
+}
+
+bool follow_duty::is_among_the_first(instant now) const
+{
+    return count_before(now, [](router_state const&) { return true; }) < followers;
 }
 
 bool follow_duty::is_shared(instant now) const
--- a/libraries/peering/follow_duty.h
+++ b/libraries/peering/follow_duty.h
@@ -20,6 +20,9 @@
     void note_heard(vm_name const& router, instant confirmed_at, instant now);
     // Whether this router follows the store, where a follower's confirmation is never older than the limit.
     [[nodiscard]] bool is_own(milliseconds longest_age, instant now) const;
+    // Whether this router would follow the store if all heard it alike: while none of them does, these look whether it
+    // is back.
+    [[nodiscard]] bool is_among_the_first(instant now) const;
     // Whether there are more routers than followers in the failure domain.
     [[nodiscard]] bool is_shared(instant now) const;
 
@@ -30,6 +33,9 @@
         instant heard_at {};
     };
 
+    // Routers that are heard, stand before this one, and meet the condition.
+    template <typename Condition>
+    [[nodiscard]] std::size_t count_before(instant now, Condition&& condition) const;
     [[nodiscard]] static bool is_heard(router_state const& known, instant now);
 
     std::uint64_t m_own_rank;
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -84,6 +84,10 @@
         if (std::exchange(m_was_failing, m_endpoints.follower().is_failing()) != m_endpoints.follower().is_failing()) {
             m_configuration.ask_anew(draw);
             m_routers.ask_anew(draw);
+            if (!m_was_failing) {
+                m_configuration.follower().end_back_off(now);
+                m_routers.follower().end_back_off(now);
+            }
         }
         m_writer.check_time(now);
         if (m_roster.drop_lapsed(now))
@@ -186,6 +190,8 @@
     static constexpr milliseconds first_listening { 800 };
     // Beyond its pace and the time that it is held, a feed's answer and the report that tells of it take so long.
     static constexpr milliseconds report_delay { 300 };
+    static constexpr milliseconds short_back_off { 800 };
+    static constexpr milliseconds long_back_off { 3000 };
     static constexpr milliseconds write_interval { 1500 };
     static constexpr milliseconds write_limit { 1200 };
 
@@ -213,9 +219,15 @@
         if (m_started_at == instant {})
             m_started_at = now;
         m_is_following = now - m_started_at >= first_listening && m_duty.is_own(pace + wait + report_delay, now);
-        m_endpoints.follower().set_options({ m_is_following ? pace : second_hand_pace, wait });
-        m_configuration.follower().set_options({ m_is_following ? milliseconds(0) : second_hand_pace, long_feed_wait });
-        m_routers.follower().set_options({ m_is_following ? routers_pace : second_hand_pace, long_feed_wait });
+        // Where the store does not answer, a few look for its return, by the list, and tell the others.
+        auto const list_back_off = m_duty.is_among_the_first(now) ? short_back_off : long_back_off;
+        bool const is_lost = m_endpoints.follower().is_failing() && m_configuration.follower().has_rows();
+        auto const back_off = is_lost ? long_back_off : short_back_off;
+        m_endpoints.follower().set_options({ m_is_following ? pace : second_hand_pace, wait, list_back_off });
+        m_configuration.follower().set_options(
+            { m_is_following ? milliseconds(0) : second_hand_pace, long_feed_wait, back_off });
+        m_routers.follower().set_options(
+            { m_is_following ? routers_pace : second_hand_pace, long_feed_wait, back_off });
     }
 
     // From when on another router's later version is asked for.
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(a_store_that_is_away_is_asked_less_and_less);
     CPPUNIT_TEST(the_newest_change_is_told_apart_from_the_stores_version);
     CPPUNIT_TEST(the_pace_can_be_changed);
+    CPPUNIT_TEST(a_back_off_has_its_bound_and_can_be_ended);
     CPPUNIT_TEST(rows_told_by_a_peer_are_followed_on);
     CPPUNIT_TEST(a_part_counts_only_behind_kept_ones);
     CPPUNIT_TEST(the_endpoint_that_keeps_the_parts_is_preferred);
@@ -275,6 +276,32 @@
         CPPUNIT_ASSERT(next.wait == milliseconds(700));
     }
 
+    void a_back_off_has_its_bound_and_can_be_ended()
+    {
+        using kind = table_follower::call_kind;
+        // When the next call is made after so many that were not answered.
+        auto const next_after = [](table_follower& follower, int failures, std::int64_t now) {
+            for (; failures > 0; now += 10) {
+                if (follower.take_next(at(now)).kind == kind::none)
+                    continue;
+                follower.take_failure(table_follower::failure::no_answer, at(now), 999'999);
+                --failures;
+            }
+            auto const failed_at = now;
+            while (follower.take_next(at(now)).kind == kind::none)
+                now += 10;
+            return now - failed_at;
+        };
+        table_follower often({ milliseconds(0), milliseconds(1500), milliseconds(800) });
+        table_follower seldom({ milliseconds(0), milliseconds(1500), milliseconds(3000) });
+        CPPUNIT_ASSERT(next_after(often, 8, 1000) <= 1200);
+        CPPUNIT_ASSERT(next_after(seldom, 8, 1000) >= 1500);
+        seldom.take_failure(table_follower::failure::no_answer, at(90000), 0);
+        CPPUNIT_ASSERT(seldom.take_next(at(90010)).kind == kind::none);
+        seldom.end_back_off(at(90020));
+        CPPUNIT_ASSERT(seldom.take_next(at(90020)).kind == kind::read);
+    }
+
     void rows_told_by_a_peer_are_followed_on()
     {
         table_follower follower({ milliseconds(0), milliseconds(1500) });
--- a/tests/peering/follow_duty_test.cpp
+++ b/tests/peering/follow_duty_test.cpp
@@ -66,6 +66,17 @@
     void all_follow_when_the_followers_cannot_hear_the_store()
     {
         CPPUNIT_ASSERT_EQUAL(std::size_t { 20 }, followers(20, {}, milliseconds(1600)).size());
+        // Two of them look for its return.
+        std::size_t first = 0;
+        for (int self = 0; self < 20; ++self) {
+            follow_duty duty(router(self));
+            for (int other = 0; other < 20; ++other) {
+                if (other != self)
+                    duty.note_heard(router(other), at(1000), at(10000));
+            }
+            first += duty.is_among_the_first(at(10100)) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, first);
     }
 };
 
