dispatch, peering: Routers tell each other what changed of the list, and ask other failure domains only when cut off

Each change of the list was passed on whole, about 450 kB, to each of 58 neighbours, and every contact asked the other failure domains for each change too; after a start of all, 300 routers asked the three seeds for it over and over.

Now a router tells since when it knows the list, and gets the rows that changed and the keys that went; a hash of all keys shows where something was left out, and then the whole is asked for. Routers of other failure domains are asked only when neither the store nor a neighbour has confirmed the list for as long as that takes. Sums are told whole each 5 s.

Ruled out: the store's limits (calls were answered), the page of the list (read in under 900 ms).

--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -2,6 +2,8 @@
 // Reading, following and backing off.
 #include "libraries/dispatch/table_follower.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,9 +14,19 @@
 constexpr milliseconds first_back_off { 100 };
 // A read that was out of date is repeated after this time.
 constexpr milliseconds out_of_date_pause { 300 };
+// Rows that went of late, to be told to other routers: more than go in a minute where 3,000 endpoints are replaced.
+constexpr std::size_t most_gone = 1024;
 // A store that did not confirm the rows for so long, and did not answer, was away.
 constexpr milliseconds shortest_outage { 1000 };
 
+std::uint64_t hash_of_keys(std::map<std::string, table_follower::row> const& rows)
+{
+    std::uint64_t sum = 0;
+    for (auto const& [key, row] : rows)
+        sum += stable_hash(key);
+    return sum;
+}
+
 } // namespace
 
 void table_follower::set_options(follower_options options)
@@ -63,7 +75,7 @@
         is_changed = true;
         m_changed_version = std::max(m_changed_version, changed.version);
         if (changed.is_gone)
-            m_rows.erase(changed.key);
+            note_gone({ changed.key, changed.version });
         else
             m_rows[changed.key] = { changed.value, changed.version };
     }
@@ -125,15 +137,71 @@
         m_changed_version = std::max(m_changed_version, known.version);
 }
 
-table_follower::page_outcome table_follower::take_told(
-    std::map<std::string, row> rows, std::uint64_t version, std::uint64_t changed_version)
+void table_follower::note_gone(gone_row gone)
+{
+    m_rows.erase(gone.key);
+    m_changed_version = std::max(m_changed_version, gone.version);
+    m_gone.push_back(std::move(gone));
+    if (m_gone.size() > most_gone)
+        m_gone.pop_front();
+}
+
+table_follower::told_rows table_follower::rows_since(std::uint64_t version) const
+{
+    told_rows told { std::nullopt, {}, {}, hash_of_keys(m_rows), m_version, m_changed_version };
+    if (version == 0) {
+        told.rows = m_rows;
+        return told;
+    }
+    told.since = version;
+    for (auto const& [key, known] : m_rows) {
+        if (known.version > version)
+            told.rows.emplace(key, known);
+    }
+    for (auto const& gone : m_gone) {
+        if (gone.version > version && !m_rows.contains(gone.key))
+            told.gone.push_back(gone);
+    }
+    return told;
+}
+
+std::optional<std::map<std::string, table_follower::row>> table_follower::with_changes(told_rows const& told) const
+{
+    if (!m_has_rows || *told.since > m_version)
+        return std::nullopt;
+    auto rows = m_rows;
+    for (auto const& [key, row] : told.rows) {
+        if (auto& known = rows[key]; known.version < row.version)
+            known = row;
+    }
+    for (auto const& gone : told.gone) {
+        if (auto const known = rows.find(gone.key); known != rows.end() && known->second.version < gone.version)
+            rows.erase(known);
+    }
+    if (hash_of_keys(rows) != told.keys_hash)
+        return std::nullopt;
+    return rows;
+}
+
+table_follower::page_outcome table_follower::take_told(told_rows told)
 {
-    if (version <= m_version)
+    if (told.version <= m_version)
         return page_outcome::out_of_date;
-    m_rows = std::move(rows);
-    m_version = version;
+    if (told.since) {
+        auto changed = with_changes(told);
+        m_wants_whole = !changed;
+        if (!changed)
+            return page_outcome::out_of_date;
+        m_rows = std::move(*changed);
+        for (auto& gone : told.gone)
+            note_gone(std::move(gone));
+    } else {
+        m_rows = std::move(told.rows);
+        m_wants_whole = false;
+    }
+    m_version = told.version;
     note_changes(m_rows);
-    m_changed_version = std::max(m_changed_version, std::min(changed_version, m_version));
+    m_changed_version = std::max(m_changed_version, std::min(told.changed_version, m_version));
     m_has_rows = true;
     // A read from before this would be out of date; the feed goes on from here.
     m_must_read = false;
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -6,7 +6,9 @@
 #include "base/units.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,9 +60,33 @@
     page_outcome take_page(std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
     void take_failure(failure what, instant now, std::uint64_t draw);
 
-    // The rows as another router told them, while the store itself does not answer here.
-    // They do not show what is gone: the version of the newest change is told beside them.
-    page_outcome take_told(std::map<std::string, row> rows, std::uint64_t version, std::uint64_t changed_version);
+    struct gone_row {
+        std::string key;
+        // Of the change by which it went.
+        std::uint64_t version { 0 };
+    };
+
+    // What another router is told: all rows, or what has changed since it knew the last.
+    struct told_rows {
+        // The changes after this version; none where the rows are all.
+        std::optional<std::uint64_t> since {};
+        std::map<std::string, row> rows {};
+        // Empty where the rows are all.
+        std::vector<gone_row> gone {};
+        // Of the keys of all rows, also where only changes are told: it shows whether a row that went was left out.
+        std::uint64_t keys_hash { 0 };
+        // Up to which the rows are complete, and of the newest change, which may be that a row is gone.
+        std::uint64_t version { 0 };
+        std::uint64_t changed_version { 0 };
+    };
+
+    // What a router needs that knows all changes up to a version; all rows where it knows none.
+    [[nodiscard]] told_rows rows_since(std::uint64_t version) const;
+    // What another router told. Nothing known is replaced by what is older. Changes that leave something out are not
+    // taken: the whole is wanted then.
+    page_outcome take_told(told_rows told);
+    // Up to which another router need not tell changes; 0 where it is to tell the whole.
+    [[nodiscard]] std::uint64_t told_since() const { return m_wants_whole || !m_has_rows ? 0 : m_version; }
 
     [[nodiscard]] std::map<std::string, row> const& rows() const { return m_rows; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
@@ -81,6 +107,9 @@
 private:
     void note_answer(instant now);
     void note_changes(std::map<std::string, row> const& rows);
+    void note_gone(gone_row gone);
+    // The rows with the changes; none where these leave something out.
+    [[nodiscard]] std::optional<std::map<std::string, row>> with_changes(told_rows const& told) const;
     page_outcome take_read_page(
         std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
 
@@ -94,6 +123,10 @@
     std::uint64_t m_version { 0 };
     // Never decreases, and never above m_version.
     std::uint64_t m_changed_version { 0 };
+    // Rows that went of late, the latest last, bounded.
+    std::deque<gone_row> m_gone;
+    // What another router told left something out.
+    bool m_wants_whole { false };
     // Pages of a read that is not yet whole.
     std::map<std::string, row> m_reading;
     std::uint64_t m_reading_version { 0 };
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -117,6 +117,26 @@
     return made;
 }
 
+result<document_message> decode(fbs::Document const& document)
+{
+    document_message made { TRY(kind_of(document.kind())), document.version(), text_of(document.text()), {} };
+    auto& list = made.list;
+    list.version = document.version();
+    list.changed_version = document.changed_version();
+    list.keys_hash = document.keys_hash();
+    if (document.since() > 0)
+        list.since = document.since() - 1;
+    if (document.rows() != nullptr) {
+        for (auto const* row : *document.rows())
+            list.rows[text_of(row->key())] = { text_of(row->value()), row->version() };
+    }
+    if (document.gone() != nullptr) {
+        for (auto const* row : *document.gone())
+            list.gone.push_back({ text_of(row->key()), row->version() });
+    }
+    return made;
+}
+
 struct message_encoder {
     flatbuffers::FlatBufferBuilder& builder;
 
@@ -128,13 +148,19 @@
 
     flatbuffers::Offset<fbs::Message> operator()(document_message const& document) const
     {
+        auto const& list = document.list;
+        bool const is_list = document.kind == document_kind::endpoints;
         std::vector<flatbuffers::Offset<fbs::Row>> rows;
-        for (auto const& [key, row] : document.rows)
+        for (auto const& [key, row] : list.rows)
             rows.push_back(
                 fbs::CreateRow(builder, builder.CreateString(key), builder.CreateString(row.value), row.version));
+        std::vector<flatbuffers::Offset<fbs::Row>> gone;
+        for (auto const& row : list.gone)
+            gone.push_back(fbs::CreateRow(builder, builder.CreateString(row.key), 0, row.version));
         auto const text = builder.CreateString(document.text);
-        auto const encoded = fbs::CreateDocument(builder, static_cast<std::uint8_t>(document.kind), document.version,
-            text, builder.CreateVector(rows), document.changed_version);
+        auto const encoded = fbs::CreateDocument(builder, static_cast<std::uint8_t>(document.kind),
+            is_list ? list.version : document.version, text, builder.CreateVector(rows), list.changed_version,
+            list.since ? *list.since + 1 : 0, builder.CreateVector(gone), list.keys_hash);
         return fbs::CreateMessage(builder, 0, encoded);
     }
 
@@ -143,7 +169,7 @@
         auto const address = builder.CreateString(wanted.address);
         auto const encoded
             = fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(wanted.kind), wanted.version);
-        return fbs::CreateMessage(builder, 0, 0, encoded, address);
+        return fbs::CreateMessage(builder, 0, 0, encoded, address, wanted.since);
     }
 };
 
@@ -182,18 +208,12 @@
     auto const* message = fbs::GetMessage(bytes);
     if (message->state() != nullptr)
         return peer_message(TRY(decode(*message->state())));
-    if (auto const* document = message->document()) {
-        auto const kind = TRY(kind_of(document->kind()));
-        document_message made { kind, document->version(), text_of(document->text()), document->changed_version(), {} };
-        if (document->rows() != nullptr) {
-            for (auto const* row : *document->rows())
-                made.rows[text_of(row->key())] = { text_of(row->value()), row->version() };
-        }
-        return peer_message(std::move(made));
-    }
+    if (auto const* document = message->document())
+        return peer_message(TRY(decode(*document)));
     if (auto const* wanted = message->wanted()) {
         auto const kind = TRY(kind_of(wanted->kind()));
-        return peer_message(document_wanted { kind, wanted->version(), text_of(message->wanted_by()) });
+        return peer_message(
+            document_wanted { kind, wanted->version(), text_of(message->wanted_by()), message->wanted_since() });
     }
     return fail("decode peer message", {}, "has no part");
 }
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -45,13 +45,11 @@
 
 struct document_message {
     document_kind kind { document_kind::configuration };
+    // The configuration as it was declared, and its version.
     std::uint64_t version { 0 };
-    // The configuration as it was declared.
     std::string text;
-    // Of the newest change to the list, which may be that a row is gone.
-    std::uint64_t changed_version { 0 };
-    // The list of endpoints, row by row.
-    std::map<std::string, dispatch::table_follower::row> rows;
+    // The list of endpoints.
+    dispatch::table_follower::told_rows list {};
 };
 
 struct document_wanted {
@@ -59,6 +57,9 @@
     // What the asking router has.
     std::uint64_t version { 0 };
     std::string address;
+    // It knows all changes to the list up to this version, and takes what has changed since; 0 where it takes the
+    // whole.
+    std::uint64_t since { 0 };
 };
 
 using peer_message = std::variant<state_message, document_message, document_wanted>;
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -138,14 +138,14 @@
                 note_list_confirmed(document, state, now);
             if (document.version == own_version(document.kind))
                 told_of(document.kind).confirmed_at = std::max(told_of(document.kind).confirmed_at, confirmed_at);
-            want_if_later(document, state.address, now);
+            want_if_later(document, state, now);
         }
     }
 
     void take(peering::document_wanted const& wanted)
     {
         if (own_version(wanted.kind) > wanted.version)
-            m_reports.tell(wanted.address, frame_of(wanted.kind));
+            m_reports.tell(wanted.address, frame_for(wanted));
     }
 
     void take(peering::document_message& document)
@@ -154,7 +154,7 @@
             return take_configuration_text(document.text);
         if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date(document.kind))
             return;
-        if (m_endpoints.follower().take_told(std::move(document.rows), document.version, document.changed_version)
+        if (m_endpoints.follower().take_told(std::move(document.list))
             == dispatch::table_follower::page_outcome::changed)
             take_endpoint_rows();
     }
@@ -167,8 +167,9 @@
         // When the store confirmed the version that is known here to one of them.
         instant confirmed_at {};
         instant want_again_at {};
-        // The document as it was last passed on, and its version.
+        // The document as it was last passed on, its version, and since when it tells the changes.
         std::uint64_t frame_version { 0 };
+        std::uint64_t frame_since { 0 };
         std::string frame;
     };
 
@@ -366,8 +367,10 @@
         m_outages.note_peer_confirmed(confirmed_at, told.returned_ago ? now - *told.returned_ago : instant {});
         bool const is_neighbour
             = state.report.subject == dispatch::report_subject::router && state.report.domain == m_settings.domain;
-        if (is_neighbour)
-            m_duty.note_heard(state.report.peer, confirmed_at, now);
+        if (!is_neighbour)
+            return;
+        m_duty.note_heard(state.report.peer, confirmed_at, now);
+        m_neighbours_confirmed_at = std::max(m_neighbours_confirmed_at, confirmed_at);
     }
 
     [[nodiscard]] std::uint64_t own_version(document_kind kind)
@@ -376,36 +379,47 @@
                                                     : m_endpoints.follower().changed_version();
     }
 
-    void want_if_later(peering::document_version const& told, std::string const& address, instant now)
+    // Since when a later version is not asked for, because the store was heard here, or by a neighbour.
+    [[nodiscard]] bool is_up_to_date(document_kind kind, bool is_neighbour, instant now)
+    {
+        auto const& follower
+            = kind == document_kind::configuration ? m_configuration.follower() : m_endpoints.follower();
+        if (is_neighbour)
+            return now - follower.confirmed_at() < out_of_date(kind);
+        // Between failure domains bytes are dear, and the neighbours have what the store tells.
+        bool const is_starting = now - m_started_at < first_listening;
+        auto const confirmed_at = std::max(follower.confirmed_at(), m_neighbours_confirmed_at);
+        return is_starting || now - confirmed_at < own_list_pace(m_settings) + list_wait(now) + list_overdue;
+    }
+
+    void want_if_later(peering::document_version const& told, peering::state_message const& state, instant now)
     {
-        auto& follower
-            = told.kind == document_kind::configuration ? m_configuration.follower() : m_endpoints.follower();
         auto const own = own_version(told.kind);
         auto& known = told_of(told.kind);
-        if (told.version <= own || now - follower.confirmed_at() < out_of_date(told.kind) || now < known.want_again_at)
+        bool const is_neighbour = state.report.domain == m_settings.domain || state.report.domain.value().empty();
+        if (told.version <= own || now < known.want_again_at || is_up_to_date(told.kind, is_neighbour, now))
             return;
         known.want_again_at = now + want_interval;
-        m_reports.tell(
-            address, peering::encode_frame(peering::document_wanted { told.kind, own, m_reports.self().address }));
+        auto const since = told.kind == document_kind::endpoints ? m_endpoints.follower().told_since() : 0;
+        m_reports.tell(state.address,
+            peering::encode_frame(peering::document_wanted { told.kind, own, m_reports.self().address, since }));
     }
 
-    // Many routers ask for the same version at once: it is encoded once.
-    [[nodiscard]] std::string const& frame_of(document_kind kind)
+    // Many routers ask for the same at once: it is encoded once.
+    [[nodiscard]] std::string const& frame_for(peering::document_wanted const& wanted)
     {
-        auto& known = told_of(kind);
-        auto const version = own_version(kind);
-        if (known.frame_version == version)
+        auto& known = told_of(wanted.kind);
+        auto const version = own_version(wanted.kind);
+        if (known.frame_version == version && known.frame_since == wanted.since)
             return known.frame;
-        peering::document_message document { kind, version, {}, 0, {} };
-        if (kind == document_kind::configuration) {
+        peering::document_message document { wanted.kind, version, {}, {} };
+        if (wanted.kind == document_kind::configuration)
             document.text = m_configuration_text;
-        } else {
-            document.version = m_endpoints.follower().version();
-            document.changed_version = version;
-            document.rows = m_endpoints.follower().rows();
-        }
+        else
+            document.list = m_endpoints.follower().rows_since(wanted.since);
         known.frame = peering::encode_frame(std::move(document));
         known.frame_version = version;
+        known.frame_since = wanted.since;
         return known.frame;
     }
 
@@ -431,6 +445,8 @@
     bool m_is_leaving { false };
     bool m_was_failing { false };
     instant m_started_at {};
+    // When the store last confirmed the list to a router of this failure domain, as it told.
+    instant m_neighbours_confirmed_at {};
     // When a write, of the own row or of one that was removed, was last confirmed.
     instant m_row_written_at {};
     instant m_write_again_at {};
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -80,6 +80,8 @@
 private:
     // How often the whole is told, and the routers that are known.
     static constexpr milliseconds whole_interval { 1000 };
+    // Connections lose nothing but to a reader that is far behind. A whole sum of 3,000 endpoints has 72 kB.
+    static constexpr milliseconds whole_domain_interval { 5000 };
     static constexpr milliseconds members_interval { 4000 };
 
     // What others have sent in the last moments is what a choice knows least of, so a small fleet tells more often;
@@ -156,7 +158,7 @@
     void tell_domains(std::vector<std::string> const& newcomers, instant now)
     {
         bool const is_new = has_newcomer(newcomers, false);
-        bool const is_whole = is_new || now - m_told_domain_whole_at >= whole_interval;
+        bool const is_whole = is_new || now - m_told_domain_whole_at >= whole_domain_interval;
         auto state = make_message(m_owner.reducer().take_domain_report(
                                       is_whole ? dispatch::report_scope::whole : dispatch::report_scope::changes, now),
             now);
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -248,12 +248,12 @@
         follower.take_page({ { "b", "", 22, true } }, 25, false, at(1004));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 22 }, follower.changed_version());
         // A whole read shows no row for what is gone.
-        (void)follower.take_told({ { "a", { "1", 3 } } }, 30, 28);
+        (void)follower.take_told({ {}, { { "a", { "1", 3 } } }, {}, 0, 30, 28 });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 28 }, follower.changed_version());
         // Whatever another router claims, a change is not newer than the rows, and nothing goes back.
-        (void)follower.take_told({ { "a", { "1", 3 } } }, 31, 99);
+        (void)follower.take_told({ {}, { { "a", { "1", 3 } } }, {}, 0, 31, 99 });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 31 }, follower.changed_version());
-        (void)follower.take_told({ { "a", { "1", 3 } } }, 40, 2);
+        (void)follower.take_told({ {}, { { "a", { "1", 3 } } }, {}, 0, 40, 2 });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 31 }, follower.changed_version());
     }
 
@@ -305,8 +305,9 @@
     void rows_told_by_a_peer_are_followed_on()
     {
         table_follower follower({ milliseconds(0), milliseconds(1500) });
-        CPPUNIT_ASSERT(follower.take_told({ { "a", { "1", 3 } } }, 12, 3) == table_follower::page_outcome::changed);
-        CPPUNIT_ASSERT(follower.take_told({}, 11, 11) == table_follower::page_outcome::out_of_date);
+        CPPUNIT_ASSERT(
+            follower.take_told({ {}, { { "a", { "1", 3 } } }, {}, 0, 12, 3 }) == table_follower::page_outcome::changed);
+        CPPUNIT_ASSERT(follower.take_told({ {}, {}, {}, 0, 11, 11 }) == table_follower::page_outcome::out_of_date);
         auto const call = follower.take_next(at(1000));
         CPPUNIT_ASSERT(call.kind == table_follower::call_kind::follow);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, call.since);
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -354,12 +354,21 @@
         auto const read = peering::decode_body(std::string_view(frame).substr(peering::frame_head_size));
         auto const& back = std::get<peering::state_message>(*read);
         CPPUNIT_ASSERT_EQUAL(token_of(state), token_of(back));
-        peering::document_message document { peering::document_kind::endpoints, 9, "text", 7, { { "k", { "v", 3 } } } };
+        peering::document_message document { peering::document_kind::endpoints, 0, {},
+            { 5, { { "k", { "v", 3 } } }, { { "old", 6 } }, 77, 9, 7 } };
         auto const other = peering::encode_frame(document);
         auto const document_back = peering::decode_body(std::string_view(other).substr(peering::frame_head_size));
         auto const& told = std::get<peering::document_message>(*document_back);
-        CPPUNIT_ASSERT_EQUAL(std::string("v"), told.rows.at("k").value);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, told.changed_version);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), told.list.rows.at("k").value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, told.list.changed_version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 9 }, told.list.version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, told.list.since.value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 77 }, told.list.keys_hash);
+        CPPUNIT_ASSERT_EQUAL(std::string("old"), told.list.gone.at(0).key);
+        auto const wanted
+            = peering::encode_frame(peering::document_wanted { peering::document_kind::endpoints, 3, "10.0.0.1:1", 8 });
+        auto const wanted_back = peering::decode_body(std::string_view(wanted).substr(peering::frame_head_size));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 8 }, std::get<peering::document_wanted>(*wanted_back).since);
     }
 
     static std::string token_of(peering::state_message const& state)
