relay: Skip a message between routers that is not known, and count it

Cause: a message that could not be read ended the link, without a counter; while routers of two versions stand side by side that would cut them off from each other at each such message. Now it is skipped (its frame says how long it is) and counted in shedhill_skipped_peer_messages_total. Ruled out: telling versions at connecting, which needs a handshake that the message format does without. Tests: two meshes on loopback.

--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -96,11 +96,12 @@
         std::size_t used = 0;
         auto rest = std::string_view(m_in);
         for (auto size = peering::frame_size(rest); size && rest.size() >= *size; size = peering::frame_size(rest)) {
-            auto message
-                = peering::decode_body(rest.substr(peering::frame_head_size, *size - peering::frame_head_size));
-            if (!message)
-                return lose();
-            m_mesh.m_on_message(std::move(*message));
+            // What a router of another version says may not be known here; the next message may be.
+            if (auto message
+                = peering::decode_body(rest.substr(peering::frame_head_size, *size - peering::frame_head_size)))
+                m_mesh.m_on_message(std::move(*message));
+            else
+                ++m_mesh.m_skipped;
             used += *size;
             rest.remove_prefix(*size);
         }
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -36,6 +36,9 @@
     // Routers that were connected since the last call: they may know nothing yet.
     [[nodiscard]] std::vector<std::string> take_new() { return std::exchange(m_new, {}); }
 
+    // Messages that could not be read since the last call.
+    [[nodiscard]] std::uint64_t take_skipped() { return std::exchange(m_skipped, 0); }
+
     [[nodiscard]] peering::peer_directory& directory() { return m_directory; }
     [[nodiscard]] std::string const& own_address() const { return m_directory.self().address; }
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
@@ -54,6 +57,7 @@
     listener_socket m_listener;
     std::uint64_t m_last_number { 0 };
     std::uint64_t m_draw { 0 };
+    std::uint64_t m_skipped { 0 };
     std::vector<std::string> m_new;
     std::unordered_map<std::string, std::shared_ptr<outgoing_link>> m_outgoing;
     std::unordered_map<std::uint64_t, std::shared_ptr<incoming_link>> m_incoming;
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -117,6 +117,7 @@
 
     [[nodiscard]] dispatch::dispatch_reducer& reducer() { return m_host.reducer(); }
     void learn(dispatch::event_body event) { m_host.learn(std::move(event)); }
+    void count(std::string const& name) { m_host.count(name); }
 
     [[nodiscard]] std::vector<peering::document_version> own_documents(instant now)
     {
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -20,7 +20,7 @@
 // What the reports are made from, and who takes what others tell.
 template <typename Owner>
 concept reports_owner = requires(Owner& owner, peering::state_message& state, peering::document_message& document,
-    peering::document_wanted const& wanted, dispatch::event_body event, instant now)
+    peering::document_wanted const& wanted, dispatch::event_body event, std::string const& name, instant now)
 {
     {
         owner.reducer()
@@ -28,6 +28,9 @@
     {
         owner.learn(std::move(event))
         } -> std::same_as<void>;
+    {
+        owner.count(name)
+        } -> std::same_as<void>;
     {
         owner.own_documents(now)
         } -> std::same_as<std::vector<peering::document_version>>;
@@ -64,6 +67,8 @@
             return false;
         m_told_at = now;
         m_peers.tick(draw);
+        for (auto skipped = m_peers.take_skipped(); skipped > 0; --skipped)
+            m_owner.count("shedhill_skipped_peer_messages_total");
         auto const newcomers = m_peers.take_new();
         tell_routers(newcomers, now);
         if (m_peers.is_linked_to_domains())
--- /dev/null
+++ b/tests/relay/peer_mesh_test.cpp
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Links between routers, on loopback.
+#include "libraries/relay/peer_mesh.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::relay {
+
+class peer_mesh_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(peer_mesh_test);
+    CPPUNIT_TEST(a_message_that_is_not_known_is_skipped);
+    CPPUNIT_TEST(sums_go_to_other_failure_domains_only);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr int most_rounds = 1000;
+
+    struct router {
+        router(event_loop& loop, char const* domain)
+            : mesh(loop, { "127.0.0.1:0", failure_domain(domain), 0 },
+                [this](peering::peer_message message) { heard.push_back(std::move(message)); })
+        {
+            CPPUNIT_ASSERT(mesh.open().has_value());
+        }
+
+        [[nodiscard]] std::string const& address() const { return mesh.own_address(); }
+
+        std::vector<peering::peer_message> heard;
+        peer_mesh mesh;
+    };
+
+    template <typename Condition>
+    static void run_until(event_loop& loop, Condition&& condition)
+    {
+        for (int round = 0; round < most_rounds; ++round) {
+            if (condition())
+                return;
+            loop.run_once(milliseconds(10));
+        }
+        CPPUNIT_FAIL("it never came to that");
+    }
+
+    static void connect(event_loop& loop, router& from, router const& to)
+    {
+        from.mesh.directory().add_seed(to.address());
+        from.mesh.tick(0);
+        run_until(loop, [&] { return !from.mesh.take_new().empty(); });
+    }
+
+    static std::string state_frame(char const* vm)
+    {
+        peering::state_message state;
+        state.report.peer = vm_name(vm);
+        return peering::encode_frame(state);
+    }
+
+    // A router of a later version may send what an earlier one does not know.
+    void a_message_that_is_not_known_is_skipped()
+    {
+        event_loop loop;
+        router a(loop, "north");
+        router b(loop, "north");
+        connect(loop, a, b);
+        a.mesh.tell(b.address(), std::string("\x03\x00\x00\x00", 4) + "???");
+        a.mesh.tell(b.address(), state_frame("a"));
+        run_until(loop, [&] { return !b.heard.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, b.mesh.take_skipped());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, b.mesh.take_skipped());
+    }
+
+    void sums_go_to_other_failure_domains_only()
+    {
+        event_loop loop;
+        router a(loop, "north");
+        router b(loop, "north");
+        router c(loop, "south");
+        // Enough routers that not all are connected to all.
+        for (int index = 0; index < 20; ++index)
+            a.mesh.directory().add_told(
+                { "127.0.0.1:" + std::to_string(index + 1), failure_domain("east"), 0 }, loop.now());
+        connect(loop, a, b);
+        connect(loop, a, c);
+        a.mesh.directory().add_told({ b.address(), failure_domain("north"), 0 }, loop.now());
+        a.mesh.directory().add_told({ c.address(), failure_domain("south"), 0 }, loop.now());
+        CPPUNIT_ASSERT(a.mesh.is_linked_to_domains());
+        a.mesh.tell_routers(state_frame("alone"));
+        a.mesh.tell_domains(state_frame("sums"));
+        run_until(loop, [&] { return !b.heard.empty() && !c.heard.empty(); });
+        auto const name
+            = [](router const& to) { return std::get<peering::state_message>(to.heard.at(0)).report.peer.value(); };
+        CPPUNIT_ASSERT_EQUAL(std::string("alone"), name(b));
+        CPPUNIT_ASSERT_EQUAL(std::string("sums"), name(c));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_mesh_test);
+
+} // namespace shedhill::relay
