peering, soak: The fleet's size at which sums begin is a setting; the soak plays sums between failure domains

Cause: the soak has few routers, so that what hundreds do, sums between failure domains and few followers of the store, was never struck by its faults.

--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -39,6 +39,8 @@
 
     [[nodiscard]] route_table const& routes() const { return m_routes; }
     [[nodiscard]] bool is_ready() const { return m_is_ready; }
+    // The part of its time, or of its link if that is more, that this router uses, from 0 to 1.
+    [[nodiscard]] double load_part() const { return m_overload.busy_part(); }
     [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
     // How often an endpoint was looked for: the dearest thing a router does for a request that waits.
     [[nodiscard]] std::uint64_t choices() const { return m_choices; }
--- a/libraries/peering/peer_directory.cpp
+++ b/libraries/peering/peer_directory.cpp
@@ -13,8 +13,6 @@
 constexpr milliseconds longest_back_off { 1500 };
 constexpr milliseconds told_is_valid { 10000 };
 constexpr milliseconds dead_after { 15000 };
-// Up to so many routers the news of each go straight to all others: 11 links a router, and no sum on the way.
-constexpr std::size_t most_in_full_mesh = 12;
 // Routers of a failure domain are heard each 100 ms; one that was not for so long does not tell for it.
 constexpr milliseconds heard_limit { 600 };
 // A router that has just started has heard of nobody yet.
@@ -97,7 +95,7 @@
     });
 }
 
-bool peer_directory::is_full_mesh() const { return size() <= most_in_full_mesh; }
+bool peer_directory::is_full_mesh() const { return size() <= m_most_in_full_mesh; }
 
 bool peer_directory::is_told_singly(std::string const& address) const
 {
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -21,8 +21,12 @@
 
 class peer_directory {
 public:
-    explicit peer_directory(fleet_member self)
+    // Up to so many routers the news of each go straight to all others: 11 links a router, and no sum on the way.
+    static constexpr std::size_t usual_full_mesh = 12;
+
+    explicit peer_directory(fleet_member self, std::size_t most_in_full_mesh = usual_full_mesh)
         : m_self(std::move(self))
+        , m_most_in_full_mesh(most_in_full_mesh)
     {
     }
 
@@ -94,6 +98,7 @@
     [[nodiscard]] bool has_failed(domain_state const& state, instant now) const;
 
     fleet_member m_self;
+    std::size_t m_most_in_full_mesh;
     // By address; never contains the own one.
     std::map<std::string, peer> m_peers;
     peer m_nobody;
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -36,6 +36,8 @@
     std::size_t descriptors { 1024 };
     // What the VM's link carries in each direction; 0 where it is not told.
     double link_megabits_per_second { 0 };
+    // Up to so many routers are connected all to all; more exchange sums between failure domains.
+    std::size_t most_in_full_mesh { 12 };
     // Of a core, that the process may use; 0 where it is not told.
     double processor_share { 0 };
 
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -122,10 +122,10 @@
     std::string m_in;
 };
 
-peer_mesh::peer_mesh(event_loop& loop, peering::fleet_member self, message_function on_message)
+peer_mesh::peer_mesh(event_loop& loop, peering::peer_directory directory, message_function on_message)
     : m_loop(loop)
     , m_on_message(std::move(on_message))
-    , m_directory(std::move(self))
+    , m_directory(std::move(directory))
     , m_listener(loop, [this](int descriptor) { accept(descriptor); })
 {
 }
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -19,7 +19,7 @@
 public:
     using message_function = std::function<void(peering::peer_message message)>;
 
-    peer_mesh(event_loop& loop, peering::fleet_member self, message_function on_message);
+    peer_mesh(event_loop& loop, peering::peer_directory directory, message_function on_message);
     ~peer_mesh();
     peer_mesh(peer_mesh const&) = delete;
     peer_mesh& operator=(peer_mesh const&) = delete;
--- a/services/shedhilld/direct_main.cpp
+++ b/services/shedhilld/direct_main.cpp
@@ -35,21 +35,22 @@
 
 } // namespace
 
-int run_direct_router(std::string const& settings_file, dispatch::dispatch_policy const& policy, bool is_check)
+int run_direct_router(direct_options const& options)
 {
     install_signals();
-    auto const path = settings_file.empty() ? platform_binding::settings_path() : settings_file;
-    auto const settings = platform_binding::read_settings_file(path);
+    auto const path = options.settings_file.empty() ? platform_binding::settings_path() : options.settings_file;
+    auto settings = platform_binding::read_settings_file(path);
     if (!settings) {
         std::cerr << settings.error().to_string() << '\n';
         return 2;
     }
-    if (is_check) {
+    settings->most_in_full_mesh = options.most_in_full_mesh;
+    if (options.is_check) {
         std::cout << "settings are valid\n";
         return EXIT_SUCCESS;
     }
     direct_router<platform_binding::caller_binding, platform_binding::table_binding> router(
-        *settings, policy, [path] { return platform_binding::read_settings_file(path); });
+        *settings, options.policy, [path] { return platform_binding::read_settings_file(path); });
     if (auto const opened = router.open(); !opened) {
         std::cerr << opened.error().to_string() << '\n';
         return EXIT_FAILURE;
--- a/services/shedhilld/direct_main.h
+++ b/services/shedhilld/direct_main.h
@@ -10,6 +10,16 @@
 
 // Runs until the process is stopped; the exit status is the process's. With `is_check` the settings are read and told
 // good or bad, and nothing is run. An empty path stands for the file that the platform names.
-int run_direct_router(std::string const& settings_file, dispatch::dispatch_policy const& policy, bool is_check);
+struct direct_options {
+    // The platform's settings file; empty for where the environment says that it is.
+    std::string settings_file;
+    dispatch::dispatch_policy policy;
+    // Up to so many routers are connected all to all.
+    std::size_t most_in_full_mesh { 0 };
+    // Only reads the settings.
+    bool is_check { false };
+};
+
+int run_direct_router(direct_options const& options);
 
 } // namespace shedhill::daemon
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -383,6 +383,9 @@
     {
         m_metrics.set("shedhill_ready", m_is_ready ? 1 : 0);
         m_metrics.set("shedhill_configuration_revision", static_cast<double>(m_reducer.routes().current().revision));
+        m_metrics.set("shedhill_follows_store", m_knowledge.is_following() ? 1 : 0);
+        m_metrics.set("shedhill_tells_other_domains", m_knowledge.is_telling_domains() ? 1 : 0);
+        m_metrics.set("shedhill_load_part", m_reducer.load_part());
         m_metrics.set("shedhill_choices", static_cast<double>(m_reducer.choices()));
         m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
         m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -113,6 +113,11 @@
             - std::max(m_endpoints.follower().confirmed_at(), told_of(document_kind::endpoints).confirmed_at);
     }
 
+    // Whether this router follows the store, or learns from the neighbours that do.
+    [[nodiscard]] bool is_following() const { return m_is_following; }
+    // Whether it exchanges sums with other failure domains.
+    [[nodiscard]] bool is_telling_domains() const { return m_reports.is_telling_domains(); }
+
     // What the reports between routers ask for and bring.
 
     [[nodiscard]] dispatch::dispatch_reducer& reducer() { return m_host.reducer(); }
@@ -220,7 +225,9 @@
         auto const wait = list_wait(now);
         if (m_started_at == instant {})
             m_started_at = now;
-        m_is_following = now - m_started_at >= first_listening && m_duty.is_own(pace + wait + report_delay, now);
+        bool const follows = now - m_started_at >= first_listening && m_duty.is_own(pace + wait + report_delay, now);
+        if (std::exchange(m_is_following, follows) != follows)
+            m_host.log_state("store_following_changed", dispatch::log_fields().add("follows", follows ? 1 : 0).take());
         // Where the store does not answer, a few look for its return, by the list, and tell the others.
         auto const list_back_off = m_duty.is_among_the_first(now) ? short_back_off : long_back_off;
         bool const is_lost = m_endpoints.follower().is_failing() && m_configuration.follower().has_rows();
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -52,7 +52,9 @@
         : m_loop(loop)
         , m_settings(settings)
         , m_owner(owner)
-        , m_peers(loop, { settings.peer_address, settings.domain, weight_of(settings) },
+        , m_peers(loop,
+              peering::peer_directory(
+                  { settings.peer_address, settings.domain, weight_of(settings) }, settings.most_in_full_mesh),
               [this](peering::peer_message message) { take(std::move(message)); })
     {
         static_assert(reports_owner<Owner>);
@@ -71,7 +73,8 @@
             m_owner.count("shedhill_skipped_peer_messages_total");
         auto const newcomers = m_peers.take_new();
         tell_routers(newcomers, now);
-        if (m_peers.is_linked_to_domains())
+        m_is_telling_domains = m_peers.is_linked_to_domains();
+        if (m_is_telling_domains)
             tell_domains(newcomers, now);
         return true;
     }
@@ -81,6 +84,8 @@
     [[nodiscard]] peering::peer_directory& directory() { return m_peers.directory(); }
     [[nodiscard]] peering::fleet_member const& self() { return m_peers.directory().self(); }
     [[nodiscard]] std::uint16_t port() const { return m_peers.port(); }
+    // Whether this router exchanges sums with other failure domains.
+    [[nodiscard]] bool is_telling_domains() const { return m_is_telling_domains; }
 
 private:
     // How often the whole is told, and the routers that are known.
@@ -222,6 +227,7 @@
     relay::peer_mesh m_peers;
     peering::domain_tellers m_tellers;
     std::uint64_t m_last_number { 0 };
+    bool m_is_telling_domains { false };
     instant m_told_at {};
     instant m_told_whole_at {};
     instant m_told_members_at {};
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -53,6 +53,8 @@
     table.add_number("cached-weight", 25, 0, 1000000, "Endpoint: service of a prompt token served from cache.");
     table.add_number("generated-weight", 1000, 1, 1000000, "Endpoint: service of a generated token.");
     table.add_number("draw-size", 4, 1, 64, "Endpoint: teams drawn for one grant.");
+    table.add_number("full-mesh-routers", 12, 1, 1000,
+        "Platform: up to so many routers are connected all to all; more exchange sums between failure domains.");
     daemon::describe_policy(table);
     table.add_flag("check-settings", "Checks the settings and ends.");
     table.add_flag("help", "Prints this text.");
@@ -188,8 +190,8 @@
         return EXIT_SUCCESS;
     }
     if (values && values->text("binding") == "platform")
-        return daemon::run_direct_router(
-            values->text("settings-file"), daemon::read_policy(*values), values->has_flag("check-settings"));
+        return daemon::run_direct_router({ values->text("settings-file"), daemon::read_policy(*values),
+            static_cast<std::size_t>(values->number("full-mesh-routers")), values->has_flag("check-settings") });
     auto const checked = values ? check(*values) : result<void>(tl::unexpected<error>(values.error()));
     if (!checked) {
         std::cerr << checked.error().to_string() << '\n';
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -105,8 +105,9 @@
 {
     auto const store = m_options.links == link_kind::through_proxies ? m_store_links.at(index)->address()
                                                                      : m_store.at(0).address("http");
-    json::object settings { { "node_name", "edge-" + std::to_string(index) }, { "zone", "north" },
-        { "ip", "127.0.0.1" }, { "port_range", json::array { 0, 0 } },
+    auto const zone = "zone-" + std::to_string(index % m_options.domains);
+    json::object settings { { "node_name", "edge-" + std::to_string(index) }, { "zone", zone }, { "ip", "127.0.0.1" },
+        { "port_range", json::array { 0, 0 } },
         { "listen",
             json::object {
                 { "frontend", "127.0.0.1:0" }, { "ready", "127.0.0.1:0" }, { "control_plane", "127.0.0.1:0" } } },
@@ -119,7 +120,8 @@
     auto const path = m_folder / ("router-" + std::to_string(index) + ".json");
     std::ofstream(path) << json::serialize(settings);
     return start_process("router-" + std::to_string(index), program_path("shedhilld"),
-        { "--role=router", "--binding=platform", "--settings-file=" + path.string() });
+        { "--role=router", "--binding=platform", "--settings-file=" + path.string(),
+            "--full-mesh-routers=" + std::to_string(m_options.domains > 1 ? 1 : m_options.routers) });
 }
 
 result<void> hosted_fleet::restart_router(std::size_t index)
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -19,6 +19,8 @@
 struct hosted_fleet_options {
     std::size_t routers { 1 };
     std::size_t replicas { 1 };
+    // Over which the routers are spread. Where there are several, they exchange sums as a large fleet does.
+    std::size_t domains { 1 };
     // Time of one run, or between two events of a stream.
     int work_ms { 5 };
     // Whether each router has a proxy of its own before the store, and each replica one before it.
--- a/tests/processes/soak_test.cpp
+++ b/tests/processes/soak_test.cpp
@@ -12,11 +12,15 @@
     CPPUNIT_TEST(planned_work_loses_nothing);
     CPPUNIT_TEST(promises_hold_while_everything_fails);
     CPPUNIT_TEST(a_delayed_link_does_not_silence_a_router);
+    CPPUNIT_TEST(promises_hold_with_sums_between_failure_domains);
     CPPUNIT_TEST_SUITE_END();
 
-    static void play(std::uint64_t seed, plan_scope scope, milliseconds lasts = milliseconds(4000))
+    static void play(std::uint64_t seed, plan_scope scope, milliseconds lasts = milliseconds(4000),
+        std::size_t routers = 3, std::size_t domains = 1)
     {
         soak_options options;
+        options.routers = routers;
+        options.domains = domains;
         options.plan = { seed, lasts, scope };
         options.callers = 8;
         options.log_folder = std::filesystem::temp_directory_path()
@@ -50,6 +54,12 @@
     // Seed 7031: late answers of a plain service taught a router a time over the objective, and it refused everything
     // from then on.
     void a_delayed_link_does_not_silence_a_router() { play(7031, plan_scope::everything, milliseconds(8000)); }
+
+    // Five routers in two failure domains: three in one, of which two follow the store.
+    void promises_hold_with_sums_between_failure_domains()
+    {
+        play(2, plan_scope::everything, milliseconds(5000), 5, 2);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(soak_test);
--- a/tests/relay/peer_mesh_test.cpp
+++ b/tests/relay/peer_mesh_test.cpp
@@ -16,7 +16,7 @@
 
     struct router {
         router(event_loop& loop, char const* domain)
-            : mesh(loop, { "127.0.0.1:0", failure_domain(domain), 0 },
+            : mesh(loop, peering::peer_directory({ "127.0.0.1:0", failure_domain(domain), 0 }),
                 [this](peering::peer_message message) { heard.push_back(std::move(message)); })
         {
             CPPUNIT_ASSERT(mesh.open().has_value());
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -23,6 +23,7 @@
     options.plan.scope = is_planned_only ? plan_scope::planned_only : plan_scope::everything;
     options.routers = static_cast<std::size_t>(values.number("routers"));
     options.replicas = static_cast<std::size_t>(values.number("replicas"));
+    options.domains = static_cast<std::size_t>(values.number("domains"));
     options.callers = static_cast<std::size_t>(values.number("callers"));
     options.log_folder = std::filesystem::path(values.text("logs")) / ("seed-" + std::to_string(seed));
     std::filesystem::remove_all(options.log_folder);
@@ -57,6 +58,8 @@
     table.add_number("seeds", 1, 1, 10'000, "How many seeds, one after another.");
     table.add_number("seconds", 8, 1, 600, "How long faults strike in each run.");
     table.add_number("routers", 3, 1, 16, "Routers.");
+    table.add_number(
+        "domains", 1, 1, 5, "Failure domains of the routers; several exchange sums as a large fleet does.");
     table.add_number("replicas", 4, 1, 24, "Replicas.");
     table.add_number("callers", 16, 1, 200, "Callers, each with one request at a time.");
     table.add_text("logs", std::filesystem::temp_directory_path() / "shedhill-soak", "Where runs log.");
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -50,6 +50,7 @@
     harness::hosted_fleet_options fleet;
     fleet.routers = options.routers;
     fleet.replicas = options.replicas;
+    fleet.domains = options.domains;
     fleet.links = harness::link_kind::through_proxies;
     fleet.log_folder = options.log_folder;
     std::filesystem::create_directories(options.log_folder);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -18,6 +18,8 @@
     std::size_t routers { 3 };
     std::size_t replicas { 4 };
     std::size_t callers { 16 };
+    // Failure domains of the routers.
+    std::size_t domains { 1 };
     std::filesystem::path log_folder;
 };
 
