shedhilld: Split the routers' table and the reading of list rows from what a router knows

A router that has just started waits 0.4 s for the store, not 0.8 s, before it asks another failure domain: in a small fleet the neighbours may all be in others.

--- /dev/null
+++ b/services/shedhilld/endpoint_rows.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Reads the rows of the list of endpoints. A row that has not changed is not read again: a list of thousands changes a
+// few rows at a time.
+#pragma once
+
+#include "libraries/dispatch/table_follower.h"
+#include "libraries/dispatch/types.h"
+#include "libraries/relay/table_access.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace shedhill::daemon {
+
+template <relay::table_protocol TableBinding>
+class endpoint_rows {
+public:
+    using rows = std::map<std::string, dispatch::table_follower::row>;
+
+    // The entries of all rows that can be read.
+    [[nodiscard]] std::vector<dispatch::endpoint_entry> read(rows const& shown)
+    {
+        std::vector<dispatch::endpoint_entry> entries;
+        std::map<std::string, parsed_row> parsed;
+        for (auto const& [key, row] : shown) {
+            auto const& read = parsed.emplace(key, parse(key, row)).first->second;
+            if (read.entry)
+                entries.push_back(*read.entry);
+        }
+        m_parsed = std::move(parsed);
+        return entries;
+    }
+
+    // Rows that could not be read, since the last call.
+    [[nodiscard]] std::size_t take_bad() { return std::exchange(m_bad, 0); }
+
+private:
+    struct parsed_row {
+        std::uint64_t version { 0 };
+        // None where the row cannot be read.
+        std::optional<dispatch::endpoint_entry> entry;
+    };
+
+    parsed_row parse(std::string const& key, dispatch::table_follower::row const& row)
+    {
+        if (auto const known = m_parsed.find(key); known != m_parsed.end() && known->second.version == row.version)
+            return std::move(known->second);
+        auto entry = TableBinding::parse_endpoint(key, row.value);
+        if (!entry) {
+            ++m_bad;
+            return { row.version, std::nullopt };
+        }
+        return { row.version, std::move(*entry) };
+    }
+
+    std::map<std::string, parsed_row> m_parsed;
+    std::size_t m_bad { 0 };
+};
+
+} // namespace shedhill::daemon
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -11,7 +11,9 @@
 #include "libraries/peering/follow_duty.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/store_session.h"
+#include "services/shedhilld/endpoint_rows.h"
 #include "services/shedhilld/fleet_reports.h"
+#include "services/shedhilld/routers_table.h"
 
 #include <algorithm>
 #include <array>
@@ -53,9 +55,8 @@
               { milliseconds(0), long_feed_wait }, [this] { take_configuration_rows(); })
         , m_endpoints(loop, settings.store_address, relay::table_name::endpoints,
               { own_list_pace(settings), feed_wait }, [this] { take_endpoint_rows(); })
-        , m_routers(loop, settings.store_address, relay::table_name::routers, { routers_pace, long_feed_wait },
-              [this] { take_router_rows(); })
-        , m_writer(loop, settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
+        , m_routers(loop, settings, m_reports.directory(), { routers_pace, long_feed_wait },
+              [this] { m_host.count("shedhill_store_write_failures_total"); })
     {
         static_assert(knowledge_host<Host>);
     }
@@ -83,21 +84,20 @@
         m_routers.tick(now, draw);
         if (std::exchange(m_was_failing, m_endpoints.follower().is_failing()) != m_endpoints.follower().is_failing()) {
             m_configuration.ask_anew(draw);
-            m_routers.ask_anew(draw);
+            m_routers.rows().ask_anew(draw);
             if (!m_was_failing) {
                 m_configuration.follower().end_back_off(now);
-                m_routers.follower().end_back_off(now);
+                m_routers.rows().follower().end_back_off(now);
             }
         }
-        m_writer.check_time(now);
         if (m_roster.drop_lapsed(now))
             m_host.learn(dispatch::endpoints_listed { m_roster.entries() });
         if (!m_settings.peer_address.empty() && m_reports.tick(now, draw))
-            keep_own_row(now);
+            m_routers.keep_rows(m_is_following, now);
     }
 
     // The own row is not written again.
-    void leave() { m_is_leaving = true; }
+    void leave() { m_routers.leave(); }
 
     [[nodiscard]] std::string const& peer_address() { return m_reports.self().address; }
     [[nodiscard]] std::uint16_t peer_port() const { return m_reports.port(); }
@@ -195,12 +195,13 @@
     static constexpr milliseconds second_hand_pace { 60000 };
     // A router that has just started has not heard yet who follows the store. It reads it at once in any case.
     static constexpr milliseconds first_listening { 800 };
+    // So long a router that has just started waits for the store itself before it asks other failure domains: 300
+    // routers that ask three seeds for a list of 450 kB fill their links. The store answers within 30 ms.
+    static constexpr milliseconds own_reading_time { 400 };
     // Beyond its pace and the time that it is held, a feed's answer and the report that tells of it take so long.
     static constexpr milliseconds report_delay { 300 };
     static constexpr milliseconds short_back_off { 800 };
     static constexpr milliseconds long_back_off { 3000 };
-    static constexpr milliseconds write_interval { 1500 };
-    static constexpr milliseconds write_limit { 1200 };
 
     // Each call has its price, and between two of them nothing is learnt: a third of the time in which a leaving
     // endpoint may still get requests, so that two calls in a row may fail.
@@ -235,7 +236,7 @@
         m_endpoints.follower().set_options({ m_is_following ? pace : second_hand_pace, wait, list_back_off });
         m_configuration.follower().set_options(
             { m_is_following ? milliseconds(0) : second_hand_pace, long_feed_wait, back_off });
-        m_routers.follower().set_options(
+        m_routers.rows().follower().set_options(
             { m_is_following ? routers_pace : second_hand_pace, long_feed_wait, back_off });
     }
 
@@ -277,34 +278,11 @@
         return m_outages.contact({ follower.confirmed_at(), follower.returned_at(), m_is_following }, now);
     }
 
-    // One row of the list as it was read, so that only rows that changed are read again.
-    struct parsed_row {
-        std::uint64_t version { 0 };
-        std::optional<dispatch::endpoint_entry> entry;
-    };
-
-    parsed_row parse_row(std::string const& key, dispatch::table_follower::row const& row)
-    {
-        if (auto const known = m_parsed.find(key); known != m_parsed.end() && known->second.version == row.version)
-            return std::move(known->second);
-        parsed_row parsed { row.version, std::nullopt };
-        if (auto entry = TableBinding::parse_endpoint(key, row.value))
-            parsed.entry = std::move(*entry);
-        else
-            m_host.count("shedhill_bad_documents_total");
-        return parsed;
-    }
-
     void take_endpoint_rows()
     {
-        std::vector<dispatch::endpoint_entry> shown;
-        std::map<std::string, parsed_row> parsed;
-        for (auto const& [key, row] : m_endpoints.follower().rows()) {
-            auto const& read = parsed.emplace(key, parse_row(key, row)).first->second;
-            if (read.entry)
-                shown.push_back(*read.entry);
-        }
-        m_parsed = std::move(parsed);
+        auto shown = m_endpoint_rows.read(m_endpoints.follower().rows());
+        for (auto bad = m_endpoint_rows.take_bad(); bad > 0; --bad)
+            m_host.count("shedhill_bad_documents_total");
         auto const now = m_loop.now();
         auto const kept_before = m_roster.kept_count();
         bool const is_changed = m_roster.take(std::move(shown), list_contact(now), now);
@@ -321,52 +299,6 @@
             "lapsed_endpoints_kept", dispatch::log_fields().add("endpoints", m_roster.kept_count()).take());
     }
 
-    void take_router_rows()
-    {
-        std::map<std::string, peering::fleet_member> rows;
-        for (auto const& [key, row] : m_routers.follower().rows())
-            rows.emplace(key, peering::parse_member(row.value));
-        m_reports.directory().take_table(rows);
-    }
-
-    // The own row is written where it is missing, and rows of the dead are removed: one call at a time.
-    void keep_own_row(instant now)
-    {
-        if (m_writer.is_calling() || now < m_write_again_at || !m_routers.follower().has_rows())
-            return;
-        auto const& rows = m_routers.follower().rows();
-        auto const own = rows.find(m_settings.vm.value());
-        auto const text = peering::to_text(m_reports.self());
-        // Rows that were read before the last write do not show it: a router that does not follow them would write on.
-        bool const shows_last_write = m_routers.follower().confirmed_at() > m_row_written_at;
-        if (!m_is_leaving && shows_last_write && (own == rows.end() || own->second.value != text)) {
-            m_write_again_at = now + write_interval;
-            return m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
-                                      m_settings.vm.value(), text),
-                write_limit);
-        }
-        // Who does not follow the rows does not see that one was removed already.
-        if (!m_is_following)
-            return;
-        for (auto const& dead : m_reports.directory().rows_of_the_dead(now)) {
-            auto const row = rows.find(dead);
-            if (row == rows.end())
-                continue;
-            m_write_again_at = now + write_interval;
-            return m_writer.start(TableBinding::remove_call(
-                                      m_settings.store_address, relay::table_name::routers, dead, row->second.version),
-                write_limit);
-        }
-    }
-
-    void take_written(unsigned status)
-    {
-        if (status != 0 && TableBinding::verdict_of(status) != relay::store_verdict::failed)
-            m_row_written_at = m_loop.now();
-        else
-            m_host.count("shedhill_store_write_failures_total");
-    }
-
     // Other routers.
 
     void note_list_confirmed(peering::document_version const& told, peering::state_message const& state, instant now)
@@ -387,7 +319,7 @@
                                                     : m_endpoints.follower().changed_version();
     }
 
-    // Since when a later version is not asked for, because the store was heard here, or by a neighbour.
+    // Whether a later version is not asked for, because the store was heard here, or by a neighbour.
     [[nodiscard]] bool is_up_to_date(document_kind kind, bool is_neighbour, instant now)
     {
         auto const& follower
@@ -395,7 +327,7 @@
         if (is_neighbour)
             return now - follower.confirmed_at() < out_of_date(kind);
         // Between failure domains bytes are dear, and the neighbours have what the store tells.
-        bool const is_starting = now - m_started_at < first_listening;
+        bool const is_starting = now - m_started_at < own_reading_time;
         auto const confirmed_at = std::max(follower.confirmed_at(), m_neighbours_confirmed_at);
         return is_starting || now - confirmed_at < own_list_pace(m_settings) + list_wait(now) + list_overdue;
     }
@@ -438,26 +370,21 @@
     peering::follow_duty m_duty;
     relay::table_session<TableBinding> m_configuration;
     relay::table_session<TableBinding> m_endpoints;
-    relay::table_session<TableBinding> m_routers;
-    relay::whole_call m_writer;
+    routers_table<TableBinding> m_routers;
 
     // The text of the configuration in force, to be passed on to routers that cannot hear the store.
     std::string m_configuration_text;
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
-    std::map<std::string, parsed_row> m_parsed;
+    endpoint_rows<TableBinding> m_endpoint_rows;
     // By kind.
     std::array<told_document, static_cast<std::size_t>(document_kind::count)> m_told {};
     // This router follows the store, or learns from the neighbours that do.
     bool m_is_following { false };
-    bool m_is_leaving { false };
     bool m_was_failing { false };
     instant m_started_at {};
     // When the store last confirmed the list to a router of this failure domain, as it told.
     instant m_neighbours_confirmed_at {};
-    // When a write, of the own row or of one that was removed, was last confirmed.
-    instant m_row_written_at {};
-    instant m_write_again_at {};
 };
 
 } // namespace shedhill::daemon
--- /dev/null
+++ b/services/shedhilld/routers_table.h
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The table of routers at the store: where each is reached. A router writes its own row where it is missing, and
+// removes the rows of those that have not answered for long.
+#pragma once
+
+#include "libraries/peering/peer_directory.h"
+#include "libraries/relay/deployment.h"
+#include "libraries/relay/store_session.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace shedhill::daemon {
+
+template <relay::table_protocol TableBinding>
+class routers_table {
+public:
+    // Told that a write failed, or that it is not known whether it was done.
+    using failed_function = std::function<void()>;
+
+    routers_table(relay::event_loop& loop, relay::deployment_settings const& settings,
+        peering::peer_directory& directory, dispatch::follower_options options, failed_function on_failed)
+        : m_loop(loop)
+        , m_settings(settings)
+        , m_directory(directory)
+        , m_on_failed(std::move(on_failed))
+        , m_rows(loop, settings.store_address, relay::table_name::routers, options, [this] { take_rows(); })
+        , m_writer(loop, settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
+    {
+    }
+
+    void tick(instant now, std::uint64_t draw)
+    {
+        m_rows.tick(now, draw);
+        m_writer.check_time(now);
+    }
+
+    // One call at a time. Only who follows the rows sees whether one was removed already.
+    void keep_rows(bool is_following, instant now)
+    {
+        if (m_writer.is_calling() || now < m_write_again_at || !m_rows.follower().has_rows())
+            return;
+        if (is_own_row_missing())
+            write_own_row(now);
+        else if (is_following)
+            remove_dead_row(now);
+    }
+
+    // The own row is not written again.
+    void leave() { m_is_leaving = true; }
+
+    [[nodiscard]] relay::table_session<TableBinding>& rows() { return m_rows; }
+
+private:
+    static constexpr milliseconds write_interval { 1500 };
+    static constexpr milliseconds write_limit { 1200 };
+
+    void take_rows()
+    {
+        std::map<std::string, peering::fleet_member> members;
+        for (auto const& [key, row] : m_rows.follower().rows())
+            members.emplace(key, peering::parse_member(row.value));
+        m_directory.take_table(members);
+    }
+
+    [[nodiscard]] bool is_own_row_missing()
+    {
+        // Rows that were read before the last write do not show it: a router that does not follow them would write on.
+        if (m_is_leaving || m_rows.follower().confirmed_at() <= m_written_at)
+            return false;
+        auto const& rows = m_rows.follower().rows();
+        auto const own = rows.find(m_settings.vm.value());
+        return own == rows.end() || own->second.value != peering::to_text(m_directory.self());
+    }
+
+    void write_own_row(instant now)
+    {
+        m_write_again_at = now + write_interval;
+        m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
+                           m_settings.vm.value(), peering::to_text(m_directory.self())),
+            write_limit);
+    }
+
+    void remove_dead_row(instant now)
+    {
+        auto const& rows = m_rows.follower().rows();
+        for (auto const& dead : m_directory.rows_of_the_dead(now)) {
+            auto const row = rows.find(dead);
+            if (row == rows.end())
+                continue;
+            m_write_again_at = now + write_interval;
+            return m_writer.start(TableBinding::remove_call(
+                                      m_settings.store_address, relay::table_name::routers, dead, row->second.version),
+                write_limit);
+        }
+    }
+
+    void take_written(unsigned status)
+    {
+        if (status != 0 && TableBinding::verdict_of(status) != relay::store_verdict::failed)
+            m_written_at = m_loop.now();
+        else
+            m_on_failed();
+    }
+
+    relay::event_loop& m_loop;
+    relay::deployment_settings const& m_settings;
+    peering::peer_directory& m_directory;
+    failed_function m_on_failed;
+    relay::table_session<TableBinding> m_rows;
+    relay::whole_call m_writer;
+    bool m_is_leaving { false };
+    // When a write, of the own row or of one that was removed, was last confirmed.
+    instant m_written_at {};
+    instant m_write_again_at {};
+};
+
+} // namespace shedhill::daemon
