relay: A connection that rests keeps no room for its largest message

Messages of 373 kB tell a router that came up where parts are kept; the buffers that read them, those of large bodies and those of links stayed at their largest size for as long as the connection.

Now a buffer that is empty keeps 4 kB. Ruled out: places of parts (28,000 at all alike), callers (200 to 300), requests (4).

--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -94,6 +94,8 @@
         begin_request();
         m_listener.on_request(*this, std::move(request));
     }
+    if (m_in.empty())
+        release(m_in);
     m_is_reading = false;
 }
 
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -106,6 +106,8 @@
             rest.remove_prefix(*size);
         }
         m_in.erase(0, used);
+        if (m_in.empty())
+            release(m_in);
         if (m_in.size() > peering::most_frame_size)
             lose();
     }
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -130,9 +130,7 @@
         m_written += static_cast<std::size_t>(count);
         m_loop.link().note_sent(static_cast<std::size_t>(count));
     }
-    m_out.clear();
-    if (m_out.capacity() > compacted_size)
-        m_out.shrink_to_fit();
+    release(m_out);
     m_written = 0;
     if (m_is_blocked) {
         m_is_blocked = false;
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -23,6 +23,18 @@
     read_end end { read_end::drained };
 };
 
+// A connection that rests keeps no more room than this: hundreds of callers, endpoints and routers stay connected, and
+// one large message on each would stay in memory for as long as they do.
+constexpr std::size_t kept_capacity = 4096;
+
+// Empties the buffer.
+inline void release(std::string& buffer)
+{
+    buffer.clear();
+    if (buffer.capacity() > kept_capacity)
+        buffer.shrink_to_fit();
+}
+
 class socket {
 public:
     socket(event_loop& loop, io_handler& handler)
--- a/tests/relay/peer_mesh_test.cpp
+++ b/tests/relay/peer_mesh_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(peer_mesh_test);
     CPPUNIT_TEST(a_message_that_is_not_known_is_skipped);
     CPPUNIT_TEST(sums_go_to_other_failure_domains_only);
+    CPPUNIT_TEST(a_buffer_that_rests_keeps_little);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int most_rounds = 1000;
@@ -67,6 +68,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, b.mesh.take_skipped());
     }
 
+    // Messages of 373 kB to routers that came up stayed in memory as long as their links.
+    void a_buffer_that_rests_keeps_little()
+    {
+        std::string large(400'000, 'x');
+        release(large);
+        CPPUNIT_ASSERT(large.empty() && large.capacity() <= kept_capacity);
+        std::string small("few");
+        auto const before = small.capacity();
+        release(small);
+        CPPUNIT_ASSERT_EQUAL(before, small.capacity());
+    }
+
     void sums_go_to_other_failure_domains_only()
     {
         event_loop loop;
