peering: Links between failure domains last only while one side needs them

Cause: whoever was heard from another failure domain was connected to, and told; so two routers that had met once told each other for ever.

Now a router asks for a link back where it needs one, each second: a teller its contacts, one that has just started the seeds of which it knows the address alone. Ruled out: closing links to seeds after a time, which would also cut a lone router of a failure domain off.

--- a/libraries/peering/peer_directory.cpp
+++ b/libraries/peering/peer_directory.cpp
@@ -20,7 +20,7 @@
 // Sums from another failure domain come each 100 ms; connecting to a new contact takes about 10.
 constexpr milliseconds contact_silence { 900 };
 constexpr milliseconds contact_avoided { 4000 };
-// Who was connected to from another failure domain stays connected for so long after the last word from there.
+// A router that asked to be connected to asks again each second.
 constexpr milliseconds link_back_time { 3000 };
 
 // The order in which routers tell for their failure domain: who has the most to spend first.
@@ -168,12 +168,26 @@
 {
     if (is_full_mesh() || known.member.domain.value().empty() || is_own_domain(known))
         return true;
-    if (known.heard_at != instant {} && now - known.heard_at < link_back_time)
-        return true;
+    // Not whoever is heard: two routers that tell each other only because the other does would never cease.
+    return is_contact(known) || (known.wanted_at != instant {} && now - known.wanted_at < link_back_time);
+}
+
+bool peer_directory::is_contact(peer const& known) const
+{
     auto const domain = m_domains.find(known.member.domain);
     return domain != m_domains.end() && domain->second.contact == known.member.address;
 }
 
+std::vector<std::string> peer_directory::wanted_links() const
+{
+    std::vector<std::string> wanted;
+    for (auto const& [address, known] : m_peers) {
+        if (known.is_connected && (known.member.domain.value().empty() || is_contact(known)))
+            wanted.push_back(address);
+    }
+    return wanted;
+}
+
 std::vector<std::string> peer_directory::take_due(instant now)
 {
     if (!m_started_at)
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -5,7 +5,7 @@
 //
 // A small fleet connects all to all. In a larger one a router connects to the routers of its own failure domain only.
 // The one of them with the most to spend, of those who are heard, is the domain's teller: it connects to one contact in
-// each other failure domain, and whoever is connected to from another failure domain connects back. So the cost of a
+// each other failure domain, and asks it to connect back. So the cost of a
 // router grows with its failure domain, and what passes between failure domains with their number.
 #pragma once
 
@@ -40,6 +40,8 @@
     // This router itself has spoken: it is up, and is connected to without waiting. While it has more to do than it
     // can, it does not tell for its failure domain.
     void note_heard(fleet_member const& member, bool is_aside, instant now);
+    // A router of another failure domain asks to be connected to.
+    void note_wanted(std::string const& address, instant now) { learn({ address, {}, 0 }).wanted_at = now; }
     // Sums of the failure domain came from one of its routers.
     void note_domain_heard(failure_domain const& domain, instant now) { m_domains[domain].heard_at = now; }
 
@@ -50,6 +52,9 @@
     // Routers that are connected and need not be any more; each counts as not connected from now on.
     [[nodiscard]] std::vector<std::string> take_needless(instant now);
 
+    // Connected routers that are to connect back: contacts, and those of which only the address is known.
+    [[nodiscard]] std::vector<std::string> wanted_links() const;
+
     // Rows of routers that have not answered for long, to be removed from the table.
     [[nodiscard]] std::vector<std::string> rows_of_the_dead(instant now) const;
     // All that are thought to be there, this one included.
@@ -73,6 +78,8 @@
         // By another router, and by itself.
         instant told_at {};
         instant heard_at {};
+        // When it last asked to be connected to.
+        instant wanted_at {};
         instant next_try {};
         instant down_since {};
         milliseconds back_off { 0 };
@@ -92,6 +99,7 @@
     [[nodiscard]] bool is_own_domain(peer const& known) const { return known.member.domain == m_self.domain; }
     [[nodiscard]] bool is_teller(instant now) const;
     [[nodiscard]] bool is_wanted(peer const& known, instant now) const;
+    [[nodiscard]] bool is_contact(peer const& known) const;
     void forget_unvouched(instant now);
     void choose_contacts(instant now);
     void replace_contact(failure_domain const& domain, domain_state& state, instant now);
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -171,6 +171,12 @@
             = fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(wanted.kind), wanted.version);
         return fbs::CreateMessage(builder, 0, 0, encoded, address, wanted.since);
     }
+
+    flatbuffers::Offset<fbs::Message> operator()(link_wanted const& wanted) const
+    {
+        auto const address = builder.CreateString(wanted.address);
+        return fbs::CreateMessage(builder, 0, 0, 0, 0, 0, address);
+    }
 };
 
 } // namespace
@@ -215,6 +221,8 @@
         return peer_message(
             document_wanted { kind, wanted->version(), text_of(message->wanted_by()), message->wanted_since() });
     }
+    if (auto const* address = message->link_wanted_by())
+        return peer_message(link_wanted { text_of(address) });
     return fail("decode peer message", {}, "has no part");
 }
 
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -62,7 +62,12 @@
     std::uint64_t since { 0 };
 };
 
-using peer_message = std::variant<state_message, document_message, document_wanted>;
+// The sender needs to hear the reader, which would not connect to it by itself.
+struct link_wanted {
+    std::string address;
+};
+
+using peer_message = std::variant<state_message, document_message, document_wanted, link_wanted>;
 
 // A frame is the size of what follows, four bytes with the lowest first, and a FlatBuffers message.
 constexpr std::size_t frame_head_size = 4;
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -72,7 +72,14 @@
         for (auto skipped = m_peers.take_skipped(); skipped > 0; --skipped)
             m_owner.count("shedhill_skipped_peer_messages_total");
         auto const newcomers = m_peers.take_new();
+        // A new link asks at once.
+        if (!newcomers.empty())
+            m_wanted_links_at = {};
         tell_routers(newcomers, now);
+        if (now - m_wanted_links_at >= link_wanted_interval) {
+            m_wanted_links_at = now;
+            ask_for_links();
+        }
         m_is_telling_domains = m_peers.is_linked_to_domains();
         if (m_is_telling_domains)
             tell_domains(newcomers, now);
@@ -93,6 +100,8 @@
     // Connections lose nothing but to a reader that is far behind. A whole sum of 3,000 endpoints has 72 kB.
     static constexpr milliseconds whole_domain_interval { 5000 };
     static constexpr milliseconds members_interval { 4000 };
+    // Beginning with the first tick that finds a new link.
+    static constexpr milliseconds link_wanted_interval { 1000 };
 
     // What others have sent in the last moments is what a choice knows least of, so a small fleet tells more often;
     // each message costs a few system calls at both ends. Measured: docs/DECISIONS.md.
@@ -129,6 +138,13 @@
             newcomers, [&](auto const& address) { return directory().is_told_singly(address) == is_told_singly; });
     }
 
+    void ask_for_links()
+    {
+        auto const frame = peering::encode_frame(peering::link_wanted { self().address });
+        for (auto const& address : directory().wanted_links())
+            m_peers.tell(address, frame);
+    }
+
     // Most messages hold only what changed. Once in a while, and when a router is new, the whole is told, so that a
     // lost message does no lasting harm.
     void tell_routers(std::vector<std::string> const& newcomers, instant now)
@@ -218,6 +234,7 @@
         return true;
     }
 
+    void take_part(peering::link_wanted const& wanted) { directory().note_wanted(wanted.address, m_loop.now()); }
     void take_part(peering::document_message& document) { m_owner.take(document); }
     void take_part(peering::document_wanted const& wanted) { m_owner.take(wanted); }
 
@@ -232,6 +249,7 @@
     instant m_told_whole_at {};
     instant m_told_members_at {};
     instant m_told_domain_whole_at {};
+    instant m_wanted_links_at {};
 };
 
 } // namespace shedhill::daemon
