--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(an_order_runs_once_whatever_happens);
     CPPUNIT_TEST(what_a_replica_turned_away_is_served_by_another);
     CPPUNIT_TEST(a_changed_configuration_is_in_force_at_every_router);
+    CPPUNIT_TEST(routers_that_do_not_follow_the_store_learn_from_those_that_do);
     CPPUNIT_TEST(a_leaving_replica_gets_nothing_new);
     CPPUNIT_TEST(the_store_may_be_away);
     CPPUNIT_TEST(entries_that_lapsed_in_an_outage_are_kept_for_a_while);
@@ -145,6 +146,30 @@
         CPPUNIT_ASSERT(fleet.metric(0, "shedhill_configuration_revision") == 7);
     }
 
+    // Of four routers of one failure domain two follow the store.
+    void routers_that_do_not_follow_the_store_learn_from_those_that_do()
+    {
+        constexpr std::size_t routers = 4;
+        auto const fleet = started(routers, 2);
+        auto const following = [&] {
+            std::size_t count = 0;
+            for (std::size_t router = 0; router < routers; ++router)
+                count += fleet.metric(router, "shedhill_follows_store") > 0 ? 1 : 0;
+            return count;
+        };
+        CPPUNIT_ASSERT(wait_until([&] { return following() == 2; }));
+        fleet.declare(7, { "/added/" });
+        fleet.list_replica(0, "draining");
+        fleet.control_replica(1, "busy");
+        for (std::size_t router = 0; router < routers; ++router) {
+            auto const name = std::to_string(router) + "-";
+            CPPUNIT_ASSERT(comes_to(503,
+                [&](int tries) { return fleet.ask(router, "/order/a", "order-" + name + std::to_string(tries)); }));
+            CPPUNIT_ASSERT(wait_until([&] { return fleet.metric(router, "shedhill_configuration_revision") == 7; }));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, following());
+    }
+
     void a_leaving_replica_gets_nothing_new()
     {
         auto fleet = started(1, 2);
