--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -72,7 +72,7 @@
     return is_neighbour ? source_place::own_domain : source_place::elsewhere;
 }
 
-bool dispatch_reducer::is_known_otherwise(peer_reported const& report) const
+bool dispatch_reducer::is_counted_already(peer_reported const& report) const
 {
     if (report.subject == report_subject::domain)
         return report.domain == m_options.domain;
@@ -100,7 +100,7 @@
 
 void dispatch_reducer::handle(peer_reported const& report, step_context& step)
 {
-    if (is_known_otherwise(report))
+    if (is_counted_already(report))
         return;
     if (report.subject == report_subject::domain)
         forget_single_routers(report.domain, step);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -162,8 +162,8 @@
 
     [[nodiscard]] fleet_load load_of_fleet() const;
     [[nodiscard]] source_place place_of(peer_reported const& report) const;
-    // Whether the report tells of routers that are known otherwise: they would count twice.
-    [[nodiscard]] bool is_known_otherwise(peer_reported const& report) const;
+    // Whether the report tells of routers that are counted already, in their failure domain's sums or as neighbours.
+    [[nodiscard]] bool is_counted_already(peer_reported const& report) const;
     void forget_single_routers(failure_domain const& domain, step_context& step);
     void forget_silent_peers(step_context& step);
     void note_placed(part_placed const& placed, step_context const& step);
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -5,8 +5,8 @@
 //
 // A small fleet connects all to all. In a larger one a router connects to the routers of its own failure domain only.
 // The one of them with the most to spend, of those who are heard, is the domain's teller: it connects to one contact in
-// each other failure domain, and asks it to connect back. So the cost of a
-// router grows with its failure domain, and what passes between failure domains with their number.
+// each other failure domain, and asks it to connect back. So the cost of a router grows with its failure domain, and
+// what passes between failure domains with their number.
 #pragma once
 
 #include "base/units.h"
