--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -170,9 +170,9 @@
     if (!m_has_rows || *told.since > m_version)
         return std::nullopt;
     auto rows = m_rows;
-    for (auto const& [key, row] : told.rows) {
-        if (auto& known = rows[key]; known.version < row.version)
-            known = row;
+    for (auto const& [key, told_row] : told.rows) {
+        if (auto& known = rows[key]; known.version < told_row.version)
+            known = told_row;
     }
     for (auto const& gone : told.gone) {
         if (auto const known = rows.find(gone.key); known != rows.end() && known->second.version < gone.version)
--- a/tests/dispatch/told_rows_test.cpp
+++ b/tests/dispatch/told_rows_test.cpp
@@ -78,6 +78,7 @@
             std::uint64_t version = 1;
             auto const whole = [&] {
                 std::vector<changed_row> rows;
+                rows.reserve(store.size());
                 for (auto const& [key, row] : store)
                     rows.push_back({ key, row.value, row.version });
                 return rows;
