dispatch, peering: Evacuated failure domains get nothing new, and routers tell each other

The rows stand in the table that holds the configuration, so whoever follows it sees them; what the followers tell the others was the configuration's text alone. Both documents between routers are rows now, told by changes, so an evacuation and its end reach routers that do not follow the store, and those that start while it is away.

Weighed: a document of its own for evacuations (a third version to tell with each message, and no way to tell that a row went); the endpoints' own rows marked by whoever reads the evacuation (lost at each list).

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -84,6 +84,9 @@
     auto& kept = m_requests.insert_or_assign(number, std::move(request)).first->second;
     if (is_overloaded_for(kept, step))
         return refuse(number, kept, status_unavailable, refusal_reason::router_overloaded, step);
+    // No endpoint can take it, and none will while it waits: it is told at once when to come back.
+    if (auto const reason = why_nowhere(kept); reason != refusal_reason::no_place)
+        return refuse(number, kept, status_unavailable, reason, step);
     // Who waits already goes first, unless the newcomer's team was given less.
     if (m_waiting.empty() && try_to_send(number, kept, step))
         return;
@@ -254,7 +257,7 @@
         if (auto const chosen = choose(request, step); chosen.endpoint != nullptr)
             return send(number, request, chosen, step);
     }
-    auto const reason = m_board.has_endpoints(request.pool) ? refusal_reason::no_place : refusal_reason::no_endpoint;
+    auto const reason = why_nowhere(request);
     if (request.is_failure_kept)
         return pass_failure(number, request, reason, step);
     if (request.has_answer_begun || request.may_have_run)
@@ -264,6 +267,13 @@
     refuse(number, request, status, reason, step);
 }
 
+refusal_reason dispatch_reducer::why_nowhere(active_request const& request) const
+{
+    if (m_board.has_endpoints(request.pool))
+        return refusal_reason::no_place;
+    return m_board.is_evacuated(request.pool) ? refusal_reason::domains_evacuated : refusal_reason::no_endpoint;
+}
+
 milliseconds dispatch_reducer::come_back_after(
     active_request const& request, refusal_reason reason, step_context const& step) const
 {
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -53,6 +53,30 @@
     update_ready(step);
 }
 
+void dispatch_reducer::handle(domains_evacuated const& evacuated, step_context& step)
+{
+    auto const before = m_board.evacuated();
+    m_board.set_evacuated(evacuated.domains);
+    auto const& now = m_board.evacuated();
+    for (auto const& domain : now) {
+        if (!before.contains(domain))
+            note_evacuation(domain, "domain_evacuated", step);
+    }
+    for (auto const& domain : before) {
+        if (!now.contains(domain))
+            note_evacuation(domain, "domain_given_back", step);
+    }
+    if (now != before)
+        serve_waiting(step);
+}
+
+void dispatch_reducer::note_evacuation(failure_domain const& domain, std::string_view event, step_context& step)
+{
+    // An operator who misspelled a name sees it by the number of endpoints.
+    step.effects.emplace_back(log_line { severity::failure, std::string(event),
+        log_fields().add("domain", domain.value()).add("endpoints", m_board.endpoints_in(domain)).take() });
+}
+
 void dispatch_reducer::handle(endpoints_listed const& listed, step_context& step)
 {
     m_board.take_list(listed.entries);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -45,6 +45,7 @@
     // How often an endpoint was looked for: the dearest thing a router does for a request that waits.
     [[nodiscard]] std::uint64_t choices() const { return m_choices; }
     [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
+    [[nodiscard]] std::size_t evacuated_domains() const { return m_board.evacuated().size(); }
     [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool) const
     {
         return m_board.occupancy_of(pool);
@@ -121,6 +122,7 @@
     void handle(attempt_ended const& ended, step_context& step);
     void handle(attempt_stalled const& stalled, step_context& step);
     void handle(configuration_learned const& learned, step_context& step);
+    void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
     void handle(peer_reported const& report, step_context& step);
     void handle(peer_lost const& lost, step_context& step);
@@ -138,6 +140,8 @@
     // The same, unless many wait and it was done a moment ago.
     void serve_waiting_again(step_context& step);
     void end_of_wait(request_number number, active_request& request, step_context& step);
+    // Why no endpoint takes the request: none is there, an operator holds all of them back, or none has a place.
+    [[nodiscard]] refusal_reason why_nowhere(active_request const& request) const;
     [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
     [[nodiscard]] team_account account_of(active_request const& request, step_context const& step);
     [[nodiscard]] team_standing standing_of(active_request const& request, step_context const& step);
@@ -167,6 +171,7 @@
     void forget_single_routers(failure_domain const& domain, step_context& step);
     void forget_silent_peers(step_context& step);
     void note_placed(part_placed const& placed, step_context const& step);
+    void note_evacuation(failure_domain const& domain, std::string_view event, step_context& step);
     [[nodiscard]] std::size_t other_routers() const;
     void update_ready(step_context& step);
     void stop_if_drained(step_context& step);
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -60,6 +60,7 @@
 void endpoint_board::take_list(std::vector<endpoint_entry> const& entries)
 {
     m_open.clear();
+    m_held_back.clear();
     std::unordered_set<endpoint_name> listed;
     for (auto const& entry : entries) {
         listed.insert(entry.name);
@@ -71,7 +72,7 @@
         }
         state->entry = entry;
         if (!entry.is_draining)
-            m_open[entry.pool].push_back(state.get());
+            open(*state);
     }
     std::erase_if(m_endpoints, [&](auto const& known) {
         bool const is_gone = !listed.contains(known.first) && known.second->running == 0;
@@ -81,12 +82,32 @@
     });
 }
 
+void endpoint_board::open(endpoint_state& state)
+{
+    auto& endpoints = m_evacuated.contains(state.entry.domain) ? m_held_back : m_open;
+    endpoints[state.entry.pool].push_back(&state);
+}
+
+void endpoint_board::set_evacuated(std::vector<failure_domain> const& domains)
+{
+    m_evacuated = { domains.begin(), domains.end() };
+    auto const open_before = std::exchange(m_open, {});
+    auto const held_before = std::exchange(m_held_back, {});
+    for (auto const* before : { &open_before, &held_before }) {
+        for (auto const& [pool, endpoints] : *before) {
+            for (auto* state : endpoints)
+                open(*state);
+        }
+    }
+}
+
 void endpoint_board::retire(endpoint_name const& name)
 {
     auto const found = m_endpoints.find(name);
     if (found == m_endpoints.end())
         return;
     std::erase(m_open[found->second->entry.pool], found->second.get());
+    std::erase(m_held_back[found->second->entry.pool], found->second.get());
 }
 
 endpoint_state* endpoint_board::find(endpoint_name const& name)
@@ -107,6 +128,18 @@
     return found != m_open.end() && !found->second.empty();
 }
 
+std::size_t endpoint_board::endpoints_in(failure_domain const& domain) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_endpoints, [&](auto const& known) { return known.second->entry.domain == domain; }));
+}
+
+bool endpoint_board::is_evacuated(pool_name const& pool) const
+{
+    auto const found = m_held_back.find(pool);
+    return found != m_held_back.end() && !found->second.empty() && !has_endpoints(pool);
+}
+
 std::size_t endpoint_board::ejected_in(pool_name const& pool) const
 {
     auto const found = m_open.find(pool);
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -11,6 +11,7 @@
 #include "libraries/dispatch/team_ledger.h"
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -88,12 +89,18 @@
 
     // Replaces the list. Endpoints that are gone stay known while attempts run there, but get nothing new.
     void take_list(std::vector<endpoint_entry> const& entries);
+    // Endpoints of these failure domains get nothing new until a later call leaves their domain out.
+    void set_evacuated(std::vector<failure_domain> const& domains);
     // The address answers for another endpoint: nothing more is sent there until a list shows it anew.
     void retire(endpoint_name const& name);
 
     [[nodiscard]] endpoint_state* find(endpoint_name const& name);
     [[nodiscard]] endpoint_state* find(endpoint_key key);
     [[nodiscard]] bool has_endpoints(pool_name const& pool) const;
+    // The pool has endpoints, but all of them are in evacuated failure domains.
+    [[nodiscard]] bool is_evacuated(pool_name const& pool) const;
+    [[nodiscard]] std::set<failure_domain> const& evacuated() const { return m_evacuated; }
+    [[nodiscard]] std::size_t endpoints_in(failure_domain const& domain) const;
     // The best endpoint; none if all are excluded, gone or ejected.
     [[nodiscard]] endpoint_choice choose(choice_request const& wanted, instant now);
     // Places of the pool's endpoints that are in use, and how many are taken.
@@ -147,7 +154,12 @@
     std::unordered_map<endpoint_name, std::unique_ptr<endpoint_state>> m_endpoints;
     // The same, by their keys.
     std::unordered_map<endpoint_key, endpoint_state*> m_by_key;
-    // Those of a pool that may get new work.
+    void open(endpoint_state& state);
+
+    std::set<failure_domain> m_evacuated;
+    // Endpoints of a pool that are kept from new work by an evacuation alone.
+    std::unordered_map<pool_name, std::vector<endpoint_state*>> m_held_back;
+    // Those of a pool that may get new work. Invariant: none is draining, retired or in an evacuated failure domain.
     std::unordered_map<pool_name, std::vector<endpoint_state*>> m_open;
     struct told_running {
         source_place place { source_place::elsewhere };
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -56,6 +56,11 @@
     configuration learned;
 };
 
+// The failure domains whose endpoints an operator wants to receive nothing, all of them.
+struct domains_evacuated {
+    std::vector<failure_domain> domains;
+};
+
 struct endpoints_listed {
     std::vector<endpoint_entry> entries;
 };
@@ -138,7 +143,7 @@
 };
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
-    configuration_learned, endpoints_listed, peer_reported, peer_lost, drain_requested, tick>;
+    configuration_learned, domains_evacuated, endpoints_listed, peer_reported, peer_lost, drain_requested, tick>;
 
 struct event {
     instant now {};
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -130,6 +130,7 @@
     unknown_key,
     bad_request,
     no_endpoint,
+    domains_evacuated,
     team_over_share,
     no_place,
     deadline_passed,
@@ -158,6 +159,8 @@
         return "bad_request";
     case refusal_reason::no_endpoint:
         return "no_endpoint";
+    case refusal_reason::domains_evacuated:
+        return "domains_evacuated";
     case refusal_reason::team_over_share:
         return "team_over_share";
     case refusal_reason::no_place:
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -119,20 +119,20 @@
 
 result<document_message> decode(fbs::Document const& document)
 {
-    document_message made { TRY(kind_of(document.kind())), document.version(), text_of(document.text()), {} };
-    auto& list = made.list;
-    list.version = document.version();
-    list.changed_version = document.changed_version();
-    list.keys_hash = document.keys_hash();
+    document_message made { TRY(kind_of(document.kind())), {} };
+    auto& told = made.rows;
+    told.version = document.version();
+    told.changed_version = document.changed_version();
+    told.keys_hash = document.keys_hash();
     if (document.since() > 0)
-        list.since = document.since() - 1;
+        told.since = document.since() - 1;
     if (document.rows() != nullptr) {
         for (auto const* row : *document.rows())
-            list.rows[text_of(row->key())] = { text_of(row->value()), row->version() };
+            told.rows[text_of(row->key())] = { text_of(row->value()), row->version() };
     }
     if (document.gone() != nullptr) {
         for (auto const* row : *document.gone())
-            list.gone.push_back({ text_of(row->key()), row->version() });
+            told.gone.push_back({ text_of(row->key()), row->version() });
     }
     return made;
 }
@@ -148,19 +148,17 @@
 
     flatbuffers::Offset<fbs::Message> operator()(document_message const& document) const
     {
-        auto const& list = document.list;
-        bool const is_list = document.kind == document_kind::endpoints;
+        auto const& told = document.rows;
         std::vector<flatbuffers::Offset<fbs::Row>> rows;
-        for (auto const& [key, row] : list.rows)
+        for (auto const& [key, row] : told.rows)
             rows.push_back(
                 fbs::CreateRow(builder, builder.CreateString(key), builder.CreateString(row.value), row.version));
         std::vector<flatbuffers::Offset<fbs::Row>> gone;
-        for (auto const& row : list.gone)
+        for (auto const& row : told.gone)
             gone.push_back(fbs::CreateRow(builder, builder.CreateString(row.key), 0, row.version));
-        auto const text = builder.CreateString(document.text);
-        auto const encoded = fbs::CreateDocument(builder, static_cast<std::uint8_t>(document.kind),
-            is_list ? list.version : document.version, text, builder.CreateVector(rows), list.changed_version,
-            list.since ? *list.since + 1 : 0, builder.CreateVector(gone), list.keys_hash);
+        auto const encoded = fbs::CreateDocument(builder, static_cast<std::uint8_t>(document.kind), told.version,
+            builder.CreateVector(rows), told.changed_version, told.since ? *told.since + 1 : 0,
+            builder.CreateVector(gone), told.keys_hash);
         return fbs::CreateMessage(builder, 0, encoded);
     }
 
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -16,7 +16,8 @@
 
 namespace shedhill::peering {
 
-// Documents that a router passes on to others that cannot hear the store.
+// Documents that a router passes on to others that cannot hear the store, each a table there: what operators declare,
+// and the list of endpoints.
 enum class document_kind : std::uint8_t { configuration, endpoints, count };
 
 struct document_version {
@@ -45,11 +46,7 @@
 
 struct document_message {
     document_kind kind { document_kind::configuration };
-    // The configuration as it was declared, and its version.
-    std::uint64_t version { 0 };
-    std::string text;
-    // The list of endpoints.
-    dispatch::table_follower::told_rows list {};
+    dispatch::table_follower::told_rows rows {};
 };
 
 struct document_wanted {
@@ -57,7 +54,7 @@
     // What the asking router has.
     std::uint64_t version { 0 };
     std::string address;
-    // It knows all changes to the list up to this version, and takes what has changed since; 0 where it takes the
+    // It knows all changes to the table up to this version, and takes what has changed since; 0 where it takes the
     // whole.
     std::uint64_t since { 0 };
 };
--- a/libraries/relay/table_access.h
+++ b/libraries/relay/table_access.h
@@ -8,6 +8,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,9 @@
     {
         Binding::configuration_key()
         } -> std::same_as<std::string_view>;
+    {
+        Binding::evacuated_domain(body)
+        } -> std::same_as<std::optional<failure_domain>>;
     {
         Binding::parse_configuration(body)
         } -> std::same_as<result<dispatch::configuration>>;
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -389,6 +389,7 @@
         m_metrics.set("shedhill_choices", static_cast<double>(m_reducer.choices()));
         m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
         m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
+        m_metrics.set("shedhill_evacuated_domains", static_cast<double>(m_reducer.evacuated_domains()));
         m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_knowledge.configuration_age().count()));
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
         m_metrics.set("shedhill_log_lines_taken", static_cast<double>(m_log.counts().taken));
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -130,7 +130,7 @@
         std::optional<milliseconds> returned_ago;
         if (returned_at != instant {})
             returned_ago = now - returned_at;
-        return { { document_kind::configuration, reducer().routes().current().revision,
+        return { { document_kind::configuration, m_configuration.follower().changed_version(),
                      now - m_configuration.follower().confirmed_at() },
             { document_kind::endpoints, m_endpoints.follower().changed_version(),
                 now - m_endpoints.follower().confirmed_at(), returned_ago } };
@@ -156,13 +156,15 @@
 
     void take(peering::document_message& document)
     {
-        if (document.kind == document_kind::configuration)
-            return take_configuration_text(document.text);
-        if (m_loop.now() - m_endpoints.follower().confirmed_at() < out_of_date(document.kind))
+        // NOTE: A program of an earlier version tells the configuration as a text, which leaves the rows empty.
+        if (!document.rows.since && document.rows.rows.empty())
             return;
-        if (m_endpoints.follower().take_told(std::move(document.list))
-            == dispatch::table_follower::page_outcome::changed)
-            take_endpoint_rows();
+        auto& follower = follower_of(document.kind);
+        if (document.kind == document_kind::endpoints
+            && m_loop.now() - follower.confirmed_at() < out_of_date(document.kind))
+            return;
+        if (follower.take_told(std::move(document.rows)) == dispatch::table_follower::page_outcome::changed)
+            take_rows(document.kind);
     }
 
 private:
@@ -251,24 +253,37 @@
 
     // The store.
 
+    void take_rows(document_kind kind)
+    {
+        if (kind == document_kind::configuration)
+            take_configuration_rows();
+        else
+            take_endpoint_rows();
+    }
+
+    // What operators declare: the configuration, and the failure domains that they evacuate.
     void take_configuration_rows()
     {
-        auto const& rows = m_configuration.follower().rows();
-        auto const found = rows.find(std::string(TableBinding::configuration_key()));
-        if (found != rows.end())
-            take_configuration_text(found->second.value);
+        dispatch::domains_evacuated evacuated;
+        for (auto const& [key, row] : m_configuration.follower().rows()) {
+            if (key == TableBinding::configuration_key())
+                take_configuration(row);
+            else if (auto domain = TableBinding::evacuated_domain(key))
+                evacuated.domains.push_back(std::move(*domain));
+        }
+        m_host.learn(std::move(evacuated));
     }
 
-    void take_configuration_text(std::string const& text)
+    void take_configuration(dispatch::table_follower::row const& row)
     {
-        auto parsed = TableBinding::parse_configuration(text);
+        if (std::exchange(m_configuration_row, row.version) == row.version)
+            return;
+        auto parsed = TableBinding::parse_configuration(row.value);
         if (!parsed) {
             m_host.count("shedhill_bad_documents_total");
             return m_host.log_state(
                 "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
         }
-        if (parsed->revision > m_host.reducer().routes().current().revision)
-            m_configuration_text = text;
         m_host.learn(dispatch::configuration_learned { std::move(*parsed) });
     }
 
@@ -313,17 +328,17 @@
         m_neighbours_confirmed_at = std::max(m_neighbours_confirmed_at, confirmed_at);
     }
 
-    [[nodiscard]] std::uint64_t own_version(document_kind kind)
+    [[nodiscard]] dispatch::table_follower& follower_of(document_kind kind)
     {
-        return kind == document_kind::configuration ? reducer().routes().current().revision
-                                                    : m_endpoints.follower().changed_version();
+        return kind == document_kind::configuration ? m_configuration.follower() : m_endpoints.follower();
     }
 
+    [[nodiscard]] std::uint64_t own_version(document_kind kind) { return follower_of(kind).changed_version(); }
+
     // Whether a later version is not asked for, because the store was heard here, or by a neighbour.
     [[nodiscard]] bool is_up_to_date(document_kind kind, bool is_neighbour, instant now)
     {
-        auto const& follower
-            = kind == document_kind::configuration ? m_configuration.follower() : m_endpoints.follower();
+        auto const& follower = follower_of(kind);
         if (is_neighbour)
             return now - follower.confirmed_at() < out_of_date(kind);
         // Between failure domains bytes are dear, and the neighbours have what the store tells.
@@ -340,9 +355,9 @@
         if (told.version <= own || now < known.want_again_at || is_up_to_date(told.kind, is_neighbour, now))
             return;
         known.want_again_at = now + want_interval;
-        auto const since = told.kind == document_kind::endpoints ? m_endpoints.follower().told_since() : 0;
         m_reports.tell(state.address,
-            peering::encode_frame(peering::document_wanted { told.kind, own, m_reports.self().address, since }));
+            peering::encode_frame(peering::document_wanted {
+                told.kind, own, m_reports.self().address, follower_of(told.kind).told_since() }));
     }
 
     // Many routers ask for the same at once: it is encoded once.
@@ -352,12 +367,8 @@
         auto const version = own_version(wanted.kind);
         if (known.frame_version == version && known.frame_since == wanted.since)
             return known.frame;
-        peering::document_message document { wanted.kind, version, {}, {} };
-        if (wanted.kind == document_kind::configuration)
-            document.text = m_configuration_text;
-        else
-            document.list = m_endpoints.follower().rows_since(wanted.since);
-        known.frame = peering::encode_frame(std::move(document));
+        known.frame = peering::encode_frame(
+            peering::document_message { wanted.kind, follower_of(wanted.kind).rows_since(wanted.since) });
         known.frame_version = version;
         known.frame_since = wanted.since;
         return known.frame;
@@ -372,8 +383,8 @@
     relay::table_session<TableBinding> m_endpoints;
     routers_table<TableBinding> m_routers;
 
-    // The text of the configuration in force, to be passed on to routers that cannot hear the store.
-    std::string m_configuration_text;
+    // Of the configuration's row that was read last.
+    std::uint64_t m_configuration_row { 0 };
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
     endpoint_rows<TableBinding> m_endpoint_rows;
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -181,6 +181,18 @@
             json::object { { "table", "op" }, { "key", "config" }, { "value", json::serialize(configuration) } } } } });
 }
 
+void hosted_fleet::evacuate(std::string const& domain) const
+{
+    control_store({ { "put",
+        json::array { json::object { { "table", "op" }, { "key", "evacuate/" + domain }, { "value", "{}" } } } } });
+}
+
+void hosted_fleet::give_back(std::string const& domain) const
+{
+    control_store(
+        { { "remove", json::array { json::object { { "table", "op" }, { "key", "evacuate/" + domain } } } } });
+}
+
 void hosted_fleet::list_replica(std::size_t index, char const* state) const
 {
     json::object const entry { { "service", "plain" }, { "address", replica_address(index) }, { "zone", "north" },
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -63,6 +63,9 @@
 
     // The declared configuration: /stream/ resumes, /once/ does not, /order/ runs once at most, /look/ may be repeated.
     void declare(std::uint64_t version, std::vector<std::string> const& more_prefixes = {}) const;
+    // An operator wants the failure domain's replicas to receive nothing, or takes that back.
+    void evacuate(std::string const& domain) const;
+    void give_back(std::string const& domain) const;
     void list_replica(std::size_t index, char const* state) const;
     void unlist_replica(std::size_t index) const { unlist(m_incarnations.at(index)); }
     void unlist(std::string const& incarnation) const;
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(settings_are_read_and_checked);
     CPPUNIT_TEST(peer_messages_survive_the_wire);
     CPPUNIT_TEST(peers_are_tried_with_back_off_and_forgotten);
+    CPPUNIT_TEST(an_evacuation_names_its_failure_domain);
     CPPUNIT_TEST_SUITE_END();
 
     static relay::caller_request stream_request()
@@ -356,17 +357,17 @@
         auto const read = peering::decode_body(std::string_view(frame).substr(peering::frame_head_size));
         auto const& back = std::get<peering::state_message>(*read);
         CPPUNIT_ASSERT_EQUAL(token_of(state), token_of(back));
-        peering::document_message document { peering::document_kind::endpoints, 0, {},
+        peering::document_message document { peering::document_kind::endpoints,
             { 5, { { "k", { "v", 3 } } }, { { "old", 6 } }, 77, 9, 7 } };
         auto const other = peering::encode_frame(document);
         auto const document_back = peering::decode_body(std::string_view(other).substr(peering::frame_head_size));
         auto const& told = std::get<peering::document_message>(*document_back);
-        CPPUNIT_ASSERT_EQUAL(std::string("v"), told.list.rows.at("k").value);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, told.list.changed_version);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 9 }, told.list.version);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, told.list.since.value());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 77 }, told.list.keys_hash);
-        CPPUNIT_ASSERT_EQUAL(std::string("old"), told.list.gone.at(0).key);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), told.rows.rows.at("k").value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, told.rows.changed_version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 9 }, told.rows.version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, told.rows.since.value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 77 }, told.rows.keys_hash);
+        CPPUNIT_ASSERT_EQUAL(std::string("old"), told.rows.gone.at(0).key);
         auto const wanted
             = peering::encode_frame(peering::document_wanted { peering::document_kind::endpoints, 3, "10.0.0.1:1", 8 });
         auto const wanted_back = peering::decode_body(std::string_view(wanted).substr(peering::frame_head_size));
@@ -384,6 +385,15 @@
             + std::to_string(state.report.routers_aside);
     }
 
+    void an_evacuation_names_its_failure_domain()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("north"), table_binding::evacuated_domain("evacuate/north").value_or(failure_domain()).value());
+        CPPUNIT_ASSERT(!table_binding::evacuated_domain("evacuate/"));
+        CPPUNIT_ASSERT(!table_binding::evacuated_domain("config"));
+        CPPUNIT_ASSERT(!table_binding::evacuated_domain("evacuated"));
+    }
+
     void peers_are_tried_with_back_off_and_forgotten()
     {
         auto const at = [](std::int64_t time) { return instant(milliseconds(time)); };
--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(what_a_replica_turned_away_is_served_by_another);
     CPPUNIT_TEST(a_changed_configuration_is_in_force_at_every_router);
     CPPUNIT_TEST(routers_that_do_not_follow_the_store_learn_from_those_that_do);
+    CPPUNIT_TEST(an_evacuation_reaches_every_router_and_is_taken_back);
     CPPUNIT_TEST(a_leaving_replica_gets_nothing_new);
     CPPUNIT_TEST(the_store_may_be_away);
     CPPUNIT_TEST(entries_that_lapsed_in_an_outage_are_kept_for_a_while);
@@ -170,6 +171,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, following());
     }
 
+    void an_evacuation_reaches_every_router_and_is_taken_back()
+    {
+        constexpr std::size_t routers = 4;
+        auto fleet = started(routers, 2);
+        // All replicas stand in this failure domain.
+        fleet.evacuate("north");
+        auto const evacuated = [&](std::size_t router) { return fleet.metric(router, "shedhill_evacuated_domains"); };
+        for (std::size_t router = 0; router < routers; ++router) {
+            CPPUNIT_ASSERT(wait_until([&] { return evacuated(router) == 1; }));
+            CPPUNIT_ASSERT_EQUAL(
+                std::uint16_t { 503 }, status_of(fleet.ask(router, "/look/a", "evacuated-" + std::to_string(router))));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.runs().size());
+        // A router that starts while the store is away learns of it from the others.
+        fleet.control_store({ { "down", true } });
+        CPPUNIT_ASSERT(fleet.restart_router(0));
+        CPPUNIT_ASSERT(fleet.wait_until_ready(0));
+        CPPUNIT_ASSERT(evacuated(0) == 1);
+        fleet.control_store({ { "down", false } });
+        fleet.give_back("north");
+        for (std::size_t router = 0; router < routers; ++router)
+            CPPUNIT_ASSERT(comes_to(200, [&](int tries) {
+                return fleet.ask(router, "/look/a", std::to_string(router) + "-" + std::to_string(tries));
+            }));
+    }
+
     void a_leaving_replica_gets_nothing_new()
     {
         auto fleet = started(1, 2);
