dispatch: A limit on what cold endpoints are sent, that holds over a fleet that shares no counter

What is not known to be warm counts as cold: what comes up while the router looks on, what an operator gives back, and rows with nonsense. A router that does not know the fleet, or started less than a window ago, sends cold ones nothing.

--- /dev/null
+++ b/libraries/dispatch/cold_period.cpp
@@ -0,0 +1,14 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// A sliding window of sends.
+#include "libraries/dispatch/cold_period.h"
+
+namespace shedhill::dispatch {
+
+bool cold_period::may_send(std::size_t allowance, instant now)
+{
+    while (!m_sent.empty() && now - m_sent.front() >= window)
+        m_sent.pop_front();
+    return m_sent.size() < allowance;
+}
+
+} // namespace shedhill::dispatch
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -169,7 +169,7 @@
     request.sent_at = step.now;
     request.expected_ms = chosen.expected_ms;
     request.unkept = chosen.unkept;
-    ++endpoint.running;
+    m_board.note_attempt(endpoint, step.now);
     if (request.is_engine)
         request.read_position = m_board.note_sent(endpoint, chosen.unkept, step.now);
     if (endpoint.health.is_ejected())
@@ -204,6 +204,7 @@
             .add("share", m_ledger.share())
             .add("even_level", m_ledger.even_level())
             .add("running", endpoint.all_running())
+            .add("cold", endpoint.cold.is_cold(step.now) ? 1 : 0)
             .add("unkept", chosen.unkept)
             .add("lost", chosen.lost)
             .add("prompt", request.cost.prompt)
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -30,7 +30,7 @@
 
 dispatch_reducer::dispatch_reducer(dispatch_options options)
     : m_options(std::move(options))
-    , m_board(m_options.domain, m_options.policy)
+    , m_board(m_options.domain, m_options.policy, m_options.cold)
     , m_ledger(m_options.share_window)
     , m_retries(m_options.retries)
 {
@@ -48,6 +48,7 @@
     if (m_routes.adopt(learned.learned) == adoption::not_newer)
         return;
     auto const& current = m_routes.current();
+    m_board.take_pools(current.pools);
     step.effects.emplace_back(log_line { severity::failure, "configuration_in_force",
         log_fields().add("revision", current.revision).add("routes", current.routes.size()).take() });
     update_ready(step);
@@ -56,7 +57,7 @@
 void dispatch_reducer::handle(domains_evacuated const& evacuated, step_context& step)
 {
     auto const before = m_board.evacuated();
-    m_board.set_evacuated(evacuated.domains);
+    m_board.set_evacuated(evacuated.domains, step.now);
     auto const& now = m_board.evacuated();
     for (auto const& domain : now) {
         if (!before.contains(domain))
@@ -79,17 +80,23 @@
 
 void dispatch_reducer::handle(endpoints_listed const& listed, step_context& step)
 {
-    m_board.take_list(listed.entries);
+    m_board.take_list(listed.entries, step.now);
     m_has_list = true;
-    std::size_t draining = 0;
-    for (auto const& entry : listed.entries)
-        draining += entry.is_draining ? 1 : 0;
     step.effects.emplace_back(log_line { severity::failure, "endpoints_listed",
-        log_fields().add("endpoints", listed.entries.size()).add("draining", draining).take() });
+        log_fields()
+            .add("endpoints", listed.entries.size())
+            .add("draining", std::ranges::count(listed.entries, true, &endpoint_entry::is_draining))
+            .add("cold", m_board.cold_endpoints(step.now))
+            .take() });
     update_ready(step);
     serve_waiting(step);
 }
 
+void dispatch_reducer::handle(routers_listed const& listed, step_context& step)
+{
+    m_board.take_routers(listed, step.now);
+}
+
 source_place dispatch_reducer::place_of(peer_reported const& report) const
 {
     bool const is_neighbour = report.subject == report_subject::router && report.domain == m_options.domain;
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -24,6 +24,7 @@
     vm_name vm;
     failure_domain domain;
     retry_bounds retries;
+    cold_bounds cold;
     // Over which the teams' shares are kept.
     milliseconds share_window { 4000 };
     // A request that did not say how long it waits, on a route without a limit.
@@ -45,6 +46,7 @@
     // How often an endpoint was looked for: the dearest thing a router does for a request that waits.
     [[nodiscard]] std::uint64_t choices() const { return m_choices; }
     [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
+    [[nodiscard]] std::size_t cold_endpoints(instant now) const { return m_board.cold_endpoints(now); }
     [[nodiscard]] std::size_t evacuated_domains() const { return m_board.evacuated().size(); }
     [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool) const
     {
@@ -124,6 +126,7 @@
     void handle(configuration_learned const& learned, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
+    void handle(routers_listed const& listed, step_context& step);
     void handle(peer_reported const& report, step_context& step);
     void handle(peer_lost const& lost, step_context& step);
     void handle(drain_requested const& requested, step_context& step);
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -57,7 +57,42 @@
 
 } // namespace
 
-void endpoint_board::take_list(std::vector<endpoint_entry> const& entries)
+void endpoint_board::take_pools(std::vector<pool_settings> const& pools)
+{
+    m_cold_pools.clear();
+    for (auto const& pool : pools)
+        m_cold_pools[pool.name] = { pool.cold_per_second, pool.cold_time };
+}
+
+endpoint_board::cold_pool const& endpoint_board::cold_pool_of(pool_name const& pool) const
+{
+    static cold_pool const unbounded;
+    auto const found = m_cold_pools.find(pool);
+    return found == m_cold_pools.end() ? unbounded : found->second;
+}
+
+bool endpoint_board::is_held_back_cold(endpoint_state& state, instant now)
+{
+    if (!state.cold.is_cold(now))
+        return false;
+    auto const per_second = cold_pool_of(state.entry.pool).per_second;
+    return per_second > 0 && !state.cold.may_send(m_cold_share.allowance(state.key, per_second, now), now);
+}
+
+void endpoint_board::note_attempt(endpoint_state& endpoint, instant now)
+{
+    ++endpoint.running;
+    if (endpoint.cold.is_cold(now))
+        endpoint.cold.note_sent(now);
+}
+
+std::size_t endpoint_board::cold_endpoints(instant now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_endpoints, [now](auto const& known) { return known.second->cold.is_cold(now); }));
+}
+
+void endpoint_board::take_list(std::vector<endpoint_entry> const& entries, instant now)
 {
     m_open.clear();
     m_held_back.clear();
@@ -65,15 +100,22 @@
     for (auto const& entry : entries) {
         listed.insert(entry.name);
         auto& state = m_endpoints[entry.name];
-        if (!state) {
+        bool const is_new = !state;
+        if (is_new) {
             state = std::make_unique<endpoint_state>();
             state->key = key_of(entry.name);
             m_by_key[state->key] = state.get();
         }
+        if (is_new || entry.cold_left != state->entry.cold_left)
+            state->cold.note_told(entry.cold_left, now);
+        // What comes up while this router looks on has just started, whatever its first row tells.
+        if (is_new && m_has_list)
+            state->cold.note_unknown(cold_pool_of(entry.pool).usual, now);
         state->entry = entry;
         if (!entry.is_draining)
             open(*state);
     }
+    m_has_list = true;
     std::erase_if(m_endpoints, [&](auto const& known) {
         bool const is_gone = !listed.contains(known.first) && known.second->running == 0;
         if (is_gone)
@@ -88,13 +130,17 @@
     endpoints[state.entry.pool].push_back(&state);
 }
 
-void endpoint_board::set_evacuated(std::vector<failure_domain> const& domains)
+void endpoint_board::set_evacuated(std::vector<failure_domain> const& domains, instant now)
 {
-    m_evacuated = { domains.begin(), domains.end() };
+    auto const before = std::exchange(m_evacuated, { domains.begin(), domains.end() });
+    for (auto& [name, state] : m_endpoints) {
+        if (before.contains(state->entry.domain) && !m_evacuated.contains(state->entry.domain))
+            state->cold.note_unknown(cold_pool_of(state->entry.pool).usual, now);
+    }
     auto const open_before = std::exchange(m_open, {});
     auto const held_before = std::exchange(m_held_back, {});
-    for (auto const* before : { &open_before, &held_before }) {
-        for (auto const& [pool, endpoints] : *before) {
+    for (auto const* opened : { &open_before, &held_before }) {
+        for (auto const& [pool, endpoints] : *opened) {
             for (auto* state : endpoints)
                 open(*state);
         }
@@ -185,6 +231,8 @@
     for (auto* state : found->second) {
         if (std::ranges::find(*wanted.excluded, state->entry.name) != wanted.excluded->end())
             continue;
+        if (is_held_back_cold(*state, now))
+            continue;
         bool const is_probe = state->health.is_ejected() && !ignores_ejection;
         if (is_probe && !(wanted.may_probe && state->health.may_probe(now)))
             continue;
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -3,6 +3,8 @@
 // them suits a request best.
 #pragma once
 
+#include "libraries/dispatch/cold_period.h"
+#include "libraries/dispatch/cold_share.h"
 #include "libraries/dispatch/endpoint_health.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
@@ -31,6 +33,7 @@
     // Of its name.
     endpoint_key key;
     endpoint_health health;
+    cold_period cold;
     prompt_places places;
     // Attempts under way: of this router, and of all others as they last told.
     std::uint32_t running { 0 };
@@ -81,16 +84,24 @@
 
 class endpoint_board {
 public:
-    explicit endpoint_board(failure_domain own, dispatch_policy policy = {})
+    explicit endpoint_board(failure_domain own, dispatch_policy policy = {}, cold_bounds cold = {})
         : m_own_domain(std::move(own))
         , m_policy(policy)
+        , m_cold_share(cold)
     {
     }
 
     // Replaces the list. Endpoints that are gone stay known while attempts run there, but get nothing new.
-    void take_list(std::vector<endpoint_entry> const& entries);
-    // Endpoints of these failure domains get nothing new until a later call leaves their domain out.
-    void set_evacuated(std::vector<failure_domain> const& domains);
+    void take_list(std::vector<endpoint_entry> const& entries, instant now);
+    // What a cold endpoint of each pool bears.
+    void take_pools(std::vector<pool_settings> const& pools);
+    void take_routers(routers_listed const& listed, instant now)
+    {
+        m_cold_share.take_routers(listed.routers, listed.self, now);
+    }
+    // Endpoints of these failure domains get nothing new until a later call leaves their domain out. They count as cold
+    // then: they were without work.
+    void set_evacuated(std::vector<failure_domain> const& domains, instant now);
     // The address answers for another endpoint: nothing more is sent there until a list shows it anew.
     void retire(endpoint_name const& name);
 
@@ -109,6 +120,9 @@
         std::uint32_t taken { 0 };
     };
     [[nodiscard]] occupancy occupancy_of(pool_name const& pool) const;
+    // An attempt was sent there.
+    void note_attempt(endpoint_state& endpoint, instant now);
+    [[nodiscard]] std::size_t cold_endpoints(instant now) const;
 
     // The time that a plain service takes, learnt from its answers.
     void note_service_time(pool_name const& pool, double took_ms);
@@ -155,6 +169,17 @@
     // The same, by their keys.
     std::unordered_map<endpoint_key, endpoint_state*> m_by_key;
     void open(endpoint_state& state);
+    struct cold_pool {
+        double per_second { 0 };
+        milliseconds usual { 0 };
+    };
+    [[nodiscard]] cold_pool const& cold_pool_of(pool_name const& pool) const;
+    // It is cold, and this router has sent it what it may for now.
+    [[nodiscard]] bool is_held_back_cold(endpoint_state& state, instant now);
+
+    cold_share m_cold_share;
+    std::unordered_map<pool_name, cold_pool> m_cold_pools;
+    bool m_has_list { false };
 
     std::set<failure_domain> m_evacuated;
     // Endpoints of a pool that are kept from new work by an evacuation alone.
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -131,6 +131,12 @@
     report_source source;
 };
 
+// All routers of the fleet, this one included, by the addresses at which they reach each other.
+struct routers_listed {
+    std::vector<std::string> routers;
+    std::string self;
+};
+
 struct drain_requested { };
 
 struct tick {
@@ -142,8 +148,9 @@
     double link_part { 0 };
 };
 
-using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
-    configuration_learned, domains_evacuated, endpoints_listed, peer_reported, peer_lost, drain_requested, tick>;
+using event_body
+    = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled, configuration_learned,
+        domains_evacuated, endpoints_listed, routers_listed, peer_reported, peer_lost, drain_requested, tick>;
 
 struct event {
     instant now {};
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -66,6 +66,10 @@
     std::uint32_t engine_slots { 0 };
     token_count engine_memory { 0 };
     std::uint32_t tokens_per_event { 1 };
+    // Requests a second that one of its endpoints bears while it is cold; 0 where that is not bounded.
+    double cold_per_second { 0 };
+    // For how long an endpoint is cold after its start.
+    milliseconds cold_time { 0 };
 
     [[nodiscard]] bool is_engine() const { return engine_slots > 0; }
 };
@@ -104,6 +108,8 @@
     failure_domain domain;
     std::uint32_t slots { 1 };
     bool is_draining { false };
+    // For how much longer it is cold, as it told when it wrote its row.
+    milliseconds cold_left { 0 };
 
     bool operator==(endpoint_entry const&) const = default;
 };
--- a/libraries/peering/peer_directory.cpp
+++ b/libraries/peering/peer_directory.cpp
@@ -51,6 +51,15 @@
         known.row.clear();
     for (auto const& [key, member] : rows)
         learn(member).row = key;
+    m_is_fleet_known = m_is_fleet_known || !rows.empty();
+}
+
+std::vector<std::string> peer_directory::addresses() const
+{
+    std::vector<std::string> all { m_self.address };
+    for (auto const& [address, known] : m_peers)
+        all.push_back(address);
+    return all;
 }
 
 void peer_directory::note_heard(fleet_member const& member, bool is_aside, instant now)
--- a/libraries/peering/peer_directory.h
+++ b/libraries/peering/peer_directory.h
@@ -36,7 +36,11 @@
     void take_table(std::map<std::string, fleet_member> const& rows);
     void add_seed(std::string const& address) { learn({ address, {}, 0 }).is_seed = true; }
     // Another router knows of this one.
-    void add_told(fleet_member const& member, instant now) { learn(member).told_at = now; }
+    void add_told(fleet_member const& member, instant now)
+    {
+        learn(member).told_at = now;
+        m_is_fleet_known = true;
+    }
     // This router itself has spoken: it is up, and is connected to without waiting. While it has more to do than it
     // can, it does not tell for its failure domain.
     void note_heard(fleet_member const& member, bool is_aside, instant now);
@@ -59,6 +63,10 @@
     [[nodiscard]] std::vector<std::string> rows_of_the_dead(instant now) const;
     // All that are thought to be there, this one included.
     [[nodiscard]] std::vector<fleet_member> members() const;
+    // Whether the table or another router has told which routers there are; the seeds alone may be out of date.
+    [[nodiscard]] bool is_fleet_known() const { return m_is_fleet_known; }
+    // Of all routers there may be, this one included.
+    [[nodiscard]] std::vector<std::string> addresses() const;
     // Routers there may be, this one included.
     [[nodiscard]] std::size_t size() const { return m_peers.size() + 1; }
     // Whether all routers are connected to all.
@@ -112,6 +120,7 @@
     peer m_nobody;
     std::map<failure_domain, domain_state> m_domains;
     std::optional<instant> m_started_at;
+    bool m_is_fleet_known { false };
 };
 
 } // namespace shedhill::peering
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -29,6 +29,9 @@
     double retry_ratio { 0.1 };
     double retry_slack { 10 };
     milliseconds retry_window { 10000 };
+    // In any second the whole fleet may send a cold endpoint so many times what it bears, and some more.
+    double cold_overage { 1 };
+    double cold_slack { 0 };
     // From the store's word that an endpoint leaves until no request may reach it any more.
     milliseconds leaving_bound { 2000 };
     // Over which teams' shares are judged.
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -119,6 +119,7 @@
         options.vm = settings.vm;
         options.domain = settings.domain;
         options.retries = { settings.retry_ratio, settings.retry_window, settings.retry_slack, 1 };
+        options.cold = { settings.cold_overage, settings.cold_slack };
         options.share_window = settings.share_window;
         options.policy = policy;
         return options;
@@ -389,6 +390,7 @@
         m_metrics.set("shedhill_choices", static_cast<double>(m_reducer.choices()));
         m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
         m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
+        m_metrics.set("shedhill_cold_endpoints", static_cast<double>(m_reducer.cold_endpoints(m_loop.now())));
         m_metrics.set("shedhill_evacuated_domains", static_cast<double>(m_reducer.evacuated_domains()));
         m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_knowledge.configuration_age().count()));
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -92,8 +92,10 @@
         }
         if (m_roster.drop_lapsed(now))
             m_host.learn(dispatch::endpoints_listed { m_roster.entries() });
-        if (!m_settings.peer_address.empty() && m_reports.tick(now, draw))
+        if (!m_settings.peer_address.empty() && m_reports.tick(now, draw)) {
             m_routers.keep_rows(m_is_following, now);
+            note_routers();
+        }
     }
 
     // The own row is not written again.
@@ -316,6 +318,17 @@
 
     // Other routers.
 
+    void note_routers()
+    {
+        if (!m_reports.directory().is_fleet_known())
+            return;
+        auto routers = m_reports.directory().addresses();
+        if (routers == m_known_routers)
+            return;
+        m_known_routers = routers;
+        m_host.learn(dispatch::routers_listed { std::move(routers), m_reports.self().address });
+    }
+
     void note_list_confirmed(peering::document_version const& told, peering::state_message const& state, instant now)
     {
         auto const confirmed_at = now - told.age;
@@ -390,6 +403,7 @@
     endpoint_rows<TableBinding> m_endpoint_rows;
     // By kind.
     std::array<told_document, static_cast<std::size_t>(document_kind::count)> m_told {};
+    std::vector<std::string> m_known_routers;
     // This router follows the store, or learns from the neighbours that do.
     bool m_is_following { false };
     bool m_was_failing { false };
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -354,12 +354,12 @@
         std::vector<endpoint_entry> entries;
         for (auto const* name : { "e1", "e2", "e3", "e4" })
             entries.push_back(dispatch_driver::make_endpoint(name, "model", 8));
-        board.take_list(entries);
+        board.take_list(entries, at(1000));
         auto const cost = long_prompt(77);
         std::vector<endpoint_name> const excluded;
         for (auto const* name : { "e1", "e2", "e3", "e4" }) {
             endpoint_board fresh(failure_domain("north"));
-            fresh.take_list(entries);
+            fresh.take_list(entries, at(1000));
             auto* const keeper = fresh.find(endpoint_name(name));
             keeper->places.note(1, at(1000));
             keeper->places.note(77, at(1000));
@@ -374,7 +374,8 @@
     {
         endpoint_board board(failure_domain("north"));
         board.take_list(
-            { dispatch_driver::make_endpoint("e1", "model", 8), dispatch_driver::make_endpoint("e2", "model", 8) });
+            { dispatch_driver::make_endpoint("e1", "model", 8), dispatch_driver::make_endpoint("e2", "model", 8) },
+            at(1000));
         auto const cost = long_prompt(77);
         std::vector<endpoint_name> const excluded;
         auto* const keeper = board.find(endpoint_name("e1"));
@@ -396,7 +397,7 @@
     void an_endpoint_that_was_slow_is_tried_again()
     {
         endpoint_board board(failure_domain("north"));
-        board.take_list({ dispatch_driver::make_endpoint("e1", "model", 100) });
+        board.take_list({ dispatch_driver::make_endpoint("e1", "model", 100) }, at(1000));
         // Prompts that were sent at once are read one after another, each in half a second.
         auto& endpoint = *board.find(endpoint_name("e1"));
         std::array<token_count, 20> sent {};
@@ -433,8 +434,8 @@
         for (std::uint64_t subject = 100; subject < 200; ++subject) {
             endpoint_board left(failure_domain("north"));
             endpoint_board right(failure_domain("north"));
-            left.take_list(entries);
-            right.take_list(entries);
+            left.take_list(entries, at(1000));
+            right.take_list(entries, at(1000));
             auto const cost = long_prompt(subject);
             auto const chosen = left.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name;
             CPPUNIT_ASSERT(chosen == right.choose(usual_choice(cost, excluded), at(1001)).endpoint->entry.name);
--- a/tests/dispatch/load_reports_test.cpp
+++ b/tests/dispatch/load_reports_test.cpp
@@ -27,7 +27,7 @@
         entries.reserve(names.size());
         for (auto const* name : names)
             entries.push_back(dispatch_driver::make_endpoint(name, "model", 100));
-        board.take_list(entries);
+        board.take_list(entries, at(1000));
         return board;
     }
 
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(peer_messages_survive_the_wire);
     CPPUNIT_TEST(peers_are_tried_with_back_off_and_forgotten);
     CPPUNIT_TEST(an_evacuation_names_its_failure_domain);
+    CPPUNIT_TEST(what_a_row_tells_of_a_cold_endpoint_is_read_with_care);
     CPPUNIT_TEST_SUITE_END();
 
     static relay::caller_request stream_request()
@@ -394,6 +395,21 @@
         CPPUNIT_ASSERT(!table_binding::evacuated_domain("evacuated"));
     }
 
+    void what_a_row_tells_of_a_cold_endpoint_is_read_with_care()
+    {
+        auto const cold_left = [](std::string const& told) {
+            auto const read = table_binding::parse_endpoint(
+                "i-1", R"({"service":"model","address":"10.0.0.1:1","cold_remaining_ms":)" + told + "}");
+            return read ? read->cold_left.count() : -1;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, cold_left("0"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, cold_left("null"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2501 }, cold_left("2500.5"));
+        // Nonsense counts as cold, and the endpoint stays listed.
+        for (auto const* told : { "-1", "1e300", "\"soon\"", "[]", "true" })
+            CPPUNIT_ASSERT_EQUAL(std::int64_t { 10000 }, cold_left(told));
+    }
+
     void peers_are_tried_with_back_off_and_forgotten()
     {
         auto const at = [](std::int64_t time) { return instant(milliseconds(time)); };
--- a/utilities/benchmarks/dispatch_bench.cpp
+++ b/utilities/benchmarks/dispatch_bench.cpp
@@ -56,7 +56,7 @@
 class driven_router {
 public:
     explicit driven_router(std::size_t engines)
-        : m_reducer({ vm_name("router"), failure_domain("north"), { 0.2, milliseconds(10000), 50, 1 },
+        : m_reducer({ vm_name("router"), failure_domain("north"), { 0.2, milliseconds(10000), 50, 1 }, {},
             milliseconds(4000), milliseconds(15000), {} })
     {
         take(configuration_learned { make_configuration(engines) });
