relay: A request whose caller has left is not taken up

Cause, from the code: a connection was read once a round, so a request that had waited unread in the socket beside its caller's close went to an endpoint first, and the close was seen in the round after. A router short of time reads such requests seconds late (GONE counts from the moment the close reached it, also of callers who gave up because nobody read them).

Ruled out: callers that only shut their sending side down; the end of input was taken for a close before too.

Test: a caller sends and closes before the loop runs; before, the request was taken up.

--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -52,6 +52,9 @@
         flush();
     if (m_is_gone || !(ready.is_readable || ready.is_closed))
         return;
+    // A caller that has closed takes no answer: what it sent before, and nobody had time to read, is not taken up.
+    if (ready.is_closed)
+        return be_gone();
     auto const [bytes, end] = m_socket.read();
     if (end != read_end::drained)
         return be_gone();
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -5,7 +5,10 @@
 #include "libraries/relay/event_stream.h"
 #include "tests/relay/scripted_server.h"
 
+#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace shedhill::relay {
 
@@ -16,6 +19,7 @@
     CPPUNIT_TEST(a_smuggled_request_is_refused);
     CPPUNIT_TEST(limits_are_kept);
     CPPUNIT_TEST(a_caller_who_closes_is_gone);
+    CPPUNIT_TEST(a_request_whose_caller_has_left_is_not_taken_up);
     CPPUNIT_TEST(a_broken_answer_does_not_look_whole);
     CPPUNIT_TEST(only_whole_events_are_passed_on);
     CPPUNIT_TEST(events_that_come_again_are_left_out);
@@ -69,7 +73,8 @@
         {
             (void)m_listener.open("127.0.0.1:0");
         }
-        [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_listener.port()); }
+        [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
+        [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
 
         void on_request(caller_connection& from, caller_request request) override
         {
@@ -171,6 +176,25 @@
         CPPUNIT_ASSERT(served.is_gone);
     }
 
+    void a_request_whose_caller_has_left_is_not_taken_up()
+    {
+        server served(m_loop);
+        // It sends and closes before the loop has time for it.
+        auto const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(served.port());
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* const generic = reinterpret_cast<sockaddr*>(&target); // NOLINT: the system's own idiom
+        CPPUNIT_ASSERT_EQUAL(0, ::connect(descriptor, generic, sizeof(target)));
+        std::string const request = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+        CPPUNIT_ASSERT(::send(descriptor, request.data(), request.size(), 0) > 0);
+        ::close(descriptor);
+        run_until([&] { return served.is_gone; });
+        CPPUNIT_ASSERT(served.is_gone);
+        CPPUNIT_ASSERT(served.requests.empty());
+    }
+
     void a_broken_answer_does_not_look_whole()
     {
         server served(m_loop);
