soak: Cold replicas, evacuations, and connections that go silent for good

The stand-in of a replica counts what it gets in any second while it is cold and writes down more than it bears; plans draw evacuations and silent connections beside their older kinds, so that seeds that were kept draw what they drew; at the end an evacuated failure domain must get nothing, and work again when it is given back.

--- a/tests/harness/fault_proxy.cpp
+++ b/tests/harness/fault_proxy.cpp
@@ -64,6 +64,7 @@
     std::shared_ptr<shared_state> state;
     tcp::socket opener;
     tcp::socket target;
+    bool is_silent { false };
 };
 
 result<std::unique_ptr<fault_proxy>> fault_proxy::open(std::string const& target)
@@ -110,6 +111,14 @@
     m_state->connections.clear();
 }
 
+void fault_proxy::silence_connections()
+{
+    for (auto const& known : m_state->connections) {
+        if (auto const open = known.lock())
+            open->is_silent = true;
+    }
+}
+
 void fault_proxy::accept_next()
 {
     // The handler outlives this object by one call at the most; what it uses is shared.
@@ -149,7 +158,7 @@
         while (true) {
             auto const read
                 = net::await_io([&](auto handler) { from.async_read_some(asio::buffer(piece), std::move(handler)); });
-            while (made->state->is_cut(is_onward))
+            while (made->state->is_cut(is_onward) || (made->is_silent && !made->state->is_over))
                 boost::this_fiber::sleep_for(healing_interval);
             if (made->state->fault == link_fault::delayed)
                 boost::this_fiber::sleep_for(made->state->delay);
--- a/tests/harness/fault_proxy.h
+++ b/tests/harness/fault_proxy.h
@@ -40,6 +40,8 @@
     void set_target(std::string const& target);
     void set_fault(link_fault fault, std::chrono::milliseconds delay = {});
     void reset_connections();
+    // Nothing arrives any more on the connections that are open; new ones work.
+    void silence_connections();
 
 private:
     struct shared_state;
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds pause { 10 };
 // Waiting ends when something has happened; this only bounds a test that fails.
 constexpr int most_pauses = 2000;
+constexpr double cold_overage = 1.5;
+constexpr double cold_slack = 5;
 
 json::object make_route(std::string const& prefix, char const* kind, bool is_resumable)
 {
@@ -40,7 +42,8 @@
         TRY(made.start_process("store", program_path("shedhill-stand-in"), { "--kind=hosted-store" })));
     for (std::size_t index = 0; index < options.replicas; ++index) {
         made.m_incarnations.push_back("i-" + std::to_string(index));
-        made.m_replicas.push_back(TRY(made.start_replica(index)));
+        made.m_cold_until.emplace_back();
+        made.m_replicas.push_back(TRY(made.start_replica(index, replica_start::warm)));
         if (options.links == link_kind::through_proxies)
             made.m_replica_links.push_back(TRY(fault_proxy::open(made.m_replicas.back().address("http"))));
         made.list_replica(index, "ready");
@@ -64,12 +67,17 @@
     return child_process::start_logged(program, arguments, (m_options.log_folder / (name + ".log")).string());
 }
 
-result<child_process> hosted_fleet::start_replica(std::size_t index) const
+result<child_process> hosted_fleet::start_replica(std::size_t index, replica_start start) const
 {
     std::vector<std::string> arguments { "--kind=hosted-replica", "--incarnation=" + m_incarnations.at(index),
         "--work-ms=" + std::to_string(m_options.work_ms) };
     if (!m_options.log_folder.empty())
         arguments.push_back("--runs-file=" + runs_file(index).string());
+    if (start == replica_start::cold && m_options.cold_per_second > 0) {
+        auto const limit = cold_overage * m_options.cold_per_second + cold_slack;
+        arguments.push_back("--cold-ms=" + std::to_string(m_options.cold_time.count()));
+        arguments.push_back("--cold-limit=" + std::to_string(static_cast<int>(limit)));
+    }
     return start_process("replica-" + std::to_string(index), program_path("shedhill-stand-in"), arguments);
 }
 
@@ -89,7 +97,9 @@
 {
     m_replicas.at(index).kill();
     m_incarnations.at(index) += "x";
-    m_replicas.at(index) = TRY(start_replica(index));
+    m_replicas.at(index) = TRY(start_replica(index, replica_start::cold));
+    if (m_options.cold_per_second > 0)
+        m_cold_until.at(index) = std::chrono::steady_clock::now() + m_options.cold_time;
     if (m_options.links == link_kind::through_proxies)
         m_replica_links.at(index)->set_target(m_replicas.at(index).address("http"));
     return {};
@@ -114,7 +124,8 @@
         { "platform", json::object { { "address", store } } },
         { "bounds",
             json::object { { "grace_s", 8 }, { "retry_budget_ratio", m_options.retry_ratio },
-                { "retry_slack", m_options.retry_slack } } } };
+                { "retry_slack", m_options.retry_slack }, { "cold_overage", cold_overage },
+                { "cold_start_slack", cold_slack } } } };
     if (!seed.empty())
         settings["seed_nodes"] = json::array { json::value(seed) };
     auto const path = m_folder / ("router-" + std::to_string(index) + ".json");
@@ -172,7 +183,10 @@
     for (auto const& prefix : more_prefixes)
         routes.push_back(make_route(prefix, "safe", false));
     json::object const configuration { { "version", version }, { "routes", routes },
-        { "services", json::array { json::object { { "name", "plain" }, { "max_connections", 100 } } } },
+        { "services",
+            json::array { json::object { { "name", "plain" }, { "max_connections", 100 },
+                { "cold_per_s", m_options.cold_per_second },
+                { "cold_start_s", std::chrono::duration<double>(m_options.cold_time).count() } } } },
         { "limits", json::object { { "idle_timeout_ms", 15000 } } },
         { "tenants",
             json::array { json::object { { "name", "kitchen" }, { "api_keys", json::array { "key-1" } } } } } };
@@ -195,8 +209,11 @@
 
 void hosted_fleet::list_replica(std::size_t index, char const* state) const
 {
-    json::object const entry { { "service", "plain" }, { "address", replica_address(index) }, { "zone", "north" },
-        { "capacity", 40 }, { "state", state } };
+    auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_cold_until.at(index) - std::chrono::steady_clock::now());
+    json::object const entry { { "service", "plain" }, { "address", replica_address(index) },
+        { "zone", domain_of_replica(index) }, { "capacity", 40 }, { "state", state },
+        { "cold_remaining_ms", std::max<std::int64_t>(left.count(), 0) } };
     control_store({ { "put",
         json::array { json::object {
             { "table", "servers" }, { "key", m_incarnations.at(index) }, { "value", json::serialize(entry) } } } } });
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -29,6 +29,9 @@
     std::filesystem::path log_folder;
     double retry_ratio { 0.5 };
     int retry_slack { 500 };
+    // Requests a second that a replica bears while it is cold, and for how long that is after a restart; 0 for never.
+    int cold_per_second { 0 };
+    std::chrono::milliseconds cold_time { 2000 };
 };
 
 class hosted_fleet {
@@ -64,6 +67,8 @@
     // The declared configuration: /stream/ resumes, /once/ does not, /order/ runs once at most, /look/ may be repeated.
     void declare(std::uint64_t version, std::vector<std::string> const& more_prefixes = {}) const;
     // An operator wants the failure domain's replicas to receive nothing, or takes that back.
+    // Replicas stand in the failure domains "north" and "south" by turns.
+    [[nodiscard]] static char const* domain_of_replica(std::size_t index) { return index % 2 == 0 ? "north" : "south"; }
     void evacuate(std::string const& domain) const;
     void give_back(std::string const& domain) const;
     void list_replica(std::size_t index, char const* state) const;
@@ -82,7 +87,8 @@
     hosted_fleet() = default;
     result<child_process> start_process(
         std::string const& name, std::string const& program, std::vector<std::string> const& arguments) const;
-    result<child_process> start_replica(std::size_t index) const;
+    enum class replica_start { warm, cold };
+    result<child_process> start_replica(std::size_t index, replica_start start) const;
     result<child_process> start_router(std::size_t index, std::string const& seed) const;
     [[nodiscard]] std::string replica_address(std::size_t index) const;
 
@@ -91,6 +97,8 @@
     std::vector<std::unique_ptr<fault_proxy>> m_store_links;
     std::vector<std::unique_ptr<fault_proxy>> m_replica_links;
     std::vector<std::string> m_incarnations;
+    // Until when each replica is cold.
+    std::vector<std::chrono::steady_clock::time_point> m_cold_until;
     std::vector<child_process> m_store;
     std::vector<child_process> m_replicas;
     std::vector<child_process> m_routers;
--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -175,11 +175,11 @@
     {
         constexpr std::size_t routers = 4;
         auto fleet = started(routers, 2);
-        // All replicas stand in this failure domain.
         fleet.evacuate("north");
+        fleet.evacuate("south");
         auto const evacuated = [&](std::size_t router) { return fleet.metric(router, "shedhill_evacuated_domains"); };
         for (std::size_t router = 0; router < routers; ++router) {
-            CPPUNIT_ASSERT(wait_until([&] { return evacuated(router) == 1; }));
+            CPPUNIT_ASSERT(wait_until([&] { return evacuated(router) == 2; }));
             CPPUNIT_ASSERT_EQUAL(
                 std::uint16_t { 503 }, status_of(fleet.ask(router, "/look/a", "evacuated-" + std::to_string(router))));
         }
@@ -188,7 +188,7 @@
         fleet.control_store({ { "down", true } });
         CPPUNIT_ASSERT(fleet.restart_router(0));
         CPPUNIT_ASSERT(fleet.wait_until_ready(0));
-        CPPUNIT_ASSERT(evacuated(0) == 1);
+        CPPUNIT_ASSERT(evacuated(0) == 2);
         fleet.control_store({ { "down", false } });
         fleet.give_back("north");
         for (std::size_t router = 0; router < routers; ++router)
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -17,12 +17,24 @@
 constexpr std::size_t gap_spread_ms = 1500;
 constexpr std::int64_t least_duration_ms = 100;
 constexpr std::size_t duration_spread_ms = 2500;
+constexpr std::uint64_t seed_of_kinds_beside = 1U << 30U;
 
 milliseconds draw_time(random_draw& draw, std::int64_t least, std::size_t spread)
 {
     return milliseconds(least + static_cast<std::int64_t>(draw.below(spread)));
 }
 
+void draw_series(fault_kind kind, milliseconds run_for, random_draw& draw, std::vector<planned_fault>& plan)
+{
+    auto const last_start = static_cast<std::size_t>(std::max<std::int64_t>(run_for.count() * 2 / 3, 1));
+    auto at = draw_time(draw, 0, last_start);
+    auto const repeats = 1 + draw.below(most_in_series);
+    for (std::size_t repeat = 0; repeat < repeats && at < run_for; ++repeat) {
+        plan.push_back({ at, kind, draw.next(), draw_time(draw, least_duration_ms, duration_spread_ms) });
+        at += draw_time(draw, least_gap_ms, gap_spread_ms);
+    }
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind)
@@ -68,6 +80,10 @@
         return "store_loses_answers";
     case fault_kind::entries_lapse:
         return "entries_lapse";
+    case fault_kind::evacuation:
+        return "evacuation";
+    case fault_kind::connections_silent:
+        return "connections_silent";
     case fault_kind::count:
         break;
     }
@@ -77,21 +93,18 @@
 std::vector<planned_fault> draw_plan(plan_options const& options)
 {
     random_draw draw(options.seed);
-    auto const kinds = options.scope == plan_scope::planned_only
-        ? static_cast<std::size_t>(fault_kind::configuration_change) + 1
-        : static_cast<std::size_t>(fault_kind::count);
-    auto const last_start = static_cast<std::size_t>(std::max<std::int64_t>(options.run_for.count() * 2 / 3, 1));
+    bool const is_planned_only = options.scope == plan_scope::planned_only;
+    auto const kinds
+        = static_cast<std::size_t>(is_planned_only ? fault_kind::configuration_change : fault_kind::entries_lapse) + 1;
     std::vector<planned_fault> plan;
     auto const series = least_series + draw.below(most_more_series + 1);
-    for (std::size_t index = 0; index < series; ++index) {
-        auto const kind = static_cast<fault_kind>(draw.below(kinds));
-        auto at = draw_time(draw, 0, last_start);
-        auto const repeats = 1 + draw.below(most_in_series);
-        for (std::size_t repeat = 0; repeat < repeats && at < options.run_for; ++repeat) {
-            plan.push_back({ at, kind, draw.next(), draw_time(draw, least_duration_ms, duration_spread_ms) });
-            at += draw_time(draw, least_gap_ms, gap_spread_ms);
-        }
-    }
+    for (std::size_t index = 0; index < series; ++index)
+        draw_series(static_cast<fault_kind>(draw.below(kinds)), options.run_for, draw, plan);
+    random_draw beside(options.seed + seed_of_kinds_beside);
+    if (beside.below(2) == 0)
+        draw_series(fault_kind::evacuation, options.run_for, beside, plan);
+    if (!is_planned_only && beside.below(2) == 0)
+        draw_series(fault_kind::connections_silent, options.run_for, beside, plan);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -36,12 +36,18 @@
     store_forgets,
     store_loses_answers,
     entries_lapse,
+    // Drawn beside the ones above, so that an older seed still draws what it drew.
+    evacuation,
+    connections_silent,
     count,
 };
 
 std::string_view name_of(fault_kind kind);
 // Whether an operator or the platform does it on purpose, so that no request may be lost by it.
-constexpr bool is_planned(fault_kind kind) { return kind <= fault_kind::configuration_change; }
+constexpr bool is_planned(fault_kind kind)
+{
+    return kind <= fault_kind::configuration_change || kind == fault_kind::evacuation;
+}
 
 struct planned_fault {
     milliseconds at { 0 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -18,6 +18,10 @@
 // After a leaving replica is listed as such, what it still serves ends within this time.
 constexpr int drain_ms = 2500;
 constexpr int lapse_return_ms = 1000;
+// Far below what the callers send to a warm replica.
+constexpr int cold_per_second = 12;
+// An evacuation is in force everywhere within this time.
+constexpr int evacuation_ms = 3000;
 constexpr std::chrono::milliseconds probe_limit { 3000 };
 constexpr int probe_pause_ms = 40;
 constexpr std::uint64_t revisions_probed = 3;
@@ -51,6 +55,7 @@
     fleet.routers = options.routers;
     fleet.replicas = options.replicas;
     fleet.domains = options.domains;
+    fleet.cold_per_second = cold_per_second;
     fleet.links = harness::link_kind::through_proxies;
     fleet.log_folder = options.log_folder;
     std::filesystem::create_directories(options.log_folder);
@@ -91,6 +96,7 @@
     if (played < m_options.plan.run_for)
         harness::pause(to_int(m_options.plan.run_for - played));
     heal_and_wait();
+    check_evacuation();
     m_is_over = true;
     background.join();
     read_runs();
@@ -111,6 +117,11 @@
         return drain_replica(replica);
     case fault_kind::configuration_change:
         return change_configuration();
+    case fault_kind::evacuation:
+        return evacuate(fault);
+    case fault_kind::connections_silent:
+        silence_connections(fault);
+        break;
     case fault_kind::router_kill:
         stop_router(router, SIGKILL);
         break;
@@ -269,6 +280,54 @@
     }
 }
 
+void soak_run::evacuate(planned_fault const& fault)
+{
+    std::string const domain = harness::hosted_fleet::domain_of_replica(fault.draw);
+    if (++m_evacuations[domain] == 1)
+        m_fleet.evacuate(domain);
+    harness::pause(to_int(fault.lasts));
+    if (--m_evacuations[domain] == 0)
+        m_fleet.give_back(domain);
+}
+
+void soak_run::silence_connections(planned_fault const& fault)
+{
+    // The lower bits choose the link, the higher one its kind.
+    if ((fault.draw >> 32U) % 2 == 0)
+        m_fleet.replica_link(fault.draw % m_options.replicas).silence_connections();
+    else
+        m_fleet.store_link(fault.draw % m_options.routers).silence_connections();
+    // What was under way on them may still end badly for so long.
+    harness::pause(drain_ms);
+}
+
+std::size_t soak_run::arrivals_in(std::string const& domain) const
+{
+    std::size_t arrivals = 0;
+    for (std::size_t index = 0; index < m_options.replicas; ++index) {
+        if (harness::hosted_fleet::domain_of_replica(index) != domain)
+            continue;
+        std::ifstream file(m_fleet.runs_file(index));
+        for (std::string line; std::getline(file, line);)
+            arrivals += line.starts_with("arrived") ? 1 : 0;
+    }
+    return arrivals;
+}
+
+void soak_run::check_evacuation()
+{
+    std::string const domain = harness::hosted_fleet::domain_of_replica(0);
+    m_fleet.evacuate(domain);
+    harness::pause(evacuation_ms);
+    auto const before = arrivals_in(domain);
+    harness::pause(evacuation_ms / 2);
+    if (auto const after = arrivals_in(domain); after != before)
+        m_record.findings.push_back(std::to_string(after - before) + " requests reached an evacuated failure domain");
+    m_fleet.give_back(domain);
+    if (!harness::wait_until([&] { return arrivals_in(domain) > before; }))
+        m_record.findings.emplace_back("a failure domain that was given back gets nothing");
+}
+
 void soak_run::change_configuration()
 {
     // One at a time: a revision never follows a later one.
@@ -349,6 +408,10 @@
         std::string target;
         std::string incarnation;
         while (file >> event >> id >> method >> target >> incarnation) {
+            if (event == "over") {
+                m_record.findings.push_back("cold replica " + incarnation + " got more than it bears, with " + id);
+                continue;
+            }
             auto& seen = m_record.replicas[id];
             ++(event == "ran" ? seen.runs : seen.arrivals);
             seen.method = method;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -8,6 +8,7 @@
 #include "tests/soak/soak_record.h"
 
 #include <boost/fiber/mutex.hpp>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -49,6 +50,11 @@
     static void spoil_link(harness::fault_proxy& link, planned_fault const& fault);
     void spoil_store(char const* how, milliseconds lasts);
     void lapse_entries(milliseconds lasts);
+    void evacuate(planned_fault const& fault);
+    void silence_connections(planned_fault const& fault);
+    // After all faults: an evacuated failure domain gets nothing, and work again when it is given back.
+    void check_evacuation();
+    [[nodiscard]] std::size_t arrivals_in(std::string const& domain) const;
     void change_configuration();
 
     // Starts the replica as a new incarnation; the entry of the one before goes at once, or stays for a while.
@@ -65,6 +71,8 @@
     std::vector<process_state> m_routers;
     std::vector<process_state> m_replicas;
     boost::fibers::mutex m_declaring;
+    // Evacuations under way, by failure domain.
+    std::map<std::string, int> m_evacuations;
     std::uint64_t m_revision { 1 };
     bool m_is_over { false };
 };
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -15,9 +15,10 @@
 } // namespace
 
 hosted_replica::hosted_replica(
-    std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file)
+    std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file, cold_start cold)
     : m_incarnation(std::move(incarnation))
     , m_interval(interval)
+    , m_cold(cold)
 {
     if (!runs_file.empty())
         m_runs_file.open(runs_file, std::ios::app);
@@ -59,6 +60,7 @@
         (void)exchange.respond({ 421, headers, "text/plain", "another\n" });
         return;
     }
+    count_while_cold(request);
     if (m_mode == "busy") {
         headers.push_back({ "Shedhill-Not-Executed", "1" });
         (void)exchange.respond({ 503, headers, "text/plain", "full\n" });
@@ -85,6 +87,19 @@
             + " body=" + request.body });
 }
 
+void hosted_replica::count_while_cold(net::http_request const& request)
+{
+    constexpr std::chrono::seconds span { 1 };
+    auto const now = std::chrono::steady_clock::now();
+    if (now - m_started_at >= m_cold.lasts)
+        return;
+    m_cold_arrivals.push_back(now);
+    while (now - m_cold_arrivals.front() >= span)
+        m_cold_arrivals.pop_front();
+    if (m_cold_arrivals.size() > m_cold.limit)
+        note("over", request);
+}
+
 void hosted_replica::stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers)
 {
     auto const last = exchange.request().header("Last-Event-Id");
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -5,15 +5,24 @@
 #include "libraries/net/http.h"
 
 #include <chrono>
+#include <cstddef>
+#include <deque>
 #include <fstream>
 #include <map>
 #include <string>
 
 namespace shedhill::stand_ins {
 
+// After its start a replica bears so many requests in any second; more are written down as "over".
+struct cold_start {
+    std::chrono::milliseconds lasts { 0 };
+    std::size_t limit { 0 };
+};
+
 class hosted_replica {
 public:
-    hosted_replica(std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file);
+    hosted_replica(
+        std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file, cold_start cold);
 
     // Any path is a request; under /stream/ ten events are streamed, and under a path with /own/ each holds the
     // request's id. POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail"}; GET /counts: how often each
@@ -22,6 +31,7 @@
 
 private:
     void run(net::http_exchange& exchange);
+    void count_while_cold(net::http_request const& request);
     // Writes a line of the runs file: what happened, to which request, and what was asked.
     void note(char const* event, net::http_request const& request);
     void stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
@@ -31,6 +41,10 @@
     std::string m_incarnation;
     std::chrono::milliseconds m_interval;
     std::string m_mode { "ok" };
+    cold_start m_cold;
+    std::chrono::steady_clock::time_point m_started_at { std::chrono::steady_clock::now() };
+    // Of the last second, the oldest first.
+    std::deque<std::chrono::steady_clock::time_point> m_cold_arrivals;
     std::map<std::string, std::int64_t> m_runs;
     // Appended to line by line, so that it tells what a killed replica ran.
     std::ofstream m_runs_file;
--- a/tests/stand_ins/main.cpp
+++ b/tests/stand_ins/main.cpp
@@ -23,6 +23,8 @@
     table.add_number("token-interval-ms", 5, 0, 10000, "Engine: time between tokens.");
     table.add_text("incarnation", "i-1", "Hosted replica: the id of this start.");
     table.add_text("runs-file", "", "Hosted replica: where each arrival and run is written down.");
+    table.add_number("cold-ms", 0, 0, 60000, "Hosted replica: for how long it is cold after this start.");
+    table.add_number("cold-limit", 0, 0, 10000, "Hosted replica: requests in a second that it bears while cold.");
     table.add_number("work-ms", 5, 0, 10000, "Service: time of one run.");
     auto const values = table.parse(count, arguments);
     if (!values) {
@@ -35,8 +37,10 @@
     stand_ins::service service(std::chrono::milliseconds(values->number("work-ms")));
     stand_ins::platform platform;
     stand_ins::hosted_store store;
-    stand_ins::hosted_replica replica(
-        values->text("incarnation"), std::chrono::milliseconds(values->number("work-ms")), values->text("runs-file"));
+    stand_ins::hosted_replica replica(values->text("incarnation"), std::chrono::milliseconds(values->number("work-ms")),
+        values->text("runs-file"),
+        { std::chrono::milliseconds(values->number("cold-ms")),
+            static_cast<std::size_t>(values->number("cold-limit")) });
     auto const& kind = values->text("kind");
     auto server = net::http_server::open(values->text("http"), {}, [&](net::http_exchange& exchange) {
         if (kind == "engine")
