--- a/meta/make_days.py
+++ b/meta/make_days.py
@@ -4,6 +4,7 @@
 
     meta/make_days.py cover OUT              a few days that have each kind of trouble once or more, for any site
     meta/make_days.py pairs OUT SEED COUNT   days drawn by the seed: two or three kinds, each twice, overlapping
+    meta/make_days.py with OUT SEED COUNT KIND...   the same, each with one of these kinds beside two drawn ones
 
 A day is a TOML file in the form of a site's [[day]]; the bench plays it with the site's own load.
 """
@@ -74,9 +75,23 @@
     'kind = "herd_kill", share = 0.6, how = "power", for_s = 2.0',
     'kind = "hup", share = 1.0, gap_s = 1.0',
     'kind = "reset_conns", share = 0.4, x = 0.6',
+    'kind = "cold_return", for_s = 4.5, how = ""',
+    'kind = "cold_return", for_s = 4.0, how = "dark"',
+    'kind = "evacuate", for_s = 7.0',
+    'kind = "evacuate", for_s = 7.0, how = "warm"',
+    'kind = "srv_lying_health", share = 0.15, for_s = 6.0, how = "bad"',
+    'kind = "srv_lying_health", share = 0.15, for_s = 6.0, how = "errors"',
+    'kind = "srv_lying_health", share = 0.15, for_s = 6.0, how = "hang"',
+    'kind = "srv_lying_health", share = 0.15, for_s = 6.0, how = "reset"',
+    'kind = "srv_flap", share = 0.15, gap_s = 1.4, for_s = 6.5',
+    'kind = "node_freeze", share = 0.25, for_s = 3.0, how = "renewed"',
+    'kind = "garble", share = 0.6, x = 0.03, for_s = 5.0, how = "extra late"',
+    'kind = "bridge_cut", for_s = 5.5',
+    'kind = "herd_kill", on = "core"',
+    'kind = "herd_kill", on = "core", how = "power", share = 0.55, for_s = 2.0',
 ]
 PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "config_storm",
-           "big_config", "revoke", "hup"}
+           "big_config", "revoke", "hup", "evacuate"}
 CLOSINGS = ['{ kind = "power_off_all", down_s = 1.2 }', '{ kind = "kill_all", down_s = 0.5 }', None]
 
 
@@ -119,6 +134,18 @@
         write_day(out / f"{name}.toml", name, seed * 1000 + number, sorted(strikes), generator.choice(CLOSINGS))
 
 
+def with_kinds(out: pathlib.Path, seed: int, count: int, kinds: list[str]) -> None:
+    generator = random.Random(seed)
+    wanted = [trouble for trouble in TROUBLES if kind_of(trouble) in kinds]
+    for number in range(1, count + 1):
+        chosen = [wanted[(number - 1) % len(wanted)], *generator.sample(TROUBLES, 2)]
+        strikes = [(round(generator.uniform(1, 24), 2), trouble) for trouble in chosen for _ in range(2)]
+        # What is wanted strikes at nearly the same moment as another.
+        strikes[0] = (strikes[2][0] + generator.uniform(0, 2), strikes[0][1])
+        name = f"with-{seed}-{number}"
+        write_day(out / f"{name}.toml", name, seed * 1000 + number, sorted(strikes), generator.choice(CLOSINGS))
+
+
 def main() -> None:
     if len(sys.argv) >= 3:
         pathlib.Path(sys.argv[2]).mkdir(parents=True, exist_ok=True)
@@ -126,6 +153,8 @@
         cover(pathlib.Path(sys.argv[2]))
     elif len(sys.argv) == 5 and sys.argv[1] == "pairs":
         pairs(pathlib.Path(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4]))
+    elif len(sys.argv) >= 6 and sys.argv[1] == "with":
+        with_kinds(pathlib.Path(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4]), sys.argv[5:])
     else:
         sys.exit(__doc__)
 
