dispatch: A learned limit on a plain service's calls, in place of other routers' word

Ways: the standing count of what others told; a limit that each router learns from its own answers' times (additive rise, multiplicative fall). A first form that drew by lot between two whole numbers let 60 routers send 2,400 of 4,800 calls to full queues (each tick drew anew): spread over time instead.

--- a/libraries/dispatch/admission_terms.cpp
+++ b/libraries/dispatch/admission_terms.cpp
@@ -30,6 +30,11 @@
     return account.level > account.even_level ? team_standing::ahead : team_standing::past_share;
 }
 
+admission_terms plain_terms(milliseconds objective, dispatch_policy const& policy)
+{
+    return { part_of(objective, policy.wait_plain), milliseconds(0), 1, 1 };
+}
+
 admission_terms terms_of(
     team_standing standing, team_account const& account, milliseconds objective, dispatch_policy const& policy)
 {
--- a/libraries/dispatch/admission_terms.h
+++ b/libraries/dispatch/admission_terms.h
@@ -36,6 +36,9 @@
     double queueing_part { 1 };
 };
 
+// Of a plain service, whose slots are shared out to whoever asks.
+admission_terms plain_terms(milliseconds objective, dispatch_policy const& policy);
+
 admission_terms terms_of(
     team_standing standing, team_account const& account, milliseconds objective, dispatch_policy const& policy);
 
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "libraries/dispatch/dispatch_reducer.h"
 #include "libraries/dispatch/log_fields.h"
+#include "libraries/dispatch/return_time.h"
 
 #include <algorithm>
 
@@ -21,10 +22,6 @@
 constexpr milliseconds least_silence { 1000 };
 constexpr std::int64_t silence_objectives = 4;
 constexpr std::int64_t silence_pauses = 6;
-constexpr milliseconds least_return { 700 };
-constexpr std::uint64_t return_spread_ms = 900;
-// A caller comes back to the same router, overloaded or not, until the balancer has noticed that it has stepped aside.
-constexpr milliseconds return_elsewhere { 2400 };
 constexpr std::uint16_t status_unauthorized = 401;
 constexpr std::uint16_t status_not_found = 404;
 constexpr std::uint16_t status_too_many_requests = 429;
@@ -134,6 +131,8 @@
 
 admission_terms dispatch_reducer::terms_for(active_request const& request, step_context const& step)
 {
+    if (!request.is_engine)
+        return plain_terms(request.objective, m_options.policy);
     return terms_of(standing_of(request, step), account_of(request, step), request.objective, m_options.policy);
 }
 
@@ -200,6 +199,7 @@
             .add("endpoint", request.endpoint.value())
             .add("team", request.team.value())
             .add("waited_ms", (step.now - request.arrived).count())
+            .add("left_ms", (request.deadline - step.now).count())
             .add("level", m_ledger.level(request.account, step.now))
             .add("share", m_ledger.share())
             .add("even_level", m_ledger.even_level())
@@ -278,12 +278,10 @@
 milliseconds dispatch_reducer::come_back_after(
     active_request const& request, refusal_reason reason, step_context const& step) const
 {
-    // Clients wait up to a third of the time that they have left.
-    constexpr std::int64_t waited_part = 4;
-    bool const is_elsewhere = reason == refusal_reason::router_overloaded && m_overload.is_aside();
-    auto const wanted = (is_elsewhere ? return_elsewhere : least_return)
-        + milliseconds(static_cast<std::int64_t>(step.draw % return_spread_ms));
-    return std::max(std::min(wanted, (request.deadline - step.now) / waited_part), milliseconds(1));
+    auto const& policy = m_options.policy;
+    return return_time({ reason, request.objective, request.deadline - step.now, m_overload.is_aside(),
+                           request.is_engine ? policy.early_return : policy.early_return_plain },
+        step.draw);
 }
 
 void dispatch_reducer::refuse_unknown(
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -89,8 +89,8 @@
     request.has_answer_begun |= ended.has_answer_begun;
     request.events_passed += ended.events;
     auto const verdict = verdict_of(ended);
-    if (ended.end == attempt_end::complete && !request.is_engine && verdict == attempt_verdict::good)
-        m_board.note_service_time(request.pool, static_cast<double>((step.now - request.sent_at).count()));
+    if (!request.is_engine)
+        note_plain_end(request, ended.end, verdict, step);
     auto const name = request.endpoint;
     leave_endpoint(request, &verdict, step);
     if (ended.end == attempt_end::wrong_endpoint)
@@ -127,6 +127,24 @@
     serve_waiting_again(step);
 }
 
+void dispatch_reducer::note_plain_end(
+    active_request const& request, attempt_end end, attempt_verdict verdict, step_context const& step)
+{
+    auto* const endpoint = m_board.find(request.endpoint);
+    // What a router that is behind sees late says nothing of the endpoint.
+    if (endpoint == nullptr || m_overload.is_behind())
+        return;
+    if (end == attempt_end::not_run)
+        return endpoint->answer_time.note_turned_away(step.now);
+    if (end != attempt_end::complete)
+        return;
+    auto const took = static_cast<double>((step.now - request.sent_at).count());
+    auto const bearable = static_cast<double>(request.objective.count()) * m_options.policy.bearable_answer;
+    endpoint->answer_time.note_answer(took, bearable, endpoint->running - 1, step.now);
+    if (verdict == attempt_verdict::good)
+        m_board.note_service_time(request.pool, took);
+}
+
 void dispatch_reducer::handle(attempt_stalled const& stalled, step_context& step)
 {
     auto const found = m_requests.find(stalled.request);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -153,6 +153,9 @@
         active_request const& request, refusal_reason reason, step_context const& step) const;
 
     // After an attempt.
+    // What the end of an attempt tells of a plain service's endpoint.
+    void note_plain_end(
+        active_request const& request, attempt_end end, attempt_verdict verdict, step_context const& step);
     void leave_endpoint(active_request& request, attempt_verdict const* verdict, step_context& step);
     void settle_charge(active_request& request, step_context& step);
     void try_again_or_end(request_number number, active_request& request, attempt_end end, step_context& step);
--- a/libraries/dispatch/endpoint_board.cpp
+++ b/libraries/dispatch/endpoint_board.cpp
@@ -82,6 +82,7 @@
 void endpoint_board::note_attempt(endpoint_state& endpoint, instant now)
 {
     ++endpoint.running;
+    endpoint.answer_time.note_sent(now);
     if (endpoint.cold.is_cold(now))
         endpoint.cold.note_sent(now);
 }
@@ -104,6 +105,7 @@
         if (is_new) {
             state = std::make_unique<endpoint_state>();
             state->key = key_of(entry.name);
+            state->answer_time.begin_with(entry.slots);
             m_by_key[state->key] = state.get();
         }
         if (is_new || entry.cold_left != state->entry.cold_left)
@@ -216,6 +218,15 @@
     return service_time * (1 + ahead) * endpoint.slowness;
 }
 
+bool endpoint_board::begins_in_time(
+    endpoint_state const& engine, choice_request const& wanted, double expected_ms, instant now) const
+{
+    // With nothing before it a request begins as soon as it can, however slow the engine is thought to be; if it were
+    // refused for that, no answer would ever correct the belief.
+    return engine.reading.left_ms(now) <= m_policy.idle_reading_ms
+        || expected_ms <= wanted.time_left_ms * wanted.queueing_part * m_policy.margin_of_objective;
+}
+
 endpoint_choice endpoint_board::choose(choice_request const& wanted, instant now)
 {
     endpoint_choice best;
@@ -243,12 +254,8 @@
         auto const slots = std::max(state->entry.slots, 1U);
         auto const load = static_cast<double>(state->all_running()) / slots;
         bool const is_free = !wanted.is_engine || state->all_running() < wanted.most_load * slots;
-        // With nothing before it a request begins as soon as it can, however slow the endpoint is thought to be; if it
-        // were refused for that, no answer would ever correct the belief.
-        bool const has_nothing_before
-            = wanted.is_engine ? state->reading.left_ms(now) <= m_policy.idle_reading_ms : state->all_running() < slots;
-        auto const time_left = wanted.time_left_ms * wanted.queueing_part * m_policy.margin_of_objective;
-        bool const is_quick = has_nothing_before || expected <= time_left;
+        bool const is_quick = wanted.is_engine ? begins_in_time(*state, wanted, expected, now)
+                                               : state->answer_time.allows(state->running, now);
         auto cost = expected + m_policy.full_endpoint_ms * load * load;
         if (wanted.is_engine)
             cost += m_policy.reading_weight * state->reading.time_of(unkept);
--- a/libraries/dispatch/endpoint_board.h
+++ b/libraries/dispatch/endpoint_board.h
@@ -3,6 +3,7 @@
 // them suits a request best.
 #pragma once
 
+#include "libraries/dispatch/answer_time_limit.h"
 #include "libraries/dispatch/cold_period.h"
 #include "libraries/dispatch/cold_share.h"
 #include "libraries/dispatch/endpoint_health.h"
@@ -47,6 +48,8 @@
     instant domain_read_at {};
     // How far the engine has read the prompts sent there.
     reading_estimate reading;
+    // Of a plain service.
+    answer_time_limit answer_time;
     // How much longer first events and answers take here than foreseen.
     double slowness { 1 };
 
@@ -159,6 +162,8 @@
 private:
     [[nodiscard]] double expected_time(
         endpoint_state const& endpoint, choice_request const& wanted, token_count unkept, instant now) const;
+    [[nodiscard]] bool begins_in_time(
+        endpoint_state const& engine, choice_request const& wanted, double expected_ms, instant now) const;
     // With nothing to read before it.
     [[nodiscard]] static double first_event_time(endpoint_state const& endpoint, std::uint32_t tokens_per_event);
     [[nodiscard]] std::size_t ejected_in(pool_name const& pool) const;
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -40,6 +40,15 @@
     double other_domain_ms { 4 };
     // What a full endpoint costs above an empty one, in milliseconds.
     double full_endpoint_ms { 40 };
+    // What waits for a plain service waits this part of its objective at most. Its answers come every few milliseconds
+    // where it has room, so a longer wait only brings later answers.
+    double wait_plain { 0.4 };
+    // The part of the objective that a plain service's answer may take: the rest is for the wait and one return.
+    double bearable_answer { 0.5 };
+    // A caller that found no place is told to come back after this part of its objective, on average: early enough to
+    // be served in time.
+    double early_return { 0 };
+    double early_return_plain { 0 };
     // How long a shared part that is not asked for is thought to stay in an engine's memory.
     milliseconds keeping_time { 12000 };
 };
