dispatch: Who found no place comes back within its objective

Load: callers within their share who find no place for some tens of milliseconds while places come free all the time. They were told to come back after 0.7 to 1.6 s: whoever was then served was late for certain, and took the place of one who could still be in time.

Taken: 0.2 of the objective, from half to one and a half of it; plain services wait 0.15 of it first. What does not pass so soon keeps its time: a team ahead of its share, a router that steps aside. The returned caller is told the truth (it has not run), and can return once more as before.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -278,9 +278,8 @@
 milliseconds dispatch_reducer::come_back_after(
     active_request const& request, refusal_reason reason, step_context const& step) const
 {
-    auto const& policy = m_options.policy;
     return return_time({ reason, request.objective, request.deadline - step.now, m_overload.is_aside(),
-                           request.is_engine ? policy.early_return : policy.early_return_plain },
+                           m_options.policy.early_return },
         step.draw);
 }
 
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -42,13 +42,14 @@
     double full_endpoint_ms { 40 };
     // What waits for a plain service waits this part of its objective at most. Its answers come every few milliseconds
     // where it has room, so a longer wait only brings later answers.
-    double wait_plain { 0.4 };
+    double wait_plain { 0.15 };
     // The part of the objective that a plain service's answer may take: the rest is for the wait and one return.
     double bearable_answer { 0.5 };
     // A caller that found no place is told to come back after this part of its objective, on average: early enough to
-    // be served in time.
-    double early_return { 0 };
-    double early_return_plain { 0 };
+    // be served in time. Against a return after a second or more, 0.029 more of what is owed was served on the shifted
+    // work (0.842 to 0.871 of the credit, three days and two seeds), and nobody more was left unserved. Flat from 0.15
+    // to 0.3; 0 switches it off.
+    double early_return { 0.2 };
     // How long a shared part that is not asked for is thought to stay in an engine's memory.
     milliseconds keeping_time { 12000 };
 };
--- a/services/shedhilld/policy_settings.cpp
+++ b/services/shedhilld/policy_settings.cpp
@@ -54,10 +54,7 @@
     policy_setting { "bearable-answer", &dispatch_policy::bearable_answer, percent, 400,
         "Percent of the objective that a plain service's answer may take before less is sent there." },
     policy_setting { "early-return", &dispatch_policy::early_return, percent, 1000,
-        "Percent of the objective after which a caller that found no place at an engine may come back; 0: as late as "
-        "others." },
-    policy_setting { "early-return-plain", &dispatch_policy::early_return_plain, percent, 1000,
-        "The same for a plain service." },
+        "Percent of the objective after which a caller that found no place may come back; 0: as late as others." },
     policy_setting { "full-endpoint-ms", &dispatch_policy::full_endpoint_ms, plain, 10000,
         "What a full endpoint costs above an empty one in a choice." },
 };
--- a/tests/dispatch/crowded_pool_test.cpp
+++ b/tests/dispatch/crowded_pool_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(crowded_pool_test);
     CPPUNIT_TEST(few_slots_are_used_while_callers_are_turned_away);
     CPPUNIT_TEST(a_calm_service_answers_all_in_time);
+    CPPUNIT_TEST(an_early_return_is_in_time_at_engines_too);
     CPPUNIT_TEST(the_limit_falls_once_for_answers_that_come_together);
     CPPUNIT_TEST(a_limit_that_is_not_used_does_not_rise);
     CPPUNIT_TEST(the_limit_recovers_after_a_slow_spell);
@@ -31,14 +32,14 @@
     {
         auto const crowded = crowded_pool_play(crowded_pool_load {}).play();
         CPPUNIT_ASSERT(crowded.used > 0.95);
-        CPPUNIT_ASSERT(crowded.part_in_time() > 0.44);
+        CPPUNIT_ASSERT(crowded.part_in_time() > 0.55);
         auto const few_routers = crowded_pool_play(crowded_pool_load { .routers = 2 }).play();
         CPPUNIT_ASSERT(few_routers.used > 0.95);
-        CPPUNIT_ASSERT(few_routers.part_in_time() > 0.44);
+        CPPUNIT_ASSERT(few_routers.part_in_time() > 0.55);
         auto const many_routers
             = crowded_pool_play(crowded_pool_load { .routers = 60, .endpoints = 3, .calls_per_second = 800 }).play();
         CPPUNIT_ASSERT(many_routers.used > 0.95);
-        CPPUNIT_ASSERT(many_routers.part_in_time() > 0.44);
+        CPPUNIT_ASSERT(many_routers.part_in_time() > 0.55);
     }
 
     void a_calm_service_answers_all_in_time()
@@ -48,6 +49,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, calm.turned_away);
     }
 
+    // Four engines that are asked for 1.3 times what they read: 0.71 in time and 0.12 late where callers return after a
+    // second, 0.77 and 0.05 where they return after a fifth of their objective; as many are served. Six plays.
+    void an_early_return_is_in_time_at_engines_too()
+    {
+        constexpr std::uint64_t plays = 6;
+        double gained = 0;
+        std::size_t late_at_once = 0;
+        std::size_t late_before = 0;
+        for (std::uint64_t seed = 1; seed <= plays; ++seed) {
+            crowded_pool_load load { .kind = pool_kind::engine,
+                .routers = 8,
+                .endpoints = 4,
+                .slots = 64,
+                .work_ms = 500,
+                .calls_per_second = 130,
+                .objective = milliseconds(500),
+                .seed = seed };
+            auto const early = crowded_pool_play(load).play();
+            load.policy.early_return = 0;
+            auto const usual = crowded_pool_play(load).play();
+            gained += early.part_in_time() - usual.part_in_time();
+            late_at_once += early.late;
+            late_before += usual.late;
+        }
+        CPPUNIT_ASSERT(gained / plays > 0.03);
+        CPPUNIT_ASSERT(late_at_once * 3 < late_before * 2);
+    }
+
     void the_limit_falls_once_for_answers_that_come_together()
     {
         answer_time_limit limit;
