--- /dev/null
+++ b/tests/dispatch/dispatch_guard_test.cpp
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What a router turns away and why, which endpoints it ejects, and how it starts and stops.
+#include "tests/dispatch/dispatch_driver.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::dispatch {
+
+class dispatch_guard_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(dispatch_guard_test);
+    CPPUNIT_TEST(a_router_that_is_behind_takes_less);
+    CPPUNIT_TEST(a_flood_of_waiting_requests_costs_few_choices);
+    CPPUNIT_TEST(a_failing_endpoint_is_ejected_and_probed);
+    CPPUNIT_TEST(not_all_endpoints_are_ejected);
+    CPPUNIT_TEST(own_trouble_ejects_nobody);
+    CPPUNIT_TEST(an_older_configuration_is_not_taken);
+    CPPUNIT_TEST(a_drain_ends_when_nothing_is_in_flight);
+    CPPUNIT_TEST(the_log_tells_the_cause_of_a_refusal);
+    CPPUNIT_TEST(a_request_past_its_share_is_refused_early_and_told_when_to_return);
+    CPPUNIT_TEST(a_request_within_its_share_waits_a_little_longer);
+    CPPUNIT_TEST(nothing_is_known_without_a_configuration);
+    CPPUNIT_TEST(unknown_routes_and_keys_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    using driver = dispatch_driver;
+
+    static std::vector<endpoint_entry> two_of(std::string const& pool)
+    {
+        return { driver::make_endpoint("e1", pool), driver::make_endpoint("e2", pool) };
+    }
+
+    void a_router_that_is_behind_takes_less()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 100) });
+        fleet.ask("/once/", "red-key", 41000);
+        fleet.wait(milliseconds(200));
+        for (int ticks = 0; ticks < 30; ++ticks)
+            fleet.take(tick { milliseconds(100) });
+        auto const past_share = fleet.ask("/once/", "red-key");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 503 }, fleet.refusal_of(past_share)->status);
+        CPPUNIT_ASSERT(fleet.refusal_of(past_share)->reason == refusal_reason::router_overloaded);
+        // Of what is within its share about a third: (100 - 35) / 200.
+        int refused = 0;
+        for (int index = 0; index < 90; ++index)
+            refused += fleet.refusal_of(fleet.ask("/once/", "blue-key", 10)) ? 1 : 0;
+        CPPUNIT_ASSERT(refused > 0 && refused < 90);
+        for (int ticks = 0; ticks < 60; ++ticks)
+            fleet.take(tick {});
+        CPPUNIT_ASSERT(!fleet.refusal_of(fleet.ask("/once/", "blue-key", 10)));
+    }
+
+    // A hunt's finding: hundreds of waiting requests, each tried at each answer, put a router seconds behind.
+    void a_flood_of_waiting_requests_costs_few_choices()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 8) });
+        fleet.ask_and_read("/once/", "red-key", 41000);
+        auto const running = fleet.ask("/once/", "red-key", 41000);
+        // Another team asks for as much and waits, so that the first is ahead of it.
+        fleet.ask("/once/", "blue-key", 41000);
+        fleet.wait(milliseconds(100));
+        for (int index = 0; index < 300; ++index)
+            fleet.ask("/once/", "blue-key", 10);
+        auto const before = fleet.reducer().choices();
+        for (int index = 0; index < 50; ++index)
+            fleet.begin(running);
+        CPPUNIT_ASSERT(fleet.reducer().choices() - before <= 32);
+        // A team that is far ahead is told at once while so many wait.
+        CPPUNIT_ASSERT(fleet.refusal_of(fleet.ask("/once/", "red-key", 41000)).has_value());
+    }
+
+    void a_failing_endpoint_is_ejected_and_probed()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("bad", "plain"), driver::make_endpoint("good", "plain"),
+            driver::make_endpoint("fine", "plain") });
+        for (int index = 0; index < 30; ++index) {
+            auto const request = fleet.ask("/order/");
+            bool const is_bad = fleet.sent_for(request)[0].endpoint.value() == "bad";
+            fleet.end(request, is_bad ? attempt_end::broken : attempt_end::complete, is_bad ? 0 : 200, !is_bad);
+            fleet.wait(milliseconds(10));
+        }
+        CPPUNIT_ASSERT(fleet.log().find("endpoint_ejected \"endpoint\":\"bad\"") != std::string::npos);
+        auto const sent_before = fleet.sent().size();
+        for (int index = 0; index < 10; ++index)
+            fleet.end(fleet.ask("/order/"), attempt_end::complete, 200, true);
+        for (auto index = sent_before; index < fleet.sent().size(); ++index)
+            CPPUNIT_ASSERT(fleet.sent()[index].endpoint.value() != "bad");
+        // After a while a request that may be repeated looks whether it is well again.
+        fleet.wait(milliseconds(6000));
+        auto const probe = fleet.ask("/look/");
+        CPPUNIT_ASSERT_EQUAL(std::string("bad"), fleet.sent_for(probe)[0].endpoint.value());
+    }
+
+    void not_all_endpoints_are_ejected()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        for (int index = 0; index < 20; ++index) {
+            auto const request = fleet.ask("/order/");
+            if (fleet.sent_for(request).empty())
+                continue;
+            fleet.end(request, attempt_end::broken);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(fleet.ask("/order/")).size());
+    }
+
+    // Connects fail at all endpoints alike while the own link is full.
+    void own_trouble_ejects_nobody()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain", 100), driver::make_endpoint("e2", "plain", 100) });
+        constexpr int enough = 200;
+        auto const have_link = [&](double part) {
+            for (int ticks = 0; ticks < enough; ++ticks)
+                fleet.take(tick { milliseconds(0), 0.3, part });
+        };
+        auto const fail_some = [&] {
+            for (int index = 0; index < 12; ++index) {
+                auto const request = fleet.ask("/order/");
+                if (!fleet.sent_for(request).empty())
+                    fleet.end(request, attempt_end::not_sent);
+            }
+        };
+        have_link(0.95);
+        fail_some();
+        CPPUNIT_ASSERT(fleet.log().find("endpoint_ejected") == std::string::npos);
+        have_link(0.1);
+        fail_some();
+        CPPUNIT_ASSERT(fleet.log().find("endpoint_ejected") != std::string::npos);
+    }
+
+    void an_older_configuration_is_not_taken()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        fleet.take(configuration_learned { driver::usual_configuration(9) });
+        auto older = driver::usual_configuration(5);
+        older.routes.clear();
+        fleet.take(configuration_learned { older });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 9 }, fleet.reducer().routes().current().revision);
+        CPPUNIT_ASSERT(!fleet.refusal_of(fleet.ask("/look/")));
+    }
+
+    void a_drain_ends_when_nothing_is_in_flight()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        auto const request = fleet.ask("/order/");
+        fleet.take(drain_requested {});
+        CPPUNIT_ASSERT(!fleet.reducer().is_ready());
+        CPPUNIT_ASSERT(!fleet.has_stopped());
+        fleet.end(request, attempt_end::complete, 200, true);
+        fleet.wait(milliseconds(20));
+        CPPUNIT_ASSERT(fleet.has_stopped());
+    }
+
+    void the_log_tells_the_cause_of_a_refusal()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        fleet.end(fleet.ask("/order/"), attempt_end::broken);
+        CPPUNIT_ASSERT(fleet.log().find("sent \"id\":\"id-1\"") != std::string::npos);
+        CPPUNIT_ASSERT(fleet.log().find("attempt_failed \"id\":\"id-1\"") != std::string::npos);
+        CPPUNIT_ASSERT(fleet.log().find("\"end\":\"broken\"") != std::string::npos);
+        CPPUNIT_ASSERT(fleet.log().find("\"status\":502,\"reason\":\"answer_unknown\"") != std::string::npos);
+    }
+
+    void a_request_past_its_share_is_refused_early_and_told_when_to_return()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 8) });
+        // The share of 10,000 tokens a second is used up within the window.
+        // What is past it is let in once the engine has nothing to read, and up to a quarter of its places.
+        fleet.ask_and_read("/once/", "red-key", 41000);
+        fleet.ask("/once/", "red-key", 41000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, fleet.sent().size());
+        fleet.wait(milliseconds(200));
+        auto const third = fleet.ask("/once/", "red-key", 41000);
+        CPPUNIT_ASSERT(!fleet.refusal_of(third));
+        // A quarter of the objective of 400 ms.
+        fleet.wait(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 429 }, fleet.refusal_of(third)->status);
+        CPPUNIT_ASSERT(fleet.refusal_of(third)->retry_after.has_value());
+        CPPUNIT_ASSERT(fleet.sent_for(third).empty());
+    }
+
+    void a_request_within_its_share_waits_a_little_longer()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model", 2) });
+        auto const first = fleet.ask("/once/");
+        fleet.ask("/once/");
+        auto const third = fleet.ask("/once/");
+        auto const fourth = fleet.ask("/once/");
+        fleet.wait(milliseconds(130));
+        CPPUNIT_ASSERT(!fleet.refusal_of(third));
+        fleet.end(first, attempt_end::complete, 200, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent_for(third).size());
+        // Two fifths of the objective of 400 ms.
+        fleet.wait(milliseconds(40));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 429 }, fleet.refusal_of(fourth)->status);
+        CPPUNIT_ASSERT(fleet.refusal_of(fourth)->retry_after.has_value());
+    }
+
+    void nothing_is_known_without_a_configuration()
+    {
+        driver fleet;
+        auto const request = fleet.ask("/look/x");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 503 }, fleet.refusal_of(request)->status);
+        CPPUNIT_ASSERT(!fleet.reducer().is_ready());
+    }
+
+    void unknown_routes_and_keys_are_refused()
+    {
+        driver fleet;
+        fleet.start(two_of("plain"));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 404 }, fleet.refusal_of(fleet.ask("/nowhere/"))->status);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 401 }, fleet.refusal_of(fleet.ask("/look/", "stolen"))->status);
+        CPPUNIT_ASSERT(fleet.sent().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_guard_test);
+
+} // namespace shedhill::dispatch
