--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -14,9 +14,9 @@
 #include "services/shedhilld/endpoint_rows.h"
 #include "services/shedhilld/fleet_reports.h"
 #include "services/shedhilld/routers_table.h"
+#include "services/shedhilld/told_documents.h"
 
 #include <algorithm>
-#include <array>
 #include <concepts>
 #include <map>
 #include <string>
@@ -107,12 +107,12 @@
     [[nodiscard]] milliseconds configuration_age()
     {
         return m_loop.now()
-            - std::max(m_configuration.follower().confirmed_at(), told_of(document_kind::configuration).confirmed_at);
+            - std::max(m_configuration.follower().confirmed_at(), m_told.confirmed_at(document_kind::configuration));
     }
     [[nodiscard]] milliseconds endpoint_list_age()
     {
         return m_loop.now()
-            - std::max(m_endpoints.follower().confirmed_at(), told_of(document_kind::endpoints).confirmed_at);
+            - std::max(m_endpoints.follower().confirmed_at(), m_told.confirmed_at(document_kind::endpoints));
     }
 
     // Whether this router follows the store, or learns from the neighbours that do.
@@ -145,7 +145,7 @@
             if (document.kind == document_kind::endpoints)
                 note_list_confirmed(document, state, now);
             if (document.version == own_version(document.kind))
-                told_of(document.kind).confirmed_at = std::max(told_of(document.kind).confirmed_at, confirmed_at);
+                m_told.note_confirmed(document.kind, confirmed_at);
             want_if_later(document, state, now);
         }
     }
@@ -153,7 +153,7 @@
     void take(peering::document_wanted const& wanted)
     {
         if (own_version(wanted.kind) > wanted.version)
-            m_reports.tell(wanted.address, frame_for(wanted));
+            m_reports.tell(wanted.address, m_told.frame_for(wanted, follower_of(wanted.kind)));
     }
 
     void take(peering::document_message& document)
@@ -172,19 +172,6 @@
 private:
     using document_kind = peering::document_kind;
 
-    // What other routers tell of one document.
-    struct told_document {
-        // When the store confirmed the version that is known here to one of them.
-        instant confirmed_at {};
-        instant want_again_at {};
-        // The document as it was last passed on, its version, and since when it tells the changes.
-        std::uint64_t frame_version { 0 };
-        std::uint64_t frame_since { 0 };
-        std::string frame;
-    };
-
-    [[nodiscard]] told_document& told_of(document_kind kind) { return m_told.at(static_cast<std::size_t>(kind)); }
-
     static constexpr milliseconds routers_pace { 2000 };
     // Each call to the store has its price. The list's feed comes back often, so that an outage is noticed by it; the
     // feeds of what rarely changes are held longer, and asked anew as soon as the list's feed tells of an outage.
@@ -194,7 +181,6 @@
     // its feed was due.
     static constexpr milliseconds configuration_out_of_date { 900 };
     static constexpr milliseconds list_overdue { 200 };
-    static constexpr milliseconds want_interval { 400 };
     // Where others follow the store, this router asks it so seldom, in case that all of them are wrong.
     static constexpr milliseconds second_hand_pace { 60000 };
     // A router that has just started has not heard yet who follows the store. It reads it at once in any case.
@@ -363,30 +349,14 @@
     void want_if_later(peering::document_version const& told, peering::state_message const& state, instant now)
     {
         auto const own = own_version(told.kind);
-        auto& known = told_of(told.kind);
         bool const is_neighbour = state.report.domain == m_settings.domain || state.report.domain.value().empty();
-        if (told.version <= own || now < known.want_again_at || is_up_to_date(told.kind, is_neighbour, now))
+        if (told.version <= own || is_up_to_date(told.kind, is_neighbour, now) || !m_told.may_ask(told.kind, now))
             return;
-        known.want_again_at = now + want_interval;
         m_reports.tell(state.address,
             peering::encode_frame(peering::document_wanted {
                 told.kind, own, m_reports.self().address, follower_of(told.kind).told_since() }));
     }
 
-    // Many routers ask for the same at once: it is encoded once.
-    [[nodiscard]] std::string const& frame_for(peering::document_wanted const& wanted)
-    {
-        auto& known = told_of(wanted.kind);
-        auto const version = own_version(wanted.kind);
-        if (known.frame_version == version && known.frame_since == wanted.since)
-            return known.frame;
-        known.frame = peering::encode_frame(
-            peering::document_message { wanted.kind, follower_of(wanted.kind).rows_since(wanted.since) });
-        known.frame_version = version;
-        known.frame_since = wanted.since;
-        return known.frame;
-    }
-
     relay::event_loop& m_loop;
     relay::deployment_settings const& m_settings;
     Host& m_host;
@@ -401,8 +371,7 @@
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
     endpoint_rows<TableBinding> m_endpoint_rows;
-    // By kind.
-    std::array<told_document, static_cast<std::size_t>(document_kind::count)> m_told {};
+    told_documents m_told;
     std::vector<std::string> m_known_routers;
     // This router follows the store, or learns from the neighbours that do.
     bool m_is_following { false };
--- /dev/null
+++ b/services/shedhilld/told_documents.cpp
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One state for each kind of document.
+#include "services/shedhilld/told_documents.h"
+
+#include <algorithm>
+
+namespace shedhill::daemon {
+
+namespace {
+
+constexpr milliseconds ask_interval { 400 };
+
+} // namespace
+
+void told_documents::note_confirmed(document_kind kind, instant at)
+{
+    auto& state = state_of(kind);
+    state.confirmed_at = std::max(state.confirmed_at, at);
+}
+
+bool told_documents::may_ask(document_kind kind, instant now)
+{
+    auto& state = state_of(kind);
+    if (now < state.ask_again_at)
+        return false;
+    state.ask_again_at = now + ask_interval;
+    return true;
+}
+
+std::string const& told_documents::frame_for(
+    peering::document_wanted const& wanted, dispatch::table_follower const& table)
+{
+    auto& state = state_of(wanted.kind);
+    auto const version = table.changed_version();
+    if (state.frame_version == version && state.frame_since == wanted.since)
+        return state.frame;
+    state.frame = peering::encode_frame(peering::document_message { wanted.kind, table.rows_since(wanted.since) });
+    state.frame_version = version;
+    state.frame_since = wanted.since;
+    return state.frame;
+}
+
+} // namespace shedhill::daemon
--- /dev/null
+++ b/services/shedhilld/told_documents.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What other routers have told of the documents that routers pass on, when a later one was asked for, and a document as
+// it was last passed on: many routers ask for the same at once.
+#pragma once
+
+#include "libraries/dispatch/table_follower.h"
+#include "libraries/peering/peer_message.h"
+
+#include <array>
+#include <string>
+
+namespace shedhill::daemon {
+
+class told_documents {
+public:
+    using document_kind = peering::document_kind;
+
+    // The store has confirmed to another router the version that is known here.
+    void note_confirmed(document_kind kind, instant at);
+    [[nodiscard]] instant confirmed_at(document_kind kind) const { return state_of(kind).confirmed_at; }
+
+    // Whether a later version may be asked for now; it counts as asked for then.
+    [[nodiscard]] bool may_ask(document_kind kind, instant now);
+
+    // The frame that passes on what the asking router needs of the table.
+    [[nodiscard]] std::string const& frame_for(
+        peering::document_wanted const& wanted, dispatch::table_follower const& table);
+
+private:
+    struct document_state {
+        instant confirmed_at {};
+        instant ask_again_at {};
+        // Of what the frame holds, and since when it tells the changes.
+        std::uint64_t frame_version { 0 };
+        std::uint64_t frame_since { 0 };
+        std::string frame;
+    };
+
+    [[nodiscard]] document_state& state_of(document_kind kind) { return m_states.at(static_cast<std::size_t>(kind)); }
+    [[nodiscard]] document_state const& state_of(document_kind kind) const
+    {
+        return m_states.at(static_cast<std::size_t>(kind));
+    }
+
+    std::array<document_state, static_cast<std::size_t>(document_kind::count)> m_states {};
+};
+
+} // namespace shedhill::daemon
