--- a/tests/dispatch/cold_share_test.cpp
+++ b/tests/dispatch/cold_share_test.cpp
@@ -86,6 +86,7 @@
     {
         std::vector<eager_router> fleet;
         auto const all = addresses(0, count);
+        fleet.reserve(count);
         for (auto const& address : all)
             fleet.push_back({ address });
         for (auto& router : fleet)
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -409,7 +409,7 @@
         std::string incarnation;
         while (file >> event >> id >> method >> target >> incarnation) {
             if (event == "over") {
-                m_record.findings.push_back("cold replica " + incarnation + " got more than it bears, with " + id);
+                m_record.findings.push_back("more than a cold replica bears: " + incarnation);
                 continue;
             }
             auto& seen = m_record.replicas[id];
