--- a/meta/regression.sh
+++ b/meta/regression.sh
@@ -16,11 +16,14 @@
 jobs=$(($(nproc) / 2))
 # Fewer days where a site has 60 machines or more: each takes minutes.
 sites=(
+    "shifted/recetario-lima-now-grown 20"
     "large/recetario-lima-large 8"
     "further-grown/saomai-rao-grown 8"
     "further/saomai-rao 40"
     "grown/recetario-lima-grown 8"
     "grown/batinah-parts-grown 8"
+    "sites/recetario-lima 40"
+    "sites/batinah-parts 40"
 )
 why="regression runs of $(git rev-parse --short HEAD)"
 for step in "${@:-score}"; do
