--- a/libraries/dispatch/answer_time_limit.cpp
+++ b/libraries/dispatch/answer_time_limit.cpp
@@ -17,7 +17,8 @@
 // Answers to what was sent before a fall say nothing of the limit after it.
 constexpr milliseconds fall_interval { 100 };
 constexpr double weight_of_the_newest = 0.3;
-constexpr double used_part = 2;
+// A limit counts as used while it is no more than twice what is under way.
+constexpr double most_over_use = 2;
 // However slow the answers were, one is asked for after so long: nothing else would show that they are fast again.
 constexpr double longest_gap_ms = 1000;
 
@@ -29,7 +30,7 @@
     if (took_ms > bearable_ms)
         return fall(now);
     // A limit that is not used is not raised: it would mean nothing once it is.
-    if (m_limit > used_part * static_cast<double>(running + 1))
+    if (m_limit > most_over_use * static_cast<double>(running + 1))
         return;
     auto const step = m_limit < 1 ? std::max(rise * m_limit, least_rise) : rise / m_limit;
     m_limit += step;
--- a/libraries/dispatch/answer_time_limit.h
+++ b/libraries/dispatch/answer_time_limit.h
@@ -6,7 +6,7 @@
 //
 // The load it answers: many routers before few slots with callers at the door. Where 22 routers share 6 slots of 30 ms
 // and get 1.45 times what these can do, going by the others' word used 0.87 of the slots and left 0.37 of the callers
-// unserved; this uses all of them and leaves 0.30 (plain_load_test).
+// unserved; this uses all of them and leaves 0.30 (crowded_pool_test).
 #pragma once
 
 #include "base/units.h"
