--- a/services/shedhilld/told_documents.cpp
+++ b/services/shedhilld/told_documents.cpp
@@ -18,7 +18,7 @@
     state.confirmed_at = std::max(state.confirmed_at, at);
 }
 
-bool told_documents::may_ask(document_kind kind, instant now)
+bool told_documents::try_to_ask(document_kind kind, instant now)
 {
     auto& state = state_of(kind);
     if (now < state.ask_again_at)
--- a/services/shedhilld/told_documents.h
+++ b/services/shedhilld/told_documents.h
@@ -19,8 +19,8 @@
     void note_confirmed(document_kind kind, instant at);
     [[nodiscard]] instant confirmed_at(document_kind kind) const { return state_of(kind).confirmed_at; }
 
-    // Whether a later version may be asked for now; it counts as asked for then.
-    [[nodiscard]] bool may_ask(document_kind kind, instant now);
+    // Whether a later version may be asked for now; if so, it counts as asked for.
+    [[nodiscard]] bool try_to_ask(document_kind kind, instant now);
 
     // The frame that passes on what the asking router needs of the table.
     [[nodiscard]] std::string const& frame_for(
