--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -162,8 +162,6 @@
         if (!document.rows.since && document.rows.rows.empty())
             return;
         auto& follower = follower_of(document.kind);
-        if (document.kind == document_kind::configuration && is_reading_for_itself())
-            return;
         if (document.kind == document_kind::endpoints
             && m_loop.now() - follower.confirmed_at() < out_of_date(document.kind))
             return;
@@ -232,11 +230,6 @@
             { m_is_following ? routers_pace : second_hand_pace, long_feed_wait, back_off });
     }
 
-    // A router that has just started reads the configuration from the store. Where all start together and took it from
-    // each other meanwhile, 300 routers served again after 8.5 s, and after 2.0 s so (a sweep of 300 machines, four
-    // plays and one).
-    [[nodiscard]] bool is_reading_for_itself() const { return m_loop.now() - m_started_at < own_reading_time; }
-
     // From when on another router's later version is asked for.
     [[nodiscard]] milliseconds out_of_date(document_kind kind) const
     {
