tests: How many routers follow the store is asked until it is two again

A router that hears its neighbours more than some tenths of a second late follows by itself, as promised, and that lasts while the machine is short of time; one look shows the machine, not the fleet. As strict: two again within the time that such waits have; four for good still fails.

--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -168,7 +168,8 @@
                 [&](int tries) { return fleet.ask(router, "/order/a", "order-" + name + std::to_string(tries)); }));
             CPPUNIT_ASSERT(wait_until([&] { return fleet.metric(router, "shedhill_configuration_revision") == 7; }));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, following());
+        // A router that hears its neighbours late follows by itself, and leaves it to them again.
+        CPPUNIT_ASSERT(wait_until([&] { return following() == 2; }));
     }
 
     void an_evacuation_reaches_every_router_and_is_taken_back()
