dispatch, relay: What calls to the store show is logged, and decided without a network

Sight for the late configuration: until now nothing was written when a router lost the store, had it back, or gave a call up, nor from whom a configuration came. store_lost and store_regained (a line each, by table), store_call_failed and store_call_given_up (with how long the store might hold the call and how long it took), a counter by table and end, the gauge shedhill_store_unheard_ms; configuration_in_force has its source and the age of its confirmation, and changes of state have the level state, which no budget drops.

To write these lines in one place, the followers of the three tables stand in store_followers, beside the limits of their calls and what the list's calls show of the others; the session in relay carries out. No decision is changed: calls, holds, limits and back-off are as before.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -49,8 +49,13 @@
         return;
     auto const& current = m_routes.current();
     m_board.take_pools(current.pools);
-    step.effects.emplace_back(log_line { severity::failure, "configuration_in_force",
-        log_fields().add("revision", current.revision).add("routes", current.routes.size()).take() });
+    step.effects.emplace_back(log_line { severity::state, "configuration_in_force",
+        log_fields()
+            .add("revision", current.revision)
+            .add("routes", current.routes.size())
+            .add("source", learned.source)
+            .add("age_ms", learned.age.count())
+            .take() });
     update_ready(step);
 }
 
@@ -74,7 +79,7 @@
 void dispatch_reducer::note_evacuation(failure_domain const& domain, std::string_view event, step_context& step)
 {
     // An operator who misspelled a name sees it by the number of endpoints.
-    step.effects.emplace_back(log_line { severity::failure, std::string(event),
+    step.effects.emplace_back(log_line { severity::state, std::string(event),
         log_fields().add("domain", domain.value()).add("endpoints", m_board.endpoints_in(domain)).take() });
 }
 
@@ -138,7 +143,7 @@
     peer_state const state { step.now, report.subject, report.domain, report.routers, report.routers_aside,
         report.busy_part };
     if (m_peers.insert_or_assign(report.source(), state).second)
-        step.effects.emplace_back(log_line { severity::failure, "peer_regained",
+        step.effects.emplace_back(log_line { severity::state, "peer_regained",
             log_fields().add("peer", report.source().value()).add("teller", report.peer.value()).take() });
     auto const place = place_of(report);
     m_ledger.take_report(report, place, step.now);
@@ -155,7 +160,7 @@
     m_ledger.forget(lost.source);
     m_board.forget(lost.source);
     step.effects.emplace_back(
-        log_line { severity::failure, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
+        log_line { severity::state, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
 }
 
 void dispatch_reducer::forget_silent_peers(step_context& step)
@@ -228,7 +233,7 @@
         return;
     m_is_ready = is_ready;
     step.effects.emplace_back(set_ready { is_ready, m_overload.is_aside() });
-    step.effects.emplace_back(log_line { severity::failure, "ready_changed",
+    step.effects.emplace_back(log_line { severity::state, "ready_changed",
         log_fields()
             .add("ready", is_ready ? 1 : 0)
             .add("aside", m_overload.is_aside() ? 1 : 0)
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -66,7 +66,7 @@
 // The drain is complete: nothing is in flight.
 struct stop_process { };
 
-enum class severity { detail, failure };
+enum class severity { detail, failure, state };
 
 // A line of the log: an event's stable name and its fields, already in JSON but for the outer braces.
 struct log_line {
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -54,6 +54,10 @@
 
 struct configuration_learned {
     configuration learned;
+    // Who told it: the store, or a router.
+    std::string source {};
+    // Since the store last confirmed it to whoever told it.
+    milliseconds age { 0 };
 };
 
 // The failure domains whose endpoints an operator wants to receive nothing, all of them.
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -47,7 +47,7 @@
         bool is_gone { false };
     };
 
-    enum class failure { no_answer, history_gone };
+    enum class failure { no_answer, refused, history_gone };
     enum class page_outcome { nothing_new, changed, out_of_date };
 
     explicit table_follower(follower_options options)
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -18,6 +18,9 @@
 using token_count = std::int64_t;
 constexpr token_count weight_of_a_token_made = 2;
 
+// The tables of the store that a router follows.
+enum class table_name { configuration, endpoints, routers, count };
+
 // What may be done after an attempt of which it is not known whether it ran.
 enum class repetition {
     // Nothing: the request runs at most once.
--- a/libraries/relay/table_access.h
+++ b/libraries/relay/table_access.h
@@ -15,8 +15,7 @@
 
 namespace shedhill::relay {
 
-// The tables a router follows.
-enum class table_name { configuration, endpoints, routers, count };
+using dispatch::table_name;
 
 struct table_row {
     std::string key;
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -98,6 +98,11 @@
         m_log.write(logging::event_level::state, event, fields, m_loop.now());
     }
 
+    void log_failure(std::string_view event, std::string const& fields)
+    {
+        m_log.write(logging::event_level::failure, event, fields, m_loop.now());
+    }
+
     void count(std::string const& name) { m_metrics.add(name); }
     [[nodiscard]] dispatch::dispatch_reducer& reducer() { return m_reducer; }
 
@@ -265,9 +270,20 @@
 
     void carry_out(dispatch::log_line const& line)
     {
-        auto const level
-            = line.level == dispatch::severity::detail ? logging::event_level::detail : logging::event_level::failure;
-        m_log.write(level, line.event, line.fields, m_loop.now());
+        m_log.write(level_of(line.level), line.event, line.fields, m_loop.now());
+    }
+
+    static logging::event_level level_of(dispatch::severity level)
+    {
+        switch (level) {
+        case dispatch::severity::detail:
+            return logging::event_level::detail;
+        case dispatch::severity::failure:
+            return logging::event_level::failure;
+        case dispatch::severity::state:
+            break;
+        }
+        return logging::event_level::state;
     }
 
     void carry_out(dispatch::count_event const& happened) { m_metrics.add(counter_name(happened)); }
@@ -394,6 +410,7 @@
         m_metrics.set("shedhill_evacuated_domains", static_cast<double>(m_reducer.evacuated_domains()));
         m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_knowledge.configuration_age().count()));
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
+        m_metrics.set("shedhill_store_unheard_ms", static_cast<double>(m_knowledge.store_unheard().count()));
         m_metrics.set("shedhill_log_lines_taken", static_cast<double>(m_log.counts().taken));
         m_metrics.set("shedhill_log_lines_over_budget", static_cast<double>(m_log.counts().over_budget));
         m_metrics.set("shedhill_log_lines_unread", static_cast<double>(m_log.counts().pipe_full));
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -34,6 +34,9 @@
     {
         host.log_state(text, text)
         } -> std::same_as<void>;
+    {
+        host.log_failure(text, text)
+        } -> std::same_as<void>;
     {
         host.count(text)
         } -> std::same_as<void>;
@@ -51,11 +54,13 @@
         , m_host(host)
         , m_reports(loop, settings, *this)
         , m_duty(settings.vm)
-        , m_configuration(loop, settings.store_address, relay::table_name::configuration,
-              { milliseconds(0), long_feed_wait }, [this] { take_configuration_rows(); })
-        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints,
-              { own_list_pace(settings), feed_wait }, [this] { take_endpoint_rows(); })
-        , m_routers(loop, settings, m_reports.directory(), { routers_pace, long_feed_wait },
+        , m_followers({ dispatch::follower_options { milliseconds(0), long_feed_wait },
+              { own_list_pace(settings), feed_wait }, { routers_pace, long_feed_wait } })
+        , m_configuration(loop, settings.store_address, relay::table_name::configuration, m_followers,
+              [this] { take_configuration_rows({ "store", milliseconds(0) }); })
+        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, m_followers,
+              [this] { take_endpoint_rows(); })
+        , m_routers(loop, settings, m_reports.directory(), m_followers,
               [this] { m_host.count("shedhill_store_write_failures_total"); })
     {
         static_assert(knowledge_host<Host>);
@@ -82,14 +87,8 @@
         m_configuration.tick(now, draw);
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
-        if (std::exchange(m_was_failing, m_endpoints.follower().is_failing()) != m_endpoints.follower().is_failing()) {
-            m_configuration.ask_anew(draw);
-            m_routers.rows().ask_anew(draw);
-            if (!m_was_failing) {
-                m_configuration.follower().end_back_off(now);
-                m_routers.rows().follower().end_back_off(now);
-            }
-        }
+        for (auto const& note : m_followers.take_notes())
+            log_store(note);
         if (m_roster.drop_lapsed(now))
             m_host.learn(dispatch::endpoints_listed { m_roster.entries() });
         if (!m_settings.peer_address.empty() && m_reports.tick(now, draw)) {
@@ -115,6 +114,9 @@
             - std::max(m_endpoints.follower().confirmed_at(), m_told.confirmed_at(document_kind::endpoints));
     }
 
+    // Since the store last answered this router.
+    [[nodiscard]] milliseconds store_unheard() const { return m_loop.now() - m_followers.answered_at(); }
+
     // Whether this router follows the store, or learns from the neighbours that do.
     [[nodiscard]] bool is_following() const { return m_is_following; }
     // Whether it exchanges sums with other failure domains.
@@ -166,7 +168,7 @@
             && m_loop.now() - follower.confirmed_at() < out_of_date(document.kind))
             return;
         if (follower.take_told(std::move(document.rows)) == dispatch::table_follower::page_outcome::changed)
-            take_rows(document.kind);
+            take_told_rows(document.kind);
     }
 
 private:
@@ -241,28 +243,68 @@
 
     // The store.
 
-    void take_rows(document_kind kind)
+    void log_store(dispatch::store_note const& note)
+    {
+        using happened = dispatch::store_note::what_happened;
+        auto const table = name_of(note.table);
+        auto const fields = dispatch::log_fields()
+                                .add("table", table)
+                                .add("reason", name_of(note.reason))
+                                .add("wait_ms", note.wait.count())
+                                .add("took_ms", note.took.count())
+                                .add("unheard_ms", note.unheard.count())
+                                .take();
+        switch (note.what) {
+        case happened::call_answered:
+            return count_store_call(table, "answered");
+        case happened::call_failed:
+            count_store_call(table, name_of(note.reason));
+            return m_host.log_failure("store_call_failed", fields);
+        case happened::call_given_up:
+            count_store_call(table, "given_up");
+            return m_host.log_failure("store_call_given_up", fields);
+        case happened::lost:
+            return m_host.log_state("store_lost", fields);
+        case happened::regained:
+            return m_host.log_state("store_regained", fields);
+        }
+    }
+
+    void count_store_call(std::string_view table, std::string_view end)
+    {
+        m_host.count(
+            "shedhill_store_calls_total{table=\"" + std::string(table) + "\",end=\"" + std::string(end) + "\"}");
+    }
+
+    // Who told a document, and how old its confirmation was.
+    struct document_source {
+        std::string name;
+        milliseconds age { 0 };
+    };
+
+    void take_told_rows(document_kind kind)
     {
         if (kind == document_kind::configuration)
-            take_configuration_rows();
+            take_configuration_rows(
+                { m_told.asked_router(kind).value(), m_loop.now() - m_told.asked_confirmed_at(kind) });
         else
             take_endpoint_rows();
     }
 
     // What operators declare: the configuration, and the failure domains that they evacuate.
-    void take_configuration_rows()
+    void take_configuration_rows(document_source const& source)
     {
         dispatch::domains_evacuated evacuated;
         for (auto const& [key, row] : m_configuration.follower().rows()) {
             if (key == TableBinding::configuration_key())
-                take_configuration(row);
+                take_configuration(row, source);
             else if (auto domain = TableBinding::evacuated_domain(key))
                 evacuated.domains.push_back(std::move(*domain));
         }
         m_host.learn(std::move(evacuated));
     }
 
-    void take_configuration(dispatch::table_follower::row const& row)
+    void take_configuration(dispatch::table_follower::row const& row, document_source const& source)
     {
         if (std::exchange(m_configuration_row, row.version) == row.version)
             return;
@@ -272,7 +314,7 @@
             return m_host.log_state(
                 "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
         }
-        m_host.learn(dispatch::configuration_learned { std::move(*parsed) });
+        m_host.learn(dispatch::configuration_learned { std::move(*parsed), source.name, source.age });
     }
 
     [[nodiscard]] dispatch::store_contact list_contact(instant now)
@@ -350,7 +392,9 @@
     {
         auto const own = own_version(told.kind);
         bool const is_neighbour = state.report.domain == m_settings.domain || state.report.domain.value().empty();
-        if (told.version <= own || is_up_to_date(told.kind, is_neighbour, now) || !m_told.try_to_ask(told.kind, now))
+        if (told.version <= own || is_up_to_date(told.kind, is_neighbour, now))
+            return;
+        if (!m_told.try_to_ask(told.kind, state.report.peer, now - told.age, now))
             return;
         m_reports.tell(state.address,
             peering::encode_frame(peering::document_wanted {
@@ -362,6 +406,7 @@
     Host& m_host;
     fleet_reports<fleet_knowledge> m_reports;
     peering::follow_duty m_duty;
+    dispatch::store_followers m_followers;
     relay::table_session<TableBinding> m_configuration;
     relay::table_session<TableBinding> m_endpoints;
     routers_table<TableBinding> m_routers;
@@ -375,7 +420,6 @@
     std::vector<std::string> m_known_routers;
     // This router follows the store, or learns from the neighbours that do.
     bool m_is_following { false };
-    bool m_was_failing { false };
     instant m_started_at {};
     // When the store last confirmed the list to a router of this failure domain, as it told.
     instant m_neighbours_confirmed_at {};
--- a/services/shedhilld/routers_table.h
+++ b/services/shedhilld/routers_table.h
@@ -20,12 +20,12 @@
     using failed_function = std::function<void()>;
 
     routers_table(relay::event_loop& loop, relay::deployment_settings const& settings,
-        peering::peer_directory& directory, dispatch::follower_options options, failed_function on_failed)
+        peering::peer_directory& directory, dispatch::store_followers& followers, failed_function on_failed)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_on_failed(std::move(on_failed))
-        , m_rows(loop, settings.store_address, relay::table_name::routers, options, [this] { take_rows(); })
+        , m_rows(loop, settings.store_address, relay::table_name::routers, followers, [this] { take_rows(); })
         , m_writer(loop, settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
     {
     }
--- a/services/shedhilld/told_documents.cpp
+++ b/services/shedhilld/told_documents.cpp
@@ -18,12 +18,14 @@
     state.confirmed_at = std::max(state.confirmed_at, at);
 }
 
-bool told_documents::try_to_ask(document_kind kind, instant now)
+bool told_documents::try_to_ask(document_kind kind, vm_name const& router, instant confirmed_at, instant now)
 {
     auto& state = state_of(kind);
     if (now < state.ask_again_at)
         return false;
     state.ask_again_at = now + ask_interval;
+    state.asked_router = router;
+    state.asked_confirmed_at = confirmed_at;
     return true;
 }
 
--- a/services/shedhilld/told_documents.h
+++ b/services/shedhilld/told_documents.h
@@ -19,8 +19,12 @@
     void note_confirmed(document_kind kind, instant at);
     [[nodiscard]] instant confirmed_at(document_kind kind) const { return state_of(kind).confirmed_at; }
 
-    // Whether a later version may be asked for now; if so, it counts as asked for.
-    [[nodiscard]] bool try_to_ask(document_kind kind, instant now);
+    // Whether a later version may be asked for now; if so, it counts as asked for, of a router to which the store
+    // confirmed it then.
+    [[nodiscard]] bool try_to_ask(document_kind kind, vm_name const& router, instant confirmed_at, instant now);
+    // Who was asked last, and when the store had confirmed the document to it.
+    [[nodiscard]] vm_name const& asked_router(document_kind kind) const { return state_of(kind).asked_router; }
+    [[nodiscard]] instant asked_confirmed_at(document_kind kind) const { return state_of(kind).asked_confirmed_at; }
 
     // The frame that passes on what the asking router needs of the table.
     [[nodiscard]] std::string const& frame_for(
@@ -30,6 +34,8 @@
     struct document_state {
         instant confirmed_at {};
         instant ask_again_at {};
+        vm_name asked_router;
+        instant asked_confirmed_at {};
         // Of what the frame holds, and since when it tells the changes.
         std::uint64_t frame_version { 0 };
         std::uint64_t frame_since { 0 };
