--- a/libraries/dispatch/store_followers.cpp
+++ b/libraries/dispatch/store_followers.cpp
@@ -73,8 +73,7 @@
     return outcome;
 }
 
-void store_followers::take_failure(
-    table_name table, table_follower::failure what, instant now, std::uint64_t draw)
+void store_followers::take_failure(table_name table, table_follower::failure what, instant now, std::uint64_t draw)
 {
     auto& state = state_of(table);
     bool const was_failing = state.follower.is_failing();
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -57,9 +57,11 @@
         , m_followers({ dispatch::follower_options { milliseconds(0), long_feed_wait },
               { own_list_pace(settings), feed_wait }, { routers_pace, long_feed_wait } })
         , m_configuration(loop, settings.store_address, relay::table_name::configuration, m_followers,
-              [this] { take_configuration_rows({ "store", milliseconds(0) }); })
-        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, m_followers,
-              [this] { take_endpoint_rows(); })
+              [this] {
+                  take_configuration_rows({ "store", milliseconds(0) });
+              })
+        , m_endpoints(
+              loop, settings.store_address, relay::table_name::endpoints, m_followers, [this] { take_endpoint_rows(); })
         , m_routers(loop, settings, m_reports.directory(), m_followers,
               [this] { m_host.count("shedhill_store_write_failures_total"); })
     {
