dispatch: A call to the store is held only while the store is known to answer

Cause of the late configuration: the store may hold a call until something changes, so no answer and nothing new look alike until its time is over. Calls made into silence were waited for 2.4 s (list) and 8.9 s (configuration, routers), the next one was held again although it was only to show whether the store is back, and the configuration waited for the list's answer: 2.4 s + back-off + 1.5 s. Class: a liveness check that cannot tell silence from idleness, in series.

Now no call is held unless the one before was answered; while the store answers nothing the three tables take turns to probe, each 0.4 s (1.2 s where neighbours probe too); any answer ends the wait of all. A held call that may never be answered is asked anew: when a call of another table fails first, is answered again, or tells a version of the store that no row explains (an answer lost on its way).

The same cause elsewhere: what another failure domain knows of the configuration was refused while the neighbours' list was confirmed; a document's confirmation speaks for itself alone now. fleet_knowledge leaves its paces to follow_terms.

Ruled out: back-off alone (0.05 to 0.4 s of the 2.6 s).

--- a/libraries/dispatch/table_follower.cpp
+++ b/libraries/dispatch/table_follower.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Reading, following and backing off.
+// Reading, following and passing on.
 #include "libraries/dispatch/table_follower.h"
 
 #include "base/hash.h"
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr milliseconds first_back_off { 100 };
 // A read that was out of date is repeated after this time.
 constexpr milliseconds out_of_date_pause { 300 };
 // Rows that went of late, to be told to other routers: more than go in a minute where 3,000 endpoints are replaced.
@@ -31,29 +30,25 @@
 
 void table_follower::set_options(follower_options options)
 {
-    if (options.pace < m_options.pace && !is_failing())
+    if (options.pace < m_options.pace)
         m_next_at = std::min(m_next_at, m_called_at + options.pace);
     m_options = options;
 }
 
-void table_follower::end_back_off(instant now)
+table_follower::next_call table_follower::take_next(instant now, call_terms const& terms)
 {
-    if (is_failing())
-        m_next_at = std::min(m_next_at, now);
-}
-
-table_follower::next_call table_follower::take_next(instant now)
-{
-    if (m_is_calling || now < m_next_at)
+    if (m_is_calling || (terms.when == call_terms::urgency::paced && now < m_next_at))
         return {};
     m_is_calling = true;
     m_called = m_must_read ? call_kind::read : call_kind::follow;
     m_called_at = now;
     m_next_at = now + m_options.pace;
-    next_call call { m_called, {}, m_version, m_options.wait };
-    if (m_must_read && !m_reading.empty())
-        call.after_key = m_reading.rbegin()->first;
-    return call;
+    if (!m_must_read)
+        return { m_called, {}, m_version, std::min(m_options.wait, terms.longest_wait) };
+    next_call read { m_called, {}, 0, milliseconds(0) };
+    if (!m_reading.empty())
+        read.after_key = m_reading.rbegin()->first;
+    return read;
 }
 
 table_follower::page_outcome table_follower::take_page(
@@ -86,7 +81,7 @@
 {
     if (is_failing() && now - m_confirmed_at >= shortest_outage)
         m_returned_at = now;
-    m_back_off = milliseconds(0);
+    m_is_failing = false;
 }
 
 table_follower::page_outcome table_follower::take_read_page(
@@ -116,19 +111,24 @@
     return page_outcome::changed;
 }
 
-void table_follower::take_failure(failure what, instant now, std::uint64_t draw)
+void table_follower::take_failure(failure what, instant now)
+{
+    end_call();
+    if (what != failure::history_gone) {
+        m_is_failing = true;
+        return;
+    }
+    m_must_read = true;
+    m_next_at = now;
+}
+
+void table_follower::take_given_up() { end_call(); }
+
+void table_follower::end_call()
 {
     m_is_calling = false;
     m_reading.clear();
     m_reading_version = 0;
-    if (what == failure::history_gone) {
-        m_must_read = true;
-        m_next_at = now;
-        return;
-    }
-    m_back_off = std::clamp(m_back_off * 2, first_back_off, m_options.longest_back_off);
-    auto const spread = static_cast<std::uint64_t>(m_back_off.count());
-    m_next_at = now + m_back_off / 2 + milliseconds(static_cast<std::int64_t>(draw % spread));
 }
 
 void table_follower::note_changes(std::map<std::string, row> const& rows)
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Decides how a table of the store is followed: read whole once, then by its feed, with back-off while the store does
-// not answer, and anew when its history is gone. What is older than what is known is never taken.
+// Decides what is asked of a table of the store, and what is taken: it is read whole once, then followed by its feed,
+// and read anew when its history is gone. What is older than what is known is never taken. When calls are made while the
+// store is in trouble is decided for all tables together, by store_followers.
 #pragma once
 
 #include "base/units.h"
@@ -19,8 +20,13 @@
     milliseconds pace { 0 };
     // How long the store may hold a call that has nothing to tell.
     milliseconds wait { 1500 };
-    // While the store does not answer, the time between two calls rises to this.
-    milliseconds longest_back_off { 800 };
+};
+
+// What is different about a call while the rows may be out of date, or the store in trouble.
+struct call_terms {
+    // The store may hold its answer no longer than this; nothing for an answer at once.
+    milliseconds longest_wait { milliseconds::max() };
+    enum class urgency { paced, at_once } when { urgency::paced };
 };
 
 class table_follower {
@@ -56,9 +62,11 @@
     }
 
     // What to call now, if anything. It counts as under way until its page or failure is taken.
-    [[nodiscard]] next_call take_next(instant now);
+    [[nodiscard]] next_call take_next(instant now, call_terms const& terms = {});
     page_outcome take_page(std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
-    void take_failure(failure what, instant now, std::uint64_t draw);
+    void take_failure(failure what, instant now);
+    // The call under way was given up for a reason that says nothing of the store.
+    void take_given_up();
 
     struct gone_row {
         std::string key;
@@ -94,18 +102,18 @@
     [[nodiscard]] std::uint64_t changed_version() const { return m_changed_version; }
     // How often and how long the feed is asked from now on. A shorter pace holds for the next call already.
     void set_options(follower_options options);
-    // Something shows that the store answers: a call that waits for the end of its back-off is made now.
-    void end_back_off(instant now);
     // Whether the rows were ever known.
     [[nodiscard]] bool has_rows() const { return m_has_rows; }
     // When the store last confirmed them.
     [[nodiscard]] instant confirmed_at() const { return m_confirmed_at; }
-    [[nodiscard]] bool is_failing() const { return m_back_off.count() > 0; }
+    // A call failed, and none has been answered since.
+    [[nodiscard]] bool is_failing() const { return m_is_failing; }
     // When the store last answered again after it had not confirmed the rows for a while; the epoch if it never did.
     [[nodiscard]] instant returned_at() const { return m_returned_at; }
 
 private:
     void note_answer(instant now);
+    void end_call();
     void note_changes(std::map<std::string, row> const& rows);
     void note_gone(gone_row gone);
     // The rows with the changes; none where these leave something out.
@@ -134,8 +142,7 @@
     instant m_called_at {};
     instant m_confirmed_at {};
     instant m_returned_at {};
-    // Invariant: not 0 from a call that got no answer until the next one that does.
-    milliseconds m_back_off { 0 };
+    bool m_is_failing { false };
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/relay/store_session.h
+++ b/libraries/relay/store_session.h
@@ -73,7 +73,7 @@
     {
         m_draw = draw;
         m_call.check_time(now);
-        if (m_call.is_calling() && m_followers.is_to_give_up(m_table))
+        if (m_call.is_calling() && m_followers.is_to_give_up(m_table, now))
             m_call.give_up();
         if (m_call.is_calling())
             return;
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -54,8 +54,7 @@
         , m_host(host)
         , m_reports(loop, settings, *this)
         , m_duty(settings.vm)
-        , m_followers({ dispatch::follower_options { milliseconds(0), long_feed_wait },
-              { own_list_pace(settings), feed_wait }, { routers_pace, long_feed_wait } })
+        , m_followers(dispatch::make_follow_terms({ settings.leaving_bound }))
         , m_configuration(loop, settings.store_address, relay::table_name::configuration, m_followers,
               [this] {
                   take_configuration_rows({ "store", milliseconds(0) });
@@ -85,7 +84,7 @@
 
     void tick(instant now, std::uint64_t draw)
     {
-        set_paces(now);
+        set_terms(now);
         m_configuration.tick(now, draw);
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
@@ -176,17 +175,13 @@
 private:
     using document_kind = peering::document_kind;
 
-    static constexpr milliseconds routers_pace { 2000 };
-    // Each call to the store has its price. The list's feed comes back often, so that an outage is noticed by it; the
-    // feeds of what rarely changes are held longer, and asked anew as soon as the list's feed tells of an outage.
-    static constexpr milliseconds feed_wait { 1500 };
-    static constexpr milliseconds long_feed_wait { 8000 };
     // What a peer knows is asked for once the store has not confirmed our own for so long; of the list, so long after
     // its feed was due.
     static constexpr milliseconds configuration_out_of_date { 900 };
     static constexpr milliseconds list_overdue { 200 };
-    // Where others follow the store, this router asks it so seldom, in case that all of them are wrong.
-    static constexpr milliseconds second_hand_pace { 60000 };
+    // A configuration that another failure domain has known for so long should have come from the store, or from a
+    // neighbour, by three reports of 100 ms.
+    static constexpr milliseconds configuration_missed { 300 };
     // A router that has just started has not heard yet who follows the store. It reads it at once in any case.
     static constexpr milliseconds first_listening { 800 };
     // So long a router that has just started waits for the store itself before it asks other failure domains: 300
@@ -194,44 +189,29 @@
     static constexpr milliseconds own_reading_time { 400 };
     // Beyond its pace and the time that it is held, a feed's answer and the report that tells of it take so long.
     static constexpr milliseconds report_delay { 300 };
-    static constexpr milliseconds short_back_off { 800 };
-    static constexpr milliseconds long_back_off { 3000 };
-
-    // Each call has its price, and between two of them nothing is learnt: a third of the time in which a leaving
-    // endpoint may still get requests, so that two calls in a row may fail.
-    static milliseconds own_list_pace(relay::deployment_settings const& settings)
+    // The terms on which this router follows the store, or would if it were to.
+    [[nodiscard]] dispatch::follow_terms own_terms(bool is_follower, instant now) const
     {
-        constexpr std::int64_t calls_within_bound = 3;
-        // With the time that a call is held, within the gap that store_outage_watch expects.
-        constexpr milliseconds most { 800 };
-        return std::min(settings.leaving_bound / calls_within_bound, most);
+        return dispatch::make_follow_terms(
+            { m_settings.leaving_bound, is_follower, m_duty.is_shared(now), m_duty.is_among_the_first(now) });
     }
 
-    // Where some routers follow the list for others, an outage of these must show within the bound.
-    [[nodiscard]] milliseconds list_wait(instant now) const
+    // A follower's confirmation of the list is never older, where all is well.
+    [[nodiscard]] milliseconds oldest_confirmation(instant now) const
     {
-        constexpr std::int64_t part_of_bound = 8;
-        return m_duty.is_shared(now) ? std::min(feed_wait, m_settings.leaving_bound * 3 / part_of_bound) : feed_wait;
+        auto const list = own_terms(true, now).of(dispatch::table_name::endpoints);
+        return list.pace + list.wait;
     }
 
-    void set_paces(instant now)
+    void set_terms(instant now)
     {
-        auto const pace = own_list_pace(m_settings);
-        auto const wait = list_wait(now);
         if (m_started_at == instant {})
             m_started_at = now;
-        bool const follows = now - m_started_at >= first_listening && m_duty.is_own(pace + wait + report_delay, now);
+        bool const follows
+            = now - m_started_at >= first_listening && m_duty.is_own(oldest_confirmation(now) + report_delay, now);
         if (std::exchange(m_is_following, follows) != follows)
             m_host.log_state("store_following_changed", dispatch::log_fields().add("follows", follows ? 1 : 0).take());
-        // Where the store does not answer, a few look for its return, by the list, and tell the others.
-        auto const list_back_off = m_duty.is_among_the_first(now) ? short_back_off : long_back_off;
-        bool const is_lost = m_endpoints.follower().is_failing() && m_configuration.follower().has_rows();
-        auto const back_off = is_lost ? long_back_off : short_back_off;
-        m_endpoints.follower().set_options({ m_is_following ? pace : second_hand_pace, wait, list_back_off });
-        m_configuration.follower().set_options(
-            { m_is_following ? milliseconds(0) : second_hand_pace, long_feed_wait, back_off });
-        m_routers.rows().follower().set_options(
-            { m_is_following ? routers_pace : second_hand_pace, long_feed_wait, back_off });
+        m_followers.set_terms(own_terms(m_is_following, now), now);
     }
 
     // From when on another router's later version is asked for.
@@ -240,7 +220,7 @@
         if (!m_is_following)
             return milliseconds(0);
         return kind == document_kind::configuration ? configuration_out_of_date
-                                                    : own_list_pace(m_settings) + list_overdue;
+                                                    : dispatch::list_pace(m_settings.leaving_bound) + list_overdue;
     }
 
     // The store.
@@ -378,23 +358,31 @@
 
     [[nodiscard]] std::uint64_t own_version(document_kind kind) { return follower_of(kind).changed_version(); }
 
-    // Whether a later version is not asked for, because the store was heard here, or by a neighbour.
-    [[nodiscard]] bool is_up_to_date(document_kind kind, bool is_neighbour, instant now)
+    // Whether a later version that a neighbour knows is not asked for, because the store was heard here.
+    [[nodiscard]] bool is_up_to_date(document_kind kind, instant now)
     {
-        auto const& follower = follower_of(kind);
-        if (is_neighbour)
-            return now - follower.confirmed_at() < out_of_date(kind);
-        // Between failure domains bytes are dear, and the neighbours have what the store tells.
-        bool const is_starting = now - m_started_at < own_reading_time;
-        auto const confirmed_at = std::max(follower.confirmed_at(), m_neighbours_confirmed_at);
-        return is_starting || now - confirmed_at < own_list_pace(m_settings) + list_wait(now) + list_overdue;
+        return now - follower_of(kind).confirmed_at() < out_of_date(kind);
+    }
+
+    // Whether one is not asked for that is known in another failure domain: there bytes are dear, and the neighbours
+    // have what the store tells. The list's confirmation says nothing of the configuration: what is known elsewhere of
+    // that for a while, and not here, was missed.
+    [[nodiscard]] bool is_expected_nearby(peering::document_version const& told, instant now)
+    {
+        if (now - m_started_at < own_reading_time)
+            return true;
+        if (told.kind == document_kind::configuration)
+            return m_told.behind_for(told.kind, own_version(told.kind), now) < configuration_missed;
+        auto const confirmed_at = std::max(m_endpoints.follower().confirmed_at(), m_neighbours_confirmed_at);
+        return now - confirmed_at < oldest_confirmation(now) + list_overdue;
     }
 
     void want_if_later(peering::document_version const& told, peering::state_message const& state, instant now)
     {
         auto const own = own_version(told.kind);
         bool const is_neighbour = state.report.domain == m_settings.domain || state.report.domain.value().empty();
-        if (told.version <= own || is_up_to_date(told.kind, is_neighbour, now))
+        m_told.note_version(told.kind, told.version, own, now);
+        if (told.version <= own || (is_neighbour ? is_up_to_date(told.kind, now) : is_expected_nearby(told, now)))
             return;
         if (!m_told.try_to_ask(told.kind, state.report.peer, now - told.age, now))
             return;
--- a/services/shedhilld/told_documents.cpp
+++ b/services/shedhilld/told_documents.cpp
@@ -18,6 +18,21 @@
     state.confirmed_at = std::max(state.confirmed_at, at);
 }
 
+void told_documents::note_version(document_kind kind, std::uint64_t told, std::uint64_t own, instant now)
+{
+    auto& state = state_of(kind);
+    if (told <= own || state.later_version > own)
+        return;
+    state.later_version = told;
+    state.later_told_at = now;
+}
+
+milliseconds told_documents::behind_for(document_kind kind, std::uint64_t own, instant now) const
+{
+    auto const& state = state_of(kind);
+    return state.later_version > own ? now - state.later_told_at : milliseconds(0);
+}
+
 bool told_documents::try_to_ask(document_kind kind, vm_name const& router, instant confirmed_at, instant now)
 {
     auto& state = state_of(kind);
--- a/services/shedhilld/told_documents.h
+++ b/services/shedhilld/told_documents.h
@@ -19,6 +19,11 @@
     void note_confirmed(document_kind kind, instant at);
     [[nodiscard]] instant confirmed_at(document_kind kind) const { return state_of(kind).confirmed_at; }
 
+    // Another router knows this version of the document; this one has its own.
+    void note_version(document_kind kind, std::uint64_t told, std::uint64_t own, instant now);
+    // For how long another router is known to have a later version than the own one.
+    [[nodiscard]] milliseconds behind_for(document_kind kind, std::uint64_t own, instant now) const;
+
     // Whether a later version may be asked for now; if so, it counts as asked for, of a router to which the store
     // confirmed it then.
     [[nodiscard]] bool try_to_ask(document_kind kind, vm_name const& router, instant confirmed_at, instant now);
@@ -34,6 +39,9 @@
     struct document_state {
         instant confirmed_at {};
         instant ask_again_at {};
+        // The first later version that another router told, since the own one was as late; and when.
+        std::uint64_t later_version { 0 };
+        instant later_told_at {};
         vm_name asked_router;
         instant asked_confirmed_at {};
         // Of what the frame holds, and since when it tells the changes.
