dispatch: What lapsed in an outage is kept by routers that are told of the return too

Cause: a router that follows the store and is told the list by one that heard the return 30 ms earlier took its own contact for the measure; that did not show a return yet, so it went by the list as the store showed it, with 0 or 1 endpoint of 12, for 0.3 to 0.7 s. The return is the first confirmation that others tell after theirs had stopped; a router that was cut off alone is not concerned: the others' confirmations did not stop. The test failed first (1 endpoint where 2 are kept).

--- a/libraries/dispatch/store_outage_watch.cpp
+++ b/libraries/dispatch/store_outage_watch.cpp
@@ -33,9 +33,14 @@
 store_contact store_outage_watch::contact(own_store_contact const& own, instant now) const
 {
     store_contact made { now - std::max(own.confirmed_at, m_peers_confirmed_at) >= unheard, own.returned_at };
-    if (is_heard_by_peers(now) && !own.is_followed)
+    if (!is_heard_by_peers(now))
+        return made;
+    if (!own.is_followed)
         made.returned_at = std::max(m_peers_returned_at, m_peers_heard_since);
-    else if (is_heard_by_peers(now))
+    else if (own.confirmed_at < m_peers_heard_since)
+        // The others tell of the return before this router's own call is answered.
+        made.returned_at = m_peers_heard_since;
+    else
         made.returned_at = std::min(made.returned_at, m_peers_heard_since);
     return made;
 }
--- a/tests/dispatch/store_outage_watch_test.cpp
+++ b/tests/dispatch/store_outage_watch_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(a_lone_router_goes_by_its_own_contact);
     CPPUNIT_TEST(a_store_that_others_hear_is_not_away);
     CPPUNIT_TEST(the_return_is_the_first_routers);
+    CPPUNIT_TEST(what_lapsed_is_kept_by_who_is_told_of_the_return);
     CPPUNIT_TEST(an_endpoint_that_left_during_an_own_outage_is_gone);
     CPPUNIT_TEST(late_reports_change_nothing);
     CPPUNIT_TEST(who_does_not_follow_goes_by_what_followers_tell);
@@ -57,6 +58,25 @@
         CPPUNIT_ASSERT(watch.contact({ at(9800), at(9800) }, at(11000)).returned_at == at(9000));
     }
 
+    // The store was away for all, for so long that all entries lapsed. One router hears it first, keeps what has lapsed, and
+    // tells the others the list as the store shows it, some 30 ms before their own calls are answered: four of five
+    // routers went by that list, which had one endpoint of twelve.
+    void what_lapsed_is_kept_by_who_is_told_of_the_return()
+    {
+        store_outage_watch watch;
+        endpoint_roster roster;
+        hear_peers(watch, 1000, 3100);
+        (void)roster.take({ entry("a"), entry("b") }, watch.contact({ at(3000), {} }, at(3000)), at(3000));
+        watch.note_peer_confirmed(at(9000), at(9000));
+        (void)roster.take({ entry("a") }, watch.contact({ at(3000), {} }, at(9030)), at(9030));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, roster.entries().size());
+        // Its own call is answered, and later on the entry is still missing.
+        (void)roster.take({ entry("a") }, watch.contact({ at(9060), at(9060) }, at(9060)), at(9060));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, roster.entries().size());
+        CPPUNIT_ASSERT(!roster.drop_lapsed(at(10890)));
+        CPPUNIT_ASSERT(roster.drop_lapsed(at(10900)));
+    }
+
     // A hunt's finding: one router could not hear the store for nine seconds, the others told it the list; an endpoint
     // that left without a word was kept and sent to for three seconds after the store had told of it.
     void an_endpoint_that_left_during_an_own_outage_is_gone()
