shedhilld: Metrics on a port of the operators' choice

The setting metrics-port names it; a port that is taken is told by a line, and ends no router (test).

--- a/services/shedhilld/direct_main.cpp
+++ b/services/shedhilld/direct_main.cpp
@@ -33,6 +33,14 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+// Monitoring knows one port for the whole fleet, while the ports that the platform keeps free differ from day to day.
+void set_metrics_port(relay::deployment_settings& settings, std::uint16_t port)
+{
+    auto const colon = settings.metrics_address.rfind(':');
+    if (port != 0 && colon != std::string::npos)
+        settings.metrics_address.replace(colon + 1, std::string::npos, std::to_string(port));
+}
+
 } // namespace
 
 int run_direct_router(direct_options const& options)
@@ -45,6 +53,7 @@
         return 2;
     }
     settings->most_in_full_mesh = options.most_in_full_mesh;
+    set_metrics_port(*settings, options.metrics_port);
     if (options.is_check) {
         std::cout << "settings are valid\n";
         return EXIT_SUCCESS;
--- a/services/shedhilld/direct_main.h
+++ b/services/shedhilld/direct_main.h
@@ -4,6 +4,7 @@
 
 #include "libraries/dispatch/policy.h"
 
+#include <cstdint>
 #include <string>
 
 namespace shedhill::daemon {
@@ -16,6 +17,8 @@
     dispatch::dispatch_policy policy;
     // Up to so many routers are connected all to all.
     std::size_t most_in_full_mesh { 0 };
+    // Where metrics are served on the VM's address; 0 for the first port that the platform keeps free for routers.
+    std::uint16_t metrics_port { 0 };
     // Only reads the settings.
     bool is_check { false };
 };
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -56,8 +56,7 @@
         m_loop.link().set_megabits_per_second(m_settings.link_megabits_per_second);
         TRY_VOID(m_caller_listener.open(m_settings.caller_address));
         TRY_VOID(m_ready_server.open(m_settings.ready_address));
-        if (!m_settings.metrics_address.empty())
-            TRY_VOID(m_metrics_server.open(m_settings.metrics_address));
+        auto const metrics = open_metrics();
         TRY_VOID(m_knowledge.open());
         log_state("started",
             dispatch::log_fields()
@@ -68,6 +67,8 @@
                 .add("peers", m_knowledge.peer_address())
                 .add("peers_port", m_knowledge.peer_port())
                 .take());
+        if (!metrics)
+            log_state("metrics_unavailable", dispatch::log_fields().add("reason", metrics.error().to_string()).take());
         return {};
     }
 
@@ -130,6 +131,14 @@
         return options;
     }
 
+    // Callers are served without metrics too: a port that is taken ends no router.
+    result<void> open_metrics()
+    {
+        if (m_settings.metrics_address.empty())
+            return {};
+        return m_metrics_server.open(m_settings.metrics_address);
+    }
+
     // Callers.
 
     void accept(int descriptor)
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -55,6 +55,8 @@
     table.add_number("draw-size", 4, 1, 64, "Endpoint: teams drawn for one grant.");
     table.add_number("full-mesh-routers", 12, 1, 1000,
         "Platform: up to so many routers are connected all to all; more exchange sums between failure domains.");
+    table.add_number("metrics-port", 0, 0, 65535,
+        "Router, binding platform: where metrics are served; 0 for the first port that the platform keeps free.");
     daemon::describe_policy(table);
     table.add_flag("check-settings", "Checks the settings and ends.");
     table.add_flag("help", "Prints this text.");
@@ -191,7 +193,8 @@
     }
     if (values && values->text("binding") == "platform")
         return daemon::run_direct_router({ values->text("settings-file"), daemon::read_policy(*values),
-            static_cast<std::size_t>(values->number("full-mesh-routers")), values->has_flag("check-settings") });
+            static_cast<std::size_t>(values->number("full-mesh-routers")),
+            static_cast<std::uint16_t>(values->number("metrics-port")), values->has_flag("check-settings") });
     auto const checked = values ? check(*values) : result<void>(tl::unexpected<error>(values.error()));
     if (!checked) {
         std::cerr << checked.error().to_string() << '\n';
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -4,8 +4,10 @@
 
 #include "tests/harness/fleet.h"
 
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <fstream>
+#include <iterator>
 #include <unistd.h>
 
 namespace shedhill::harness {
@@ -130,9 +132,10 @@
         settings["seed_nodes"] = json::array { json::value(seed) };
     auto const path = m_folder / ("router-" + std::to_string(index) + ".json");
     std::ofstream(path) << json::serialize(settings);
-    return start_process("router-" + std::to_string(index), program_path("shedhilld"),
-        { "--role=router", "--binding=platform", "--settings-file=" + path.string(),
-            "--full-mesh-routers=" + std::to_string(m_options.domains > 1 ? 1 : m_options.routers) });
+    std::vector<std::string> arguments { "--role=router", "--binding=platform", "--settings-file=" + path.string(),
+        "--full-mesh-routers=" + std::to_string(m_options.domains > 1 ? 1 : m_options.routers) };
+    std::ranges::copy(m_options.router_arguments, std::back_inserter(arguments));
+    return start_process("router-" + std::to_string(index), program_path("shedhilld"), arguments);
 }
 
 result<void> hosted_fleet::restart_router(std::size_t index)
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -27,6 +27,8 @@
     link_kind links { link_kind::direct };
     // Where processes log and replicas write down what they ran; empty for nowhere.
     std::filesystem::path log_folder;
+    // Beside those that every router is started with.
+    std::vector<std::string> router_arguments;
     double retry_ratio { 0.5 };
     int retry_slack { 500 };
     // Requests a second that a replica bears while it is cold, and for how long that is after a restart; 0 for never.
--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_planned_stop_cuts_nothing);
     CPPUNIT_TEST(a_log_that_nobody_reads_holds_nothing_up);
     CPPUNIT_TEST(the_tool_reads_routers);
+    CPPUNIT_TEST(a_metrics_port_that_is_taken_ends_no_router);
     CPPUNIT_TEST(bad_settings_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -308,6 +309,18 @@
         CPPUNIT_ASSERT_EQUAL(5, child_process::run(program_path("shedhill"), { "routers", gone }, printed).value());
     }
 
+    void a_metrics_port_that_is_taken_ends_no_router()
+    {
+        auto const taken = fault_proxy::open("127.0.0.1:1");
+        CPPUNIT_ASSERT(taken.has_value());
+        auto const address = (*taken)->address();
+        hosted_fleet_options options;
+        options.router_arguments = { "--metrics-port=" + address.substr(address.rfind(':') + 1) };
+        auto const fleet = hosted_fleet::start(options);
+        CPPUNIT_ASSERT_MESSAGE(fleet ? "" : fleet.error().to_string(), fleet.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 200 }, status_of(fleet->ask(0, "/look/a", "id-1")));
+    }
+
     void bad_settings_are_refused()
     {
         std::string output;
