--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -60,6 +60,12 @@
         : m_options(options)
     {
     }
+    ~table_follower() = default;
+    // A copy would hold all rows again: taken by accident at each tick, it doubled a router's processor time.
+    table_follower(table_follower const&) = delete;
+    table_follower& operator=(table_follower const&) = delete;
+    table_follower(table_follower&&) = default;
+    table_follower& operator=(table_follower&&) = default;
 
     // What to call now, if anything. It counts as under way until its page or failure is taken.
     [[nodiscard]] next_call take_next(instant now, call_terms const& terms = {});
