--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -143,7 +143,7 @@
     peer_state const state { step.now, report.subject, report.domain, report.routers, report.routers_aside,
         report.busy_part };
     if (m_peers.insert_or_assign(report.source(), state).second)
-        step.effects.emplace_back(log_line { severity::state, "peer_regained",
+        step.effects.emplace_back(log_line { severity::failure, "peer_regained",
             log_fields().add("peer", report.source().value()).add("teller", report.peer.value()).take() });
     auto const place = place_of(report);
     m_ledger.take_report(report, place, step.now);
@@ -160,7 +160,7 @@
     m_ledger.forget(lost.source);
     m_board.forget(lost.source);
     step.effects.emplace_back(
-        log_line { severity::state, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
+        log_line { severity::failure, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
 }
 
 void dispatch_reducer::forget_silent_peers(step_context& step)
