shedhilld: Lines of the store, gauges and levels in files of their own

What a note of the store says in the log and in the counters, which gauges show the reducer's state, and the log's level of a severity are free functions, testable without a router.

--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -15,6 +15,8 @@
 #include "services/shedhilld/endpoint_connections.h"
 #include "services/shedhilld/exchange_table.h"
 #include "services/shedhilld/fleet_knowledge.h"
+#include "services/shedhilld/log_levels.h"
+#include "services/shedhilld/router_gauges.h"
 
 #include <array>
 #include <csignal>
@@ -96,12 +98,12 @@
 
     void log_state(std::string_view event, std::string const& fields)
     {
-        m_log.write(logging::event_level::state, event, fields, m_loop.now());
+        log(logging::event_level::state, event, fields);
     }
 
-    void log_failure(std::string_view event, std::string const& fields)
+    void log(logging::event_level level, std::string_view event, std::string const& fields)
     {
-        m_log.write(logging::event_level::failure, event, fields, m_loop.now());
+        m_log.write(level, event, fields, m_loop.now());
     }
 
     void count(std::string const& name) { m_metrics.add(name); }
@@ -277,23 +279,7 @@
 
     void carry_out(dispatch::stop_process const&) { }
 
-    void carry_out(dispatch::log_line const& line)
-    {
-        m_log.write(level_of(line.level), line.event, line.fields, m_loop.now());
-    }
-
-    static logging::event_level level_of(dispatch::severity level)
-    {
-        switch (level) {
-        case dispatch::severity::detail:
-            return logging::event_level::detail;
-        case dispatch::severity::failure:
-            return logging::event_level::failure;
-        case dispatch::severity::state:
-            break;
-        }
-        return logging::event_level::state;
-    }
+    void carry_out(dispatch::log_line const& line) { log(level_of(line.level), line.event, line.fields); }
 
     void carry_out(dispatch::count_event const& happened) { m_metrics.add(counter_name(happened)); }
 
@@ -408,21 +394,13 @@
     std::string metrics_text()
     {
         m_metrics.set("shedhill_ready", m_is_ready ? 1 : 0);
-        m_metrics.set("shedhill_configuration_revision", static_cast<double>(m_reducer.routes().current().revision));
         m_metrics.set("shedhill_follows_store", m_knowledge.is_following() ? 1 : 0);
         m_metrics.set("shedhill_tells_other_domains", m_knowledge.is_telling_domains() ? 1 : 0);
-        m_metrics.set("shedhill_load_part", m_reducer.load_part());
-        m_metrics.set("shedhill_choices", static_cast<double>(m_reducer.choices()));
-        m_metrics.set("shedhill_active_requests", static_cast<double>(m_reducer.active_requests()));
-        m_metrics.set("shedhill_waiting_requests", static_cast<double>(m_reducer.waiting_requests()));
-        m_metrics.set("shedhill_cold_endpoints", static_cast<double>(m_reducer.cold_endpoints(m_loop.now())));
-        m_metrics.set("shedhill_evacuated_domains", static_cast<double>(m_reducer.evacuated_domains()));
         m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_knowledge.configuration_age().count()));
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
         m_metrics.set("shedhill_store_unheard_ms", static_cast<double>(m_knowledge.store_unheard().count()));
-        m_metrics.set("shedhill_log_lines_taken", static_cast<double>(m_log.counts().taken));
-        m_metrics.set("shedhill_log_lines_over_budget", static_cast<double>(m_log.counts().over_budget));
-        m_metrics.set("shedhill_log_lines_unread", static_cast<double>(m_log.counts().pipe_full));
+        set_dispatch_gauges(m_metrics, m_reducer, m_loop.now());
+        set_log_gauges(m_metrics, m_log.counts());
         return m_metrics.to_text();
     }
 
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -14,6 +14,7 @@
 #include "services/shedhilld/endpoint_rows.h"
 #include "services/shedhilld/fleet_reports.h"
 #include "services/shedhilld/routers_table.h"
+#include "services/shedhilld/store_lines.h"
 #include "services/shedhilld/told_documents.h"
 
 #include <algorithm>
@@ -26,7 +27,8 @@
 
 // What the router gives: it takes events, and keeps the log and the counters.
 template <typename Host>
-concept knowledge_host = requires(Host& host, dispatch::event_body event, std::string const& text)
+concept knowledge_host
+    = requires(Host& host, dispatch::event_body event, logging::event_level level, std::string const& text)
 {
     {
         host.learn(std::move(event))
@@ -35,7 +37,7 @@
         host.log_state(text, text)
         } -> std::same_as<void>;
     {
-        host.log_failure(text, text)
+        host.log(level, text, text)
         } -> std::same_as<void>;
     {
         host.count(text)
@@ -89,7 +91,7 @@
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
         for (auto const& note : m_followers.take_notes())
-            log_store(note);
+            write_down(note);
         if (m_roster.drop_lapsed(now))
             m_host.learn(dispatch::endpoints_listed { m_roster.entries() });
         if (!m_settings.peer_address.empty() && m_reports.tick(now, draw)) {
@@ -225,37 +227,12 @@
 
     // The store.
 
-    void log_store(dispatch::store_note const& note)
-    {
-        using happened = dispatch::store_note::what_happened;
-        auto const table = name_of(note.table);
-        auto const fields = dispatch::log_fields()
-                                .add("table", table)
-                                .add("reason", name_of(note.reason))
-                                .add("wait_ms", note.wait.count())
-                                .add("took_ms", note.took.count())
-                                .add("unheard_ms", note.unheard.count())
-                                .take();
-        switch (note.what) {
-        case happened::call_answered:
-            return count_store_call(table, "answered");
-        case happened::call_failed:
-            count_store_call(table, name_of(note.reason));
-            return m_host.log_failure("store_call_failed", fields);
-        case happened::call_given_up:
-            count_store_call(table, "given_up");
-            return m_host.log_failure("store_call_given_up", fields);
-        case happened::lost:
-            return m_host.log_state("store_lost", fields);
-        case happened::regained:
-            return m_host.log_state("store_regained", fields);
-        }
-    }
-
-    void count_store_call(std::string_view table, std::string_view end)
+    void write_down(dispatch::store_note const& note)
     {
-        m_host.count(
-            "shedhill_store_calls_total{table=\"" + std::string(table) + "\",end=\"" + std::string(end) + "\"}");
+        if (auto const counter = counter_of(note))
+            m_host.count(*counter);
+        if (auto const line = line_of(note))
+            m_host.log(line->level, line->event, line->fields);
     }
 
     // Who told a document, and how old its confirmation was.
--- /dev/null
+++ b/services/shedhilld/router_gauges.cpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One gauge a line.
+#include "services/shedhilld/router_gauges.h"
+
+namespace shedhill::daemon {
+
+void set_dispatch_gauges(metrics::registry& registry, dispatch::dispatch_reducer& reducer, instant now)
+{
+    registry.set("shedhill_configuration_revision", static_cast<double>(reducer.routes().current().revision));
+    registry.set("shedhill_load_part", reducer.load_part());
+    registry.set("shedhill_choices", static_cast<double>(reducer.choices()));
+    registry.set("shedhill_active_requests", static_cast<double>(reducer.active_requests()));
+    registry.set("shedhill_waiting_requests", static_cast<double>(reducer.waiting_requests()));
+    registry.set("shedhill_cold_endpoints", static_cast<double>(reducer.cold_endpoints(now)));
+    registry.set("shedhill_evacuated_domains", static_cast<double>(reducer.evacuated_domains()));
+}
+
+void set_log_gauges(metrics::registry& registry, logging::event_log_counts const& counts)
+{
+    registry.set("shedhill_log_lines_taken", static_cast<double>(counts.taken));
+    registry.set("shedhill_log_lines_over_budget", static_cast<double>(counts.over_budget));
+    registry.set("shedhill_log_lines_unread", static_cast<double>(counts.pipe_full));
+}
+
+} // namespace shedhill::daemon
