dispatch: A table that is being read is read on, and reads that fail are repeated less and less

What the code did there, from reading it: 300 routers read 3,000 rows each, in pages; when a small table was answered first after a failure, the read was given up and began anew, and one that failed was repeated after 0.2 to 0.4 s. Now a read goes on, and its pause doubles up to 3.2 s. Two tests, both failed before.

--- a/libraries/dispatch/store_followers.cpp
+++ b/libraries/dispatch/store_followers.cpp
@@ -15,6 +15,9 @@
 // A table that fails while others are answered is asked again after half of this, or up to all of it. With answer_limit
 // within the smallest bound in use (2 s), whatever the pauses between probes are.
 constexpr milliseconds longest_retry_pause { 400 };
+// Reads of whole tables that fail are repeated after twice the time of the one before, three times at the most: many
+// routers that start at once read 450 kB each, and a read that is given up was in vain.
+constexpr std::uint32_t most_doublings = 3;
 // A call that was refused is repeated after this time; one without an answer at once.
 constexpr milliseconds refused_pause { 100 };
 // A row that another table's answer shows to be missing may be on its way.
@@ -29,9 +32,9 @@
 // In the order in which they are asked for a row that is missing.
 constexpr std::array tables_by_wait { table_name::configuration, table_name::routers, table_name::endpoints };
 
-milliseconds draw_retry_pause(std::uint64_t draw)
+milliseconds draw_retry_pause(std::uint32_t failed_reads, std::uint64_t draw)
 {
-    constexpr auto half = longest_retry_pause / 2;
+    auto const half = longest_retry_pause / 2 * (1U << std::min(failed_reads, most_doublings));
     return half + milliseconds(static_cast<std::int64_t>(draw % static_cast<std::uint64_t>(half.count())));
 }
 
@@ -96,6 +99,7 @@
     state.doubt = doubt_kind::none;
     state.called_at = now;
     state.wait = next.wait;
+    state.is_reading = next.kind == table_follower::call_kind::read;
     m_next_probe_at = now + m_terms.probe_interval;
     return store_call { table, next, next.wait + (next.wait > milliseconds(0) ? m_held_limit : answer_limit) };
 }
@@ -159,6 +163,7 @@
     auto const outcome = state.follower.take_page(rows, version, has_more, now);
     state.is_calling = false;
     state.doubt = doubt_kind::none;
+    state.failed_reads = 0;
     state.answered_at = now;
     for (auto const& row : rows)
         m_versions.note_row(row.version);
@@ -180,7 +185,8 @@
     }
     bool const was_failing = state.follower.is_failing();
     state.follower.take_failure(what, now);
-    state.retry_at = now + draw_retry_pause(draw);
+    state.failed_reads = state.is_reading ? state.failed_reads + 1 : 0;
+    state.retry_at = now + draw_retry_pause(state.failed_reads, draw);
     m_watchful_until = now + watchful_time;
     if (!was_failing && !m_is_lost)
         note_lost(table, what, now);
@@ -200,8 +206,10 @@
         note(store_note::what_happened::regained, table, {}, now);
         give_up_others(table, which_calls::all);
         for (auto const other : all_tables) {
-            state_of(other).retry_at = now;
-            state_of(other).is_doubtful = other != table;
+            auto& state = state_of(other);
+            state.is_doubtful = other != table;
+            if (state.failed_reads == 0)
+                state.retry_at = now;
         }
     }
     m_answered_at = now;
@@ -212,7 +220,8 @@
     for (auto const other : all_tables) {
         auto& state = state_of(other);
         bool const is_held = state.wait > milliseconds(0);
-        if (other != table && state.is_calling && (is_held || which == which_calls::all))
+        // A read that goes on page by page would have to begin anew.
+        if (other != table && state.is_calling && !state.is_reading && (is_held || which == which_calls::all))
             state.doubt = doubt_kind::store_lost;
     }
 }
@@ -240,8 +249,8 @@
 void store_followers::doubt_what_is_behind(instant now)
 {
     // NOTE: The least version, not the least state: a state holds all rows, and this is asked at each tick.
-    m_versions.note_complete(std::ranges::min(
-        m_states | std::views::transform([](auto const& state) { return state.follower.version(); })));
+    m_versions.note_complete(
+        std::ranges::min(m_states | std::views::transform([](auto const& state) { return state.follower.version(); })));
     auto const missing = m_versions.unexplained();
     if (!missing || m_is_lost || now - missing->noticed_at < answer_on_its_way || now < m_next_doubt_at)
         return;
--- a/libraries/dispatch/store_followers.h
+++ b/libraries/dispatch/store_followers.h
@@ -55,8 +55,8 @@
     // NOTE: A slow store takes long over every call; giving up early would mean never to hear it.
     static constexpr milliseconds answer_limit { 900 };
     // Beyond the time that it may be held, a call is given twice what the last one took of it, within these limits. If
-    // that is too little, the next one is answered at once, and has the whole limit. With the time that the list's calls
-    // are held (1.35 s) and the calls that follow, the greater one is within the smallest bound in use (2 s).
+    // that is too little, the next one is answered at once, and has the whole limit. With the time that the list's
+    // calls are held (1.35 s) and the calls that follow, the greater one is within the smallest bound in use (2 s).
     static constexpr milliseconds held_answer_limit { 300 };
     static constexpr milliseconds longest_held_answer_limit { 500 };
 
@@ -97,6 +97,10 @@
         bool is_doubtful { false };
         // The call under way was made because of a newer version.
         bool is_asked_for_version { false };
+        // The call under way reads the table whole, a page after another.
+        bool is_reading { false };
+        // Reads of the whole table that have failed, one after another.
+        std::uint32_t failed_reads { 0 };
         // When the last call was answered.
         instant answered_at {};
         // A table that fails while the others are answered is asked again then.
--- a/tests/dispatch/store_followers_test.cpp
+++ b/tests/dispatch/store_followers_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(a_store_that_is_away_is_asked_at_a_bounded_rate);
     CPPUNIT_TEST(an_answer_ends_the_wait_of_all_tables);
     CPPUNIT_TEST(a_table_that_fails_alone_leaves_the_others_be);
+    CPPUNIT_TEST(a_table_that_is_being_read_is_read_on);
+    CPPUNIT_TEST(reads_of_whole_tables_that_fail_are_repeated_less_and_less);
     CPPUNIT_TEST(a_version_that_no_row_explains_is_looked_for);
     CPPUNIT_TEST(versions_of_tables_that_nobody_follows_are_doubted_less_and_less);
     CPPUNIT_TEST_SUITE_END();
@@ -236,6 +238,40 @@
         CPPUNIT_ASSERT(given_up <= 2);
     }
 
+    // 300 routers that start at once read 3,000 rows each: the small tables are answered first, and a read that is
+    // given up begins anew.
+    void a_table_that_is_being_read_is_read_on()
+    {
+        store_followers followers(usual_terms());
+        CPPUNIT_ASSERT(followers.take_next(table_name::configuration, at(1000)).has_value());
+        CPPUNIT_ASSERT(followers.take_next(table_name::endpoints, at(1000)).has_value());
+        followers.take_failure(table_name::configuration, table_follower::failure::refused, at(1010), 0);
+        CPPUNIT_ASSERT(followers.is_lost());
+        CPPUNIT_ASSERT(!followers.is_to_give_up(table_name::endpoints, at(1010)));
+        CPPUNIT_ASSERT(followers.take_next(table_name::configuration, at(1200)).has_value());
+        (void)followers.take_page(table_name::configuration, { { "row", "1", 3 } }, 5, false, at(1210));
+        CPPUNIT_ASSERT(!followers.is_lost());
+        CPPUNIT_ASSERT(!followers.is_to_give_up(table_name::endpoints, at(1210)));
+    }
+
+    void reads_of_whole_tables_that_fail_are_repeated_less_and_less()
+    {
+        store_followers followers(usual_terms());
+        (void)followers.take_next(table_name::configuration, at(1000));
+        (void)followers.take_page(table_name::configuration, { { "row", "1", 3 } }, 5, false, at(1000));
+        std::vector<std::int64_t> made;
+        for (std::int64_t time = 1020; time < 12000; time += 20) {
+            if (!followers.take_next(table_name::endpoints, at(time)))
+                continue;
+            made.push_back(time);
+            followers.take_failure(table_name::endpoints, table_follower::failure::no_answer, at(time), 199);
+            // The others go on to be answered.
+            (void)followers.take_page(table_name::configuration, {}, 5, false, at(time));
+        }
+        CPPUNIT_ASSERT(made.size() >= 5 && made.size() <= 12);
+        CPPUNIT_ASSERT(made.back() - made[made.size() - 2] >= 800);
+    }
+
     // The answer that told the configuration was lost on its way; the list is answered all the time.
     void a_version_that_no_row_explains_is_looked_for()
     {
