--- a/libraries/dispatch/store_followers.cpp
+++ b/libraries/dispatch/store_followers.cpp
@@ -3,7 +3,6 @@
 #include "libraries/dispatch/store_followers.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace shedhill::dispatch {
 
@@ -248,9 +247,10 @@
 
 void store_followers::doubt_what_is_behind(instant now)
 {
-    // NOTE: The least version, not the least state: a state holds all rows, and this is asked at each tick.
-    m_versions.note_complete(
-        std::ranges::min(m_states | std::views::transform([](auto const& state) { return state.follower.version(); })));
+    auto complete = m_states.front().follower.version();
+    for (auto const& state : m_states)
+        complete = std::min(complete, state.follower.version());
+    m_versions.note_complete(complete);
     auto const missing = m_versions.unexplained();
     if (!missing || m_is_lost || now - missing->noticed_at < answer_on_its_way || now < m_next_doubt_at)
         return;
--- a/libraries/dispatch/table_follower.h
+++ b/libraries/dispatch/table_follower.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Decides what is asked of a table of the store, and what is taken: it is read whole once, then followed by its feed,
-// and read anew when its history is gone. What is older than what is known is never taken. When calls are made while the
-// store is in trouble is decided for all tables together, by store_followers.
+// and read anew when its history is gone. What is older than what is known is never taken. When calls are made while
+// the store is in trouble is decided for all tables together, by store_followers.
 #pragma once
 
 #include "base/units.h"
--- a/tests/dispatch/store_outage_watch_test.cpp
+++ b/tests/dispatch/store_outage_watch_test.cpp
@@ -58,9 +58,9 @@
         CPPUNIT_ASSERT(watch.contact({ at(9800), at(9800) }, at(11000)).returned_at == at(9000));
     }
 
-    // The store was away for all, for so long that all entries lapsed. One router hears it first, keeps what has lapsed, and
-    // tells the others the list as the store shows it, some 30 ms before their own calls are answered: four of five
-    // routers went by that list, which had one endpoint of twelve.
+    // The store was away for all, for so long that all entries lapsed. One router hears it first, keeps what has
+    // lapsed, and tells the others the list as the store shows it, some 30 ms before their own calls are answered: four
+    // of five routers went by that list, which had one endpoint of twelve.
     void what_lapsed_is_kept_by_who_is_told_of_the_return()
     {
         store_outage_watch watch;
--- a/tests/dispatch/store_play.cpp
+++ b/tests/dispatch/store_play.cpp
@@ -66,8 +66,11 @@
     if (!next)
         return;
     ++m_calls;
-    pending = pending_call { *next, m_now };
-    serve(*pending);
+    pending_call made;
+    made.call = *next;
+    made.made_at = m_now;
+    serve(made);
+    pending = std::move(made);
 }
 
 void store_play::serve(pending_call& pending)
