platform, relay, dispatch: What an answer tells of its endpoint is read and logged

The binding reads what a head says of its endpoint (a rest asked for by a 503 or 429, leaving by any answer) into a typed notice; an event brings it to the reducer, which writes a line. No decision is changed. Nonsense, nothing, a sign, an exponent, a date: no rest; too large for the type: a long one. A gauge of the endpoints that are listed.

--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -172,6 +172,18 @@
         attempt_ended { stalled.request, stalled.attempt, attempt_end::silent, 0, 0, stalled.has_answer_begun }, step);
 }
 
+void dispatch_reducer::handle(endpoint_told const& told, step_context& step)
+{
+    auto const found = m_requests.find(told.request);
+    step.effects.emplace_back(log_line { severity::failure, "endpoint_told",
+        log_fields()
+            .add("endpoint", told.endpoint.value())
+            .add("id", found == m_requests.end() ? std::string() : found->second.caller_id)
+            .add("rest_ms", told.notice.rest.count())
+            .add("leaving", told.notice.is_leaving ? 1 : 0)
+            .take() });
+}
+
 void dispatch_reducer::leave_endpoint(active_request& request, attempt_verdict const* verdict, step_context& step)
 {
     request.at = phase::waiting;
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -47,6 +47,7 @@
     [[nodiscard]] std::uint64_t choices() const { return m_choices; }
     [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
     [[nodiscard]] std::size_t cold_endpoints(instant now) const { return m_board.cold_endpoints(now); }
+    [[nodiscard]] std::size_t listed_endpoints() const { return m_board.listed_endpoints(); }
     [[nodiscard]] std::size_t evacuated_domains() const { return m_board.evacuated().size(); }
     [[nodiscard]] std::vector<engine_view> engines() const { return m_board.engines(); }
     [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool) const
@@ -124,6 +125,7 @@
     void handle(answer_began const& began, step_context& step);
     void handle(attempt_ended const& ended, step_context& step);
     void handle(attempt_stalled const& stalled, step_context& step);
+    void handle(endpoint_told const& told, step_context& step);
     void handle(configuration_learned const& learned, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -126,6 +126,7 @@
     // The pool has endpoints, but all of them are in evacuated failure domains.
     [[nodiscard]] bool is_evacuated(pool_name const& pool) const;
     [[nodiscard]] std::set<failure_domain> const& evacuated() const { return m_evacuated; }
+    [[nodiscard]] std::size_t listed_endpoints() const { return m_by_name.size(); }
     [[nodiscard]] std::size_t endpoints_in(failure_domain const& domain) const;
     // The best endpoint; none if all are excluded, gone or ejected.
     [[nodiscard]] endpoint_choice choose(choice_request wanted, instant now);
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -46,6 +46,15 @@
     bool has_answer_begun { false };
 };
 
+// The head of an answer told something of the endpoint itself. It comes before the attempt's own end.
+struct endpoint_told {
+    request_number request {};
+    endpoint_name endpoint;
+    // Whose word it is: a later start of the same name is not bound by it.
+    endpoint_key start;
+    endpoint_notice notice;
+};
+
 // Nothing came from the endpoint for the attempt's silence limit. The attempt goes on unless it is cancelled.
 struct attempt_stalled {
     request_number request {};
@@ -149,9 +158,9 @@
     double link_part { 0 };
 };
 
-using event_body
-    = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled, configuration_learned,
-        domains_evacuated, endpoints_listed, routers_listed, peer_reported, peer_lost, drain_requested, tick>;
+using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
+    endpoint_told, configuration_learned, domains_evacuated, endpoints_listed, routers_listed, peer_reported, peer_lost,
+    drain_requested, tick>;
 
 struct event {
     instant now {};
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -120,6 +120,16 @@
     bool operator==(endpoint_entry const&) const = default;
 };
 
+// What an endpoint tells a router of itself beside an answer.
+struct endpoint_notice {
+    // It wants nothing from this router for so long; 0 where it asks for no rest.
+    milliseconds rest { 0 };
+    // It is about to end, whatever its row says.
+    bool is_leaving { false };
+
+    [[nodiscard]] bool is_empty() const { return rest.count() == 0 && !is_leaving; }
+};
+
 // A part of a prompt that other requests may share. Parts stand in the prompt's order; the last is the request's own.
 struct prompt_part {
     std::uint64_t id { 0 };
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -116,6 +116,7 @@
     {
         m_status = static_cast<std::uint16_t>(head.result_int());
         m_kind = Binding::kind_of(head, m_request);
+        tell_notice(head);
         if (m_kind == answer_kind::other_call)
             return head_choice::skip;
         if (m_kind == answer_kind::invalid)
@@ -130,6 +131,16 @@
         return head_choice::take;
     }
 
+    // Also of an answer that is not passed on, or came too late for its own call: the connection is this start's alone.
+    // Where another endpoint answers at the address, its word is not of the one that was meant.
+    void tell_notice(answer_head const& head)
+    {
+        if (m_kind == answer_kind::wrong_endpoint)
+            return;
+        if (auto const notice = Binding::notice_of(head); !notice.is_empty())
+            m_owner.on_event(dispatch::endpoint_told { m_number, m_attempt.endpoint, m_attempt.start, notice });
+    }
+
     void on_data(std::string_view data) override
     {
         m_progress_at = m_loop.now();
--- a/libraries/relay/protocol.h
+++ b/libraries/relay/protocol.h
@@ -54,6 +54,10 @@
     {
         Binding::kind_of(head, request)
         } -> std::same_as<answer_kind>;
+    // What the endpoint tells of itself beside its answer.
+    {
+        Binding::notice_of(head)
+        } -> std::same_as<dispatch::endpoint_notice>;
     {
         Binding::append_refusal(out, refusal, request)
         } -> std::same_as<void>;
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_resumed_call_names_the_last_event_once);
     CPPUNIT_TEST(only_the_mark_proves_not_run);
     CPPUNIT_TEST(an_answer_to_another_call_is_known_by_its_id);
+    CPPUNIT_TEST(what_an_answer_tells_of_its_endpoint_is_read_with_care);
     CPPUNIT_TEST(a_refusal_says_when_to_come_back);
     CPPUNIT_TEST(a_configuration_is_read_whole);
     CPPUNIT_TEST(a_bad_configuration_is_refused_with_the_field);
@@ -225,6 +226,38 @@
             == relay::answer_kind::other_call);
     }
 
+    static dispatch::endpoint_notice notice_of(
+        unsigned status, std::vector<std::pair<std::string, std::string>> const& fields)
+    {
+        relay::answer_head head;
+        head.result(status);
+        for (auto const& [name, value] : fields)
+            head.set(name, value);
+        return caller_binding::notice_of(head);
+    }
+
+    void what_an_answer_tells_of_its_endpoint_is_read_with_care()
+    {
+        auto const rest_of = [](std::string const& text) { return notice_of(503, { { "Retry-After", text } }).rest; };
+        CPPUNIT_ASSERT(rest_of("3") == milliseconds(3000));
+        CPPUNIT_ASSERT(rest_of("0.25") == milliseconds(250));
+        CPPUNIT_ASSERT(rest_of("0.0001") == milliseconds(1));
+        for (auto const* nonsense :
+            { "", "0", "-1", "-0", "nan", "inf", "1e3", "3 s", "soon", "0x10", "+3", "Wed, 21 Oct 2026 07:28:00 GMT" })
+            CPPUNIT_ASSERT_MESSAGE(nonsense, rest_of(nonsense) == milliseconds(0));
+        // Too large for any type: a long rest, not none.
+        CPPUNIT_ASSERT(rest_of("99999999999999999999") > std::chrono::hours(24));
+        // Only who turns a request away asks for rest by it.
+        for (auto const status : { 200U, 404U, 500U, 301U })
+            CPPUNIT_ASSERT(notice_of(status, { { "Retry-After", "3" } }).is_empty());
+        CPPUNIT_ASSERT(notice_of(429, { { "Retry-After", "3" } }).rest == milliseconds(3000));
+        // Any answer tells that its endpoint leaves.
+        for (auto const status : { 200U, 404U, 500U, 503U })
+            CPPUNIT_ASSERT(notice_of(status, { { "Server-Leaving", "1" } }).is_leaving);
+        CPPUNIT_ASSERT(!notice_of(200, { { "Server-Leaving", "0" } }).is_leaving);
+        CPPUNIT_ASSERT(notice_of(200, {}).is_empty());
+    }
+
     void a_refusal_says_when_to_come_back()
     {
         std::string answer;
