tests: Endpoints that ask for rest or leave by their answers get more requests: red

On real processes, a router before stand-ins that speak both words: a replica asked for 2 s of rest once and went on getting every request; one that said in each answer that it leaves got 400 of 400, and 220 of 220 with its row gone and back (0 after the first is right). So the word is not read, whatever else happens (the first hypothesis); a replica that turns away all is ejected after some, which hides it (that form of the process test passed on this code).

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -407,11 +407,14 @@
         std::string method;
         std::string target;
         std::string incarnation;
-        while (file >> event >> id >> method >> target >> incarnation) {
+        std::int64_t at_ms = 0;
+        while (file >> event >> id >> method >> target >> incarnation >> at_ms) {
             if (event == "over") {
                 m_record.findings.push_back("more than a cold replica bears: " + incarnation);
                 continue;
             }
+            if (event != "ran" && event != "arrived")
+                continue;
             auto& seen = m_record.replicas[id];
             ++(event == "ran" ? seen.runs : seen.arrivals);
             seen.method = method;
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -11,6 +11,9 @@
 
 // A mute replica says nothing for so long.
 constexpr std::chrono::milliseconds mute_for { 20000 };
+constexpr char const* rest_seconds = "2";
+
+bool turns_away(std::string const& mode) { return mode == "busy" || mode == "rest" || mode == "rest_once"; }
 
 } // namespace
 
@@ -28,7 +31,10 @@
 {
     auto const& request = exchange.request();
     if (request.target == "/control") {
-        m_mode = std::string(boost::json::parse(request.body).at("mode").as_string());
+        auto const wanted = std::string(boost::json::parse(request.body).at("mode").as_string());
+        m_is_leaving |= wanted == "leaving";
+        if (wanted != "leaving")
+            m_mode = wanted;
         (void)exchange.respond({ 200, {}, "application/json", "{}" });
         return;
     }
@@ -46,32 +52,56 @@
 {
     if (m_runs_file.is_open())
         m_runs_file << event << ' ' << request.header("Shedhill-Request-Id") << ' ' << request.method << ' '
-                    << request.target << ' ' << m_incarnation << std::endl;
+                    << request.target << ' ' << m_incarnation << ' '
+                    << std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::steady_clock::now().time_since_epoch())
+                           .count()
+                    << std::endl;
+}
+
+std::vector<net::http_header> hosted_replica::usual_headers(net::http_request const& request)
+{
+    std::vector<net::http_header> headers { { "Shedhill-Request-Id", request.header("Shedhill-Request-Id") } };
+    if (!m_is_leaving)
+        return headers;
+    headers.push_back({ "Server-Leaving", "1" });
+    note("told_leaving", request);
+    return headers;
+}
+
+void hosted_replica::turn_away(net::http_exchange& exchange)
+{
+    auto headers = usual_headers(exchange.request());
+    headers.push_back({ "Shedhill-Not-Executed", "1" });
+    if (m_mode != "busy") {
+        headers.push_back({ "Retry-After", rest_seconds });
+        note("asked_rest", exchange.request());
+    }
+    if (m_mode == "rest_once")
+        m_mode = "ok";
+    (void)exchange.respond({ 503, headers, "text/plain", "full\n" });
 }
 
 void hosted_replica::run(net::http_exchange& exchange)
 {
     auto const& request = exchange.request();
     auto const id = request.header("Shedhill-Request-Id");
-    std::vector<net::http_header> headers { { "Shedhill-Request-Id", id } };
     note("arrived", request);
     if (auto const expected = request.header("Shedhill-Expect-Instance");
         !expected.empty() && expected != m_incarnation) {
-        (void)exchange.respond({ 421, headers, "text/plain", "another\n" });
+        (void)exchange.respond({ 421, { { "Shedhill-Request-Id", id } }, "text/plain", "another\n" });
         return;
     }
     count_while_cold(request);
-    if (m_mode == "busy") {
-        headers.push_back({ "Shedhill-Not-Executed", "1" });
-        (void)exchange.respond({ 503, headers, "text/plain", "full\n" });
-        return;
-    }
+    if (turns_away(m_mode))
+        return turn_away(exchange);
     ++m_runs[id];
     note("ran", request);
     if (m_mode == "mute") {
         boost::this_fiber::sleep_for(mute_for);
         return exchange.abort_stream();
     }
+    auto headers = usual_headers(request);
     headers.push_back({ "Shedhill-Server-Signature", "signed-by-" + m_incarnation });
     if (m_mode == "fail") {
         (void)exchange.respond({ 500, headers, "text/plain", "failed\n" });
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -25,14 +25,18 @@
         std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file, cold_start cold);
 
     // Any path is a request; under /stream/ ten events are streamed, and under a path with /own/ each holds the
-    // request's id. POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail"}; GET /counts: how often each
-    // request id was run.
+    // request's id. POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail" | "rest" | "rest_once" |
+    // "leaving"}; GET /counts: how often each request id was run. One that rests turns all away and asks for two
+    // seconds without requests; "rest_once" the first only. One that leaves says so in all answers from then on.
     void serve(net::http_exchange& exchange);
 
 private:
     void run(net::http_exchange& exchange);
     void count_while_cold(net::http_request const& request);
-    // Writes a line of the runs file: what happened, to which request, and what was asked.
+    // What every answer to the request says, whatever else it says.
+    [[nodiscard]] std::vector<net::http_header> usual_headers(net::http_request const& request);
+    void turn_away(net::http_exchange& exchange);
+    // Writes a line of the runs file: what happened, to which request, what was asked, and when (steady clock, ms).
     void note(char const* event, net::http_request const& request);
     void stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
 
@@ -41,6 +45,7 @@
     std::string m_incarnation;
     std::chrono::milliseconds m_interval;
     std::string m_mode { "ok" };
+    bool m_is_leaving { false };
     cold_start m_cold;
     std::chrono::steady_clock::time_point m_started_at { std::chrono::steady_clock::now() };
     // Of the last second, the oldest first.
