soak: Replicas that ask for rest and replicas that leave by their answers

Promises: no more than two requests of a router within a rest, half a second after it was asked for; none that a caller sent a second after the router passed on that the replica leaves.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -18,6 +18,7 @@
 constexpr std::int64_t least_duration_ms = 100;
 constexpr std::size_t duration_spread_ms = 2500;
 constexpr std::uint64_t seed_of_kinds_beside = 1U << 30U;
+constexpr std::uint64_t seed_of_notices = 1U << 31U;
 
 milliseconds draw_time(random_draw& draw, std::int64_t least, std::size_t spread)
 {
@@ -84,6 +85,10 @@
         return "evacuation";
     case fault_kind::connections_silent:
         return "connections_silent";
+    case fault_kind::replica_rests:
+        return "replica_rests";
+    case fault_kind::replica_leaves:
+        return "replica_leaves";
     case fault_kind::count:
         break;
     }
@@ -105,6 +110,11 @@
         draw_series(fault_kind::evacuation, options.run_for, beside, plan);
     if (!is_planned_only && beside.below(2) == 0)
         draw_series(fault_kind::connections_silent, options.run_for, beside, plan);
+    random_draw notices(options.seed + seed_of_notices);
+    for (auto const kind : { fault_kind::replica_rests, fault_kind::replica_leaves }) {
+        if (notices.below(2) == 0)
+            draw_series(kind, options.run_for, notices, plan);
+    }
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -39,6 +39,9 @@
     // Drawn beside the ones above, so that an older seed still draws what it drew.
     evacuation,
     connections_silent,
+    // Replicas that turn all away and ask for rest; one that says in its answers that it leaves.
+    replica_rests,
+    replica_leaves,
     count,
 };
 
@@ -46,7 +49,8 @@
 // Whether an operator or the platform does it on purpose, so that no request may be lost by it.
 constexpr bool is_planned(fault_kind kind)
 {
-    return kind <= fault_kind::configuration_change || kind == fault_kind::evacuation;
+    return kind <= fault_kind::configuration_change || kind == fault_kind::evacuation
+        || kind == fault_kind::replica_leaves;
 }
 
 struct planned_fault {
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -2,7 +2,10 @@
 // The promises, one function each.
 #include "tests/soak/soak_record.h"
 
+#include "tests/soak/notice_promises.h"
+
 #include <algorithm>
+#include <iterator>
 
 namespace shedhill::soak {
 
@@ -147,6 +150,7 @@
     }
     check_replicas(record, broken);
     check_revisions(record, broken);
+    std::ranges::copy(find_broken_notices(record), std::back_inserter(broken));
     return broken;
 }
 
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -72,12 +72,37 @@
     soak_clock::time_point to;
 };
 
+// What a replica wrote down: an arrival, or an answer that told something of the replica.
+struct replica_event {
+    std::string incarnation;
+    // Of the request that arrived, or was answered.
+    std::string id;
+    soak_clock::time_point at;
+};
+
+// A router was stopped, killed or paused: what it had been told is gone, or was read late.
+struct router_trouble {
+    std::size_t router { 0 };
+    failure_span span;
+};
+
+struct link_trouble {
+    std::size_t replica { 0 };
+    failure_span span;
+};
+
 struct soak_record {
     std::vector<caller_request> requests;
     // In the order in which each router's answers came.
     std::vector<revision_seen> revisions;
     std::map<std::string, replica_record> replicas;
     std::vector<failure_span> failures;
+    std::vector<router_trouble> router_troubles;
+    std::vector<link_trouble> link_troubles;
+    std::vector<replica_event> arrivals;
+    // Answers that asked for rest, and answers that said that the replica leaves.
+    std::vector<replica_event> rests;
+    std::vector<replica_event> leavings;
     // Found while the run went on, such as a process that ended by itself.
     std::vector<std::string> findings;
 };
--- a/tests/soak/soak_record_test.cpp
+++ b/tests/soak/soak_record_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(a_missing_answer_is_found);
     CPPUNIT_TEST(a_denial_is_found);
     CPPUNIT_TEST(an_older_revision_is_found_within_one_life);
+    CPPUNIT_TEST(what_comes_in_a_rest_is_found_unless_the_router_was_in_trouble);
+    CPPUNIT_TEST(what_comes_to_one_that_left_is_found);
     CPPUNIT_TEST_SUITE_END();
 
     static soak_clock::time_point at(int time) { return soak_clock::time_point(std::chrono::milliseconds(time)); }
@@ -50,6 +52,59 @@
 
     void a_sound_run_breaks_nothing() { CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(sound_order())); }
 
+    // Three orders of one router, of which the first told something of its replica.
+    static soak_record noticed(int later)
+    {
+        soak_record record;
+        for (auto const* id : { "a", "b", "c", "d" }) {
+            record.requests.push_back(
+                served(id, request_form::order, std::string("team=kitchen key= body=order of ") + id));
+            record.replicas[id] = { 1, 1, "POST", target_of(request_form::order) };
+            bool const is_first = record.requests.size() == 1;
+            record.arrivals.push_back({ "i-1x", id, at(is_first ? 1050 : later) });
+            if (!is_first)
+                record.requests.back().asked_at = record.requests.back().ended_at = at(later);
+        }
+        return record;
+    }
+
+    void what_comes_in_a_rest_is_found_unless_the_router_was_in_trouble()
+    {
+        auto record = noticed(2000);
+        record.rests.push_back({ "i-1x", "a", at(1060) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, broken_in(record));
+        auto excused = record;
+        excused.router_troubles.push_back({ 0, { at(1500), at(1600) } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(excused));
+        excused = record;
+        excused.link_troubles.push_back({ 1, { at(1000), at(1100) } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(excused));
+        // Another replica's link, or another router's trouble, excuses nothing.
+        record.link_troubles.push_back({ 11, { at(1000), at(1100) } });
+        record.router_troubles.push_back({ 1, { at(1500), at(1600) } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, broken_in(record));
+        // Two are borne, and what comes before half a second or after the rest.
+        record.arrivals.pop_back();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(record));
+        for (int const later : { 1500, 3061 }) {
+            auto outside = noticed(later);
+            outside.rests.push_back({ "i-1x", "a", at(1060) });
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(outside));
+        }
+    }
+
+    void what_comes_to_one_that_left_is_found()
+    {
+        auto record = noticed(2200);
+        record.leavings.push_back({ "i-1x", "a", at(1060) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, broken_in(record));
+        record.router_troubles.push_back({ 0, { at(1500), at(1600) } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(record));
+        auto early = noticed(2000);
+        early.leavings.push_back({ "i-1x", "a", at(1060) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(early));
+    }
+
     void an_order_that_runs_twice_is_found()
     {
         auto record = sound_order();
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -126,7 +126,7 @@
         stop_router(router, SIGKILL);
         break;
     case fault_kind::router_pause:
-        pause_process(m_fleet.router(router), fault.lasts);
+        pause_router(router, fault.lasts);
         break;
     case fault_kind::all_routers_kill: {
         harness::fiber_group all;
@@ -154,8 +154,12 @@
         spoil_replica(replica, "fail", fault.lasts);
         break;
     case fault_kind::replica_link:
-        spoil_link(m_fleet.replica_link(replica), fault);
+        spoil_replica_link(replica, fault);
         break;
+    case fault_kind::replica_rests:
+        return rest_replicas(fault);
+    case fault_kind::replica_leaves:
+        return leave_by_answers(replica);
     // What happens to the store excuses no lost request.
     case fault_kind::store_pause:
         return pause_process(m_fleet.store(), fault.lasts);
@@ -180,6 +184,7 @@
 void soak_run::stop_router(std::size_t index, int signal)
 {
     auto& state = m_routers.at(index);
+    auto const began = soak_clock::now();
     m_fleet.router(index).send_signal(signal);
     if (state.has_owner)
         return;
@@ -189,9 +194,17 @@
     ++state.life;
     if (auto const restarted = m_fleet.restart_router(index); !restarted)
         m_record.findings.push_back("router " + std::to_string(index) + ": " + restarted.error().to_string());
+    m_record.router_troubles.push_back({ index, { began, soak_clock::now() } });
     state.has_owner = false;
 }
 
+void soak_run::pause_router(std::size_t index, milliseconds lasts)
+{
+    auto const began = soak_clock::now();
+    pause_process(m_fleet.router(index), lasts);
+    m_record.router_troubles.push_back({ index, { began, soak_clock::now() } });
+}
+
 void soak_run::pause_process(harness::child_process& process, milliseconds lasts)
 {
     process.send_signal(SIGSTOP);
@@ -213,6 +226,38 @@
     state.has_owner = false;
 }
 
+void soak_run::rest_replicas(planned_fault const& fault)
+{
+    // The lower bits choose the replica.
+    bool const is_all = (fault.draw >> 32U) % 3 == 0;
+    harness::fiber_group resting;
+    for (std::size_t index = 0; index < m_options.replicas; ++index) {
+        if (is_all || index == fault.draw % m_options.replicas)
+            resting.start([this, index, lasts = fault.lasts] { spoil_replica(index, "rest", lasts); });
+    }
+    resting.join();
+}
+
+void soak_run::leave_by_answers(std::size_t index)
+{
+    auto& state = m_replicas.at(index);
+    if (state.has_owner)
+        return;
+    state.has_owner = true;
+    m_fleet.control_replica(index, "leaving");
+    harness::pause(drain_ms);
+    m_fleet.unlist_replica(index);
+    harness::pause(lapse_return_ms);
+    m_fleet.list_replica(index, "ready");
+    harness::pause(lapse_return_ms);
+    m_fleet.unlist_replica(index);
+    harness::pause(drain_ms);
+    auto const began = soak_clock::now();
+    renew_replica(index, milliseconds(0));
+    note_failure(began);
+    state.has_owner = false;
+}
+
 void soak_run::kill_replica(std::size_t index, planned_fault const& fault)
 {
     auto& state = m_replicas.at(index);
@@ -242,6 +287,13 @@
     m_fleet.control_replica(index, "ok");
 }
 
+void soak_run::spoil_replica_link(std::size_t index, planned_fault const& fault)
+{
+    auto const began = soak_clock::now();
+    spoil_link(m_fleet.replica_link(index), fault);
+    m_record.link_troubles.push_back({ index, { began, soak_clock::now() } });
+}
+
 void soak_run::spoil_link(harness::fault_proxy& link, planned_fault const& fault)
 {
     constexpr std::array<link_fault, 5> faults { link_fault::delayed, link_fault::reset, link_fault::cut_onward,
@@ -293,12 +345,17 @@
 void soak_run::silence_connections(planned_fault const& fault)
 {
     // The lower bits choose the link, the higher one its kind.
-    if ((fault.draw >> 32U) % 2 == 0)
-        m_fleet.replica_link(fault.draw % m_options.replicas).silence_connections();
+    auto const began = soak_clock::now();
+    auto const replica = fault.draw % m_options.replicas;
+    bool const is_replica_link = (fault.draw >> 32U) % 2 == 0;
+    if (is_replica_link)
+        m_fleet.replica_link(replica).silence_connections();
     else
         m_fleet.store_link(fault.draw % m_options.routers).silence_connections();
     // What was under way on them may still end badly for so long.
     harness::pause(drain_ms);
+    if (is_replica_link)
+        m_record.link_troubles.push_back({ replica, { began, soak_clock::now() } });
 }
 
 std::size_t soak_run::arrivals_in(std::string const& domain) const
@@ -413,6 +470,13 @@
                 m_record.findings.push_back("more than a cold replica bears: " + incarnation);
                 continue;
             }
+            replica_event const written { incarnation, id, soak_clock::time_point(milliseconds(at_ms)) };
+            if (event == "asked_rest")
+                m_record.rests.push_back(written);
+            if (event == "told_leaving")
+                m_record.leavings.push_back(written);
+            if (event == "arrived")
+                m_record.arrivals.push_back(written);
             if (event != "ran" && event != "arrived")
                 continue;
             auto& seen = m_record.replicas[id];
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -45,8 +45,14 @@
     void stop_router(std::size_t index, int signal);
     void drain_replica(std::size_t index);
     void kill_replica(std::size_t index, planned_fault const& fault);
+    // All replicas where the draw says so: their callers are refused then.
+    void rest_replicas(planned_fault const& fault);
+    // It says so in its answers alone; its row goes, comes back and goes again before it ends.
+    void leave_by_answers(std::size_t index);
+    void pause_router(std::size_t index, milliseconds lasts);
     static void pause_process(harness::child_process& process, milliseconds lasts);
     void spoil_replica(std::size_t index, char const* mode, milliseconds lasts);
+    void spoil_replica_link(std::size_t index, planned_fault const& fault);
     static void spoil_link(harness::fault_proxy& link, planned_fault const& fault);
     void spoil_store(char const* how, milliseconds lasts);
     void lapse_entries(milliseconds lasts);
