--- a/libraries/diagnosis/request_story.cpp
+++ b/libraries/diagnosis/request_story.cpp
@@ -31,6 +31,9 @@
             + text_of(fields, "even_level") + "; " + text_of(fields, "taken") + " of " + text_of(fields, "places")
             + " places were taken, and the best endpoint's first event was foreseen after "
             + text_of(fields, "best_expected_ms") + " ms";
+    if (reason == "endpoints_resting")
+        return start + ": all endpoints of pool " + text_of(fields, "pool")
+            + " had asked this router for rest, the first for " + text_of(fields, "rest_ms") + " ms more";
     if (reason == "no_route" || reason == "unknown_key")
         return start + ": by configuration " + text_of(fields, "revision");
     return start + " after " + text_of(fields, "after_ms") + " ms";
--- a/tests/diagnosis/request_story_test.cpp
+++ b/tests/diagnosis/request_story_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_refusal_for_the_teams_share_is_explained);
     CPPUNIT_TEST(an_answer_broken_by_a_crash_is_explained);
     CPPUNIT_TEST(a_request_under_an_old_configuration_is_explained);
+    CPPUNIT_TEST(a_refusal_while_all_rest_is_explained);
     CPPUNIT_TEST(lines_of_many_processes_are_put_in_order);
     CPPUNIT_TEST(other_lines_are_left_out);
     CPPUNIT_TEST_SUITE_END();
@@ -57,6 +58,22 @@
         CPPUNIT_ASSERT(names(story, "2 of 8 places were taken"));
     }
 
+    void a_refusal_while_all_rest_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain") });
+        auto const first = fleet.ask("/look/x");
+        auto const sent = fleet.sent_for(first).back();
+        fleet.take(dispatch::endpoint_told { first, sent.endpoint, sent.start, { milliseconds(2000), false } });
+        fleet.end(first, dispatch::attempt_end::not_run, 503);
+        fleet.wait(milliseconds(500));
+        fleet.ask("/look/x");
+        CPPUNIT_ASSERT(names(story_of(fleet, "id-2"),
+            "refused with 503 (endpoints_resting): all endpoints of pool plain had asked this router for rest, the "
+            "first "
+            "for 1500 ms more"));
+    }
+
     void an_answer_broken_by_a_crash_is_explained()
     {
         driver fleet;
