relay, shedhilld: What is held for peers that read slowly is bounded in all

A connection's unread bytes were bounded (1 MB), their sum was not, and whole answers that are kept back and requests' bodies were counted nowhere: on a VM of 88 MB some tens of callers that do not read end the router for all. Now each socket and exchange tells what it holds; a quarter of the VM's memory (its settings tell it) is the bound. Over it, callers with the most unread bytes are ended until it is kept, and new requests are refused as not run. Endpoints are read on meanwhile. Not built: a bound for what endpoints hold of requests, and the soak's slow readers.

--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -165,6 +165,7 @@
     router_overloaded,
     prompt_too_large,
     endpoints_resting,
+    memory_full,
     count,
 };
 
@@ -209,6 +210,8 @@
         return "prompt_too_large";
     case refusal_reason::endpoints_resting:
         return "endpoints_resting";
+    case refusal_reason::memory_full:
+        return "memory_full";
     case refusal_reason::count:
         break;
     }
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -57,6 +57,10 @@
     // Bytes of an answer wait to be written.
     [[nodiscard]] bool has_unwritten() const { return !m_is_gone && m_socket.has_unwritten(); }
 
+    [[nodiscard]] std::size_t unwritten_size() const { return m_is_gone ? 0 : m_socket.unwritten_size(); }
+    // Ends the connection where it is: the caller does not read, and sees that its answer is not whole.
+    void drop() { be_gone(); }
+
     void set_limits(read_limits limits) { m_limits = limits; }
 
 private:
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -37,6 +37,8 @@
     // Over which teams' shares are judged.
     milliseconds share_window { 4000 };
     std::size_t descriptors { 1024 };
+    // Of the VM; 0 where it is not told.
+    std::size_t memory_bytes { 0 };
     // What the VM's link carries in each direction; 0 where it is not told.
     double link_megabits_per_second { 0 };
     // Up to so many routers are connected all to all; more exchange sums between failure domains.
--- a/libraries/relay/event_loop.h
+++ b/libraries/relay/event_loop.h
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/units.h"
+#include "libraries/relay/held_bytes.h"
 #include "libraries/relay/link_meter.h"
 
 #include <array>
@@ -67,6 +68,8 @@
     [[nodiscard]] double take_busy_part();
     // What all sockets of the loop carry.
     [[nodiscard]] link_meter& link() { return m_link; }
+    // What is held for all peers of the loop.
+    [[nodiscard]] held_meter& held() { return m_held; }
     // The part of the link that was in use since the last call, from 0 to 1.
     [[nodiscard]] double take_link_part();
 
@@ -87,6 +90,7 @@
     std::int64_t m_busy_since_ns { 0 };
     instant m_now {};
     link_meter m_link;
+    held_meter m_held;
     std::vector<watched_slot> m_slots;
     std::vector<std::uint32_t> m_free_slots;
     std::vector<std::function<void()>> m_at_end;
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -35,7 +35,9 @@
         , m_number(number)
         , m_request(std::move(request))
         , m_caller(std::move(caller))
+        , m_held(loop.held())
     {
+        m_held.set(m_request.body().size());
     }
     ~exchange() override { drop_attempt(); }
     exchange(exchange const&) = delete;
@@ -50,6 +52,7 @@
         m_connection = std::move(connection);
         m_events_of_attempt = 0;
         m_body.clear();
+        m_held.set(m_request.body().size());
         m_stream.drop_partial();
         m_started_at = m_loop.now();
         m_progress_at = m_started_at;
@@ -147,6 +150,7 @@
         m_has_stalled = false;
         if (!m_is_stream) {
             m_body += data;
+            m_held.set(m_request.body().size() + m_body.size());
             return;
         }
         m_whole_events.clear();
@@ -255,6 +259,8 @@
     std::string m_whole_events;
     // The body of an answer that is no stream, kept back until it is whole.
     std::string m_body;
+    // The request's body and that of the answer.
+    held_bytes m_held;
     // Invariant: once true, the head is never written again.
     bool m_has_head_passed { false };
 };
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -125,6 +125,7 @@
                 m_out.erase(0, m_written);
                 m_written = 0;
             }
+            m_held.set(unwritten_size());
             return true;
         }
         m_written += static_cast<std::size_t>(count);
@@ -132,6 +133,8 @@
     }
     release(m_out);
     m_written = 0;
+    if (m_held.size() != 0)
+        m_held.set(0);
     if (m_is_blocked) {
         m_is_blocked = false;
         update_interest();
@@ -166,6 +169,7 @@
     m_loop.forget(m_watch, m_descriptor);
     ::close(m_descriptor);
     m_descriptor = -1;
+    m_held.set(0);
 }
 
 void socket::reset()
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -40,6 +40,7 @@
     socket(event_loop& loop, io_handler& handler)
         : m_loop(loop)
         , m_handler(handler)
+        , m_held(loop.held())
     {
     }
     ~socket() { close(); }
@@ -82,6 +83,8 @@
     std::string m_out;
     // Invariant: at most m_out.size().
     std::size_t m_written { 0 };
+    // What the peer had not read when the socket was last flushed.
+    held_bytes m_held;
 };
 
 class listener_socket final : io_handler {
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -3,12 +3,14 @@
 // and tells it what happened. The bindings say in whose manner callers, endpoints and the store speak.
 #pragma once
 
+#include "libraries/dispatch/admission/return_time.h"
 #include "libraries/dispatch/dispatch_reducer.h"
 #include "libraries/dispatch/log_fields.h"
 #include "libraries/logging/event_log.h"
 #include "libraries/metrics/registry.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/exchange.h"
+#include "libraries/relay/slow_readers.h"
 #include "libraries/relay/status_server.h"
 #include "libraries/relay/stop_sequence.h"
 #include "services/shedhilld/counter_names.h"
@@ -56,6 +58,7 @@
     result<void> open()
     {
         m_loop.link().set_megabits_per_second(m_settings.link_megabits_per_second);
+        m_loop.held().set_limit(m_settings.memory_bytes / part_of_memory_held);
         TRY_VOID(m_caller_listener.open(m_settings.caller_address));
         TRY_VOID(m_ready_server.open(m_settings.ready_address));
         auto const metrics = open_metrics();
@@ -118,6 +121,9 @@
     // A tick comes at the latest so long after the one before, if the process has time for it.
     static constexpr milliseconds usual_tick { 20 };
     static constexpr milliseconds check_interval { 24 };
+    // Of the VM's memory, what may be held for peers: the rest is for the process itself, which takes 20 MB in a fleet
+    // of hundreds, and for the system's own buffers of the same connections.
+    static constexpr std::size_t part_of_memory_held = 4;
     static constexpr milliseconds connect_limit { 160 };
     // Callers may rest for seconds; a small VM with 1,600 of them spent 9 in 100 of its time on looking at each 40
     // times a second.
@@ -161,13 +167,11 @@
         // Where many callers stay connected, descriptors run short: who has been served is let go.
         if (m_stop.has_begun() || m_callers.size() > most_kept_callers() || sends_callers_away())
             connection.close_after_answer();
-        if (m_stop.is_closing()) {
-            CallerBinding::append_refusal(connection.out(),
-                { status_unavailable, dispatch::name_of(dispatch::refusal_reason::stopping), stopping_return, true },
-                request);
-            m_metrics.add("shedhill_refusals_total{reason=\"stopping\"}");
-            return connection.finish_answer();
-        }
+        if (m_stop.is_closing())
+            return refuse_unread(connection, request, dispatch::refusal_reason::stopping, stopping_return);
+        // Not run and not kept: what is held already is served first.
+        if (m_loop.held().is_over())
+            return refuse_unread(connection, request, dispatch::refusal_reason::memory_full, dispatch::least_return);
         dispatch::request_arrived arrived;
         arrived.request = request_number(++m_last_request);
         if (!CallerBinding::read_request(request, arrived)) {
@@ -184,6 +188,16 @@
         on_event(std::move(arrived));
     }
 
+    void refuse_unread(relay::caller_connection& connection, relay::caller_request const& request,
+        dispatch::refusal_reason reason, milliseconds retry_after)
+    {
+        bool const closes = reason == dispatch::refusal_reason::stopping || connection.closes_after_answer();
+        CallerBinding::append_refusal(
+            connection.out(), { status_unavailable, dispatch::name_of(reason), retry_after, closes }, request);
+        m_metrics.add(counter_name({ dispatch::counted::refusals, dispatch::name_of(reason) }));
+        connection.finish_answer();
+    }
+
     void on_bad_request(relay::caller_connection& connection, unsigned status) override
     {
         CallerBinding::append_refusal(connection.out(),
@@ -327,12 +341,33 @@
         m_exchanges.for_each([now](exchange& served) { served.check_time(now, connect_limit); });
         take_events();
         m_connections.close_old(now);
+        if (m_loop.held().is_over())
+            end_slow_readers();
         if (now - m_idle_callers_checked_at >= idle_check_interval) {
             m_idle_callers_checked_at = now;
             close_callers_at_limit(now);
         }
     }
 
+    void end_slow_readers()
+    {
+        auto const& held = m_loop.held();
+        std::vector<relay::waiting_reader> readers;
+        for (auto const& [number, caller] : m_callers)
+            readers.push_back({ number, caller->unwritten_size() });
+        for (auto const number : relay::readers_to_end(std::move(readers), held.held(), held.limit())) {
+            auto const caller = m_callers.at(number);
+            log(logging::event_level::failure, "slow_reader_ended",
+                dispatch::log_fields()
+                    .add("unread", caller->unwritten_size())
+                    .add("held", held.held())
+                    .add("limit", held.limit())
+                    .take());
+            m_metrics.add("shedhill_slow_readers_ended_total");
+            caller->drop();
+        }
+    }
+
     void close_callers_at_limit(instant now)
     {
         auto const& limits = m_reducer.routes().current().limits;
@@ -412,6 +447,8 @@
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
         m_metrics.set("shedhill_store_unheard_ms", static_cast<double>(m_knowledge.store_unheard().count()));
         set_dispatch_gauges(m_metrics, m_reducer, m_loop.now());
+        m_metrics.set("shedhill_held_bytes", static_cast<double>(m_loop.held().held()));
+        m_metrics.set("shedhill_held_bytes_limit", static_cast<double>(m_loop.held().limit()));
         set_log_gauges(m_metrics, m_log.counts());
         return m_metrics.to_text() + engines_text(m_reducer.engines())
             + held_endpoints_text(m_reducer.held_endpoints(m_loop.now()));
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -401,7 +401,7 @@
     {
         auto const read = parse_settings(R"({"node_name":"edge-1","zone":"north","ip":"10.1.0.33",
             "listen":{"frontend":"10.1.0.33:8783","ready":"10.1.0.33:8780","control_plane":"10.1.0.33:8785"},
-            "port_range":[7400,7415],"seed_nodes":["10.2.0.18:8785"],"limits":{"max_fds":4200,"cpu_quota":0.19,"bandwidth_mbps":1000.0},
+            "port_range":[7400,7415],"seed_nodes":["10.2.0.18:8785"],"limits":{"max_fds":4200,"memory_mb":88,"cpu_quota":0.19,"bandwidth_mbps":1000.0},
             "bounds":{"grace_s":8,"drain_ms":3000,"retry_budget_ratio":0.2,"retry_slack":54,"retry_window_s":10},
             "platform":{"address":"10.200.1.7:8781"},"data_dir":null})");
         CPPUNIT_ASSERT(read.has_value());
@@ -409,6 +409,7 @@
         CPPUNIT_ASSERT(read->stop_time == milliseconds(8000));
         CPPUNIT_ASSERT(read->leaving_bound == milliseconds(3000));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 4200 }, read->descriptors);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 88000000 }, read->memory_bytes);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.19, read->processor_share, 0.001);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1000, read->link_megabits_per_second, 0.001);
         auto const missing = parse_settings(R"({"node_name":"edge-1","zone":"north","listen":{}})");
