--- a/tests/dispatch/endpoint_notice_test.cpp
+++ b/tests/dispatch/endpoint_notice_test.cpp
@@ -245,9 +245,8 @@
         fleet.start({ plain("e1") });
         ask_for_rest(fleet, fleet.ask("/look/x"), milliseconds(1000));
         fleet.wait(milliseconds(980));
-        std::vector<request_number> asked;
         for (int index = 0; index < waiting; ++index)
-            asked.push_back(fleet.ask("/look/x"));
+            fleet.ask("/look/x");
         auto const before = fleet.sent().size();
         fleet.wait(milliseconds(30));
         auto const first = fleet.sent().size() - before;
@@ -290,6 +289,7 @@
         driver fleet;
         fleet.start({ plain("e1") });
         std::vector<request_number> asked;
+        asked.reserve(many);
         for (int index = 0; index < many; ++index)
             asked.push_back(fleet.ask("/order/x"));
         for (auto const request : asked)
