dispatch: Sums of teams fade, so that a team's share does not come in one burst each four seconds

Cause: a level was the sum of the last four seconds. All of a burst left it in one moment, the team was within its share again and got all of it at once; then nothing for three seconds.

Ruled out: engines' paces (the play's routers learn them) and the order of waiting (by level).

Four tests told sums of a window; they hold the same promises of sums that fade: exact values where nothing fades, max-min shares of what was asked, and a team half an even level ahead is refused at once (eight requests against one).

--- a/libraries/dispatch/admission/team_ledger.h
+++ b/libraries/dispatch/admission/team_ledger.h
@@ -3,7 +3,7 @@
 // are ordered, and the max-min share of what all endpoints produce.
 #pragma once
 
-#include "libraries/dispatch/admission/sliding_sum.h"
+#include "libraries/dispatch/admission/fading_sum.h"
 #include "libraries/dispatch/events.h"
 
 #include <optional>
@@ -15,6 +15,7 @@
 // Whether a report counts in what its reader tells of its own failure domain.
 enum class source_place { own_domain, elsewhere };
 
+// Its sums fade with half of the window as their time; where amounts come evenly they are those of the window.
 class team_ledger {
 public:
     explicit team_ledger(milliseconds window);
@@ -51,8 +52,8 @@
 
     struct own_sums {
         explicit own_sums(milliseconds window);
-        sliding_sum<window_spans> asked;
-        sliding_sum<window_spans> admitted;
+        fading_sum<window_spans> asked;
+        fading_sum<window_spans> admitted;
     };
 
     using usage_by_team = std::unordered_map<team_key, team_usage>;
--- a/tests/dispatch/crowded_pool_play.h
+++ b/tests/dispatch/crowded_pool_play.h
@@ -29,6 +29,12 @@
     // Of a prompt, on average, and what an engine reads in a millisecond.
     token_count prompt { 6000 };
     double tokens_per_ms { 150 };
+    // Of the engines, by turns, as parts of that.
+    std::vector<double> speeds { 1 };
+    // How much each team asks for, as parts of all.
+    std::vector<double> teams { 1 };
+    // What is owed to all teams together; 0 where nobody is ever past a share.
+    token_count tokens_per_second { 0 };
     double calls_per_second { 290 };
     // Of the calls, that come to the first third of the routers.
     double uneven_part { 0.6 };
@@ -38,6 +44,15 @@
     dispatch_policy policy {};
 };
 
+// What one team asked for and was given in one second of a play.
+struct team_second {
+    token_count asked { 0 };
+    // Of prompts that were begun.
+    token_count begun { 0 };
+    // One of its requests was refused, or waited past its objective.
+    bool is_hurt { false };
+};
+
 struct crowded_pool_outcome {
     std::size_t asked { 0 };
     std::size_t in_time { 0 };
@@ -46,6 +61,9 @@
     std::size_t turned_away { 0 };
     // The part of the slots' time in which they worked.
     double used { 0 };
+    // By team, second after second from the end of the warm-up.
+    std::vector<std::vector<team_second>> teams;
+    token_count largest { 0 };
 
     [[nodiscard]] double part_in_time() const { return static_cast<double>(in_time) / static_cast<double>(asked); }
 };
@@ -61,6 +79,7 @@
         instant first_asked {};
         bool has_returned { false };
         token_count prompt { 0 };
+        std::size_t team { 0 };
     };
     struct attempt_key {
         std::size_t router { 0 };
@@ -82,6 +101,8 @@
     void arrive_at(std::size_t endpoint, attempt_key const& attempt);
     void read_prompt(std::size_t endpoint, attempt_key const& attempt);
     void note_answered(call const& answered);
+    // Of the second that is now; somewhere else before and after the play.
+    team_second& second_of(std::size_t team);
     void work(std::size_t endpoint, attempt_key const& attempt);
     void leave(std::size_t endpoint);
     void ask(call asked);
@@ -101,6 +122,7 @@
     std::map<std::pair<std::size_t, request_number>, call> m_calls;
     std::uint64_t m_last_request { 0 };
     double m_worked_ms { 0 };
+    team_second m_outside;
 };
 
 } // namespace shedhill::dispatch
