--- a/tests/dispatch/crowded_pool_play.cpp
+++ b/tests/dispatch/crowded_pool_play.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-crowded_pool_play::crowded_pool_play(crowded_pool_load load)
+crowded_pool_play::crowded_pool_play(crowded_pool_load const& load)
     : m_load(load)
     , m_random(load.seed)
     , m_endpoints(load.endpoints)
--- a/tests/dispatch/crowded_pool_play.h
+++ b/tests/dispatch/crowded_pool_play.h
@@ -70,7 +70,7 @@
 
 class crowded_pool_play {
 public:
-    explicit crowded_pool_play(crowded_pool_load load);
+    explicit crowded_pool_play(crowded_pool_load const& load);
     crowded_pool_outcome play();
 
 private:
