dispatch: Shares bind where a pool is scarce; what others sent unseen decides where a prompt goes

Cause 1, refused beside idle engines: a team's share is what the configuration owes to all, and was held against a team whatever the engines had to do. Now terms past the share go from those within it (a pool of which an eighth is in use) to those of before (a quarter). In use: the largest of places taken, engines that are reading, memory held.

Cause 2, swarms: 384 routers see the same idle engine on news a tenth of a second old and older. What others have sent since is foretold by Little's law from what they say runs (tokens read over time stayed, times the age of the news, which is learnt from how often it comes). And each router prefers other engines among those whose forecasts differ by less than their usual error. Reading a part anew weighs 1 for 4 where nothing is scarce.

--- a/base/hash.cpp
+++ b/base/hash.cpp
@@ -10,6 +10,12 @@
 
 std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate) { return stable_hash(candidate, key); }
 
+double unit_share(std::uint64_t hash)
+{
+    // A double holds 53 bits.
+    return static_cast<double>(hash >> 11U) * 0x1.0p-53;
+}
+
 team_key key_of(team_name const& team) { return team_key(stable_hash(team.value())); }
 
 endpoint_key key_of(endpoint_name const& endpoint) { return endpoint_key(stable_hash(endpoint.value())); }
--- a/libraries/dispatch/admission/admission_terms.cpp
+++ b/libraries/dispatch/admission/admission_terms.cpp
@@ -3,6 +3,7 @@
 #include "libraries/dispatch/admission/admission_terms.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shedhill::dispatch {
 
@@ -35,13 +36,16 @@
     return { part_of(objective, policy.wait_plain), milliseconds(0), 1, 1 };
 }
 
-admission_terms terms_of(
-    team_standing standing, team_account const& account, milliseconds objective, dispatch_policy const& policy)
+admission_terms terms_of(team_standing standing, team_account const& account, milliseconds objective, double scarcity,
+    dispatch_policy const& policy)
 {
+    auto const patience_within = policy.patience_within_share * scarcity;
     if (standing == team_standing::within_share)
-        return { part_of(objective, policy.wait_within_share), part_of(objective, policy.patience_within_share), 1, 1 };
-    return { part_of(objective, policy.wait_past_share), part_of(objective, policy.patience_past_share),
-        most_load_past_share(account, policy), policy.queueing_past_share };
+        return { part_of(objective, policy.wait_within_share), part_of(objective, patience_within), 1, 1 };
+    auto const between = [scarcity](double idle, double scarce) { return std::lerp(idle, scarce, scarcity); };
+    return { part_of(objective, between(policy.wait_within_share, policy.wait_past_share)),
+        part_of(objective, between(0, policy.patience_past_share)), between(1, most_load_past_share(account, policy)),
+        between(1, policy.queueing_past_share) };
 }
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/admission/admission_terms.h
+++ b/libraries/dispatch/admission/admission_terms.h
@@ -39,7 +39,9 @@
 // Of a plain service, whose slots are shared out to whoever asks.
 admission_terms plain_terms(milliseconds objective, dispatch_policy const& policy);
 
-admission_terms terms_of(
-    team_standing standing, team_account const& account, milliseconds objective, dispatch_policy const& policy);
+// The scarcity of the pool, from 0 to 1, decides how far the standing counts: where nothing is scarce, what is past its
+// share is let in like what is owed, and nobody waits for the engine that keeps a part.
+admission_terms terms_of(team_standing standing, team_account const& account, milliseconds objective, double scarcity,
+    dispatch_policy const& policy);
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -134,7 +134,8 @@
 {
     if (!request.is_engine)
         return plain_terms(request.objective, m_options.policy);
-    return terms_of(standing_of(request, step), account_of(request, step), request.objective, m_options.policy);
+    return terms_of(standing_of(request, step), account_of(request, step), request.objective,
+        m_board.scarcity_of(request.pool), m_options.policy);
 }
 
 bool dispatch_reducer::try_to_send(request_number number, active_request& request, step_context& step)
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -32,7 +32,7 @@
 
 dispatch_reducer::dispatch_reducer(dispatch_options options)
     : m_options(std::move(options))
-    , m_board(m_options.domain, m_options.policy, m_options.cold)
+    , m_board(m_options.domain, m_options.policy, m_options.cold, m_options.vm)
     , m_ledger(m_options.share_window)
     , m_retries(m_options.retries)
 {
--- a/libraries/dispatch/endpoints/endpoint_board.cpp
+++ b/libraries/dispatch/endpoints/endpoint_board.cpp
@@ -3,6 +3,7 @@
 #include "libraries/dispatch/endpoints/endpoint_board.h"
 
 #include "base/hash.h"
+#include "libraries/dispatch/endpoints/pool_scarcity.h"
 #include "libraries/dispatch/engines/engine_room.h"
 
 #include <algorithm>
@@ -76,15 +77,25 @@
     if (endpoint.cold.is_cold(now))
         endpoint.cold.note_sent(now);
     engine_run run;
-    if (is_engine)
-        run = endpoint.pace.begin(endpoint.all_unread(), chosen.unkept, chosen.held, pace_of(endpoint.entry.pool));
+    if (is_engine) {
+        auto const& pool = endpoint.entry.pool;
+        run = endpoint.pace.begin(unread_before(endpoint, m_unseen[pool]), chosen.unkept, chosen.held, pace_of(pool));
+        run.sent_at = now;
+    }
     endpoint.own += run.work();
     return run;
 }
 
+token_count endpoint_board::unread_before(endpoint_state const& engine, unseen_work const& unseen) const
+{
+    return engine.all_unread() + unseen.tokens(engine.others.running, engine.neighbours.running, m_news_age);
+}
+
 void endpoint_board::note_end(endpoint_state& endpoint, engine_run const& run, run_end end, instant now)
 {
     endpoint.own -= run.work();
+    if (run.sent_at != instant {})
+        m_unseen[endpoint.entry.pool].note_stay(run.unkept, now - run.sent_at, now);
     if (end == run_end::done || run.work().unread == 0)
         return;
     auto const foreseen = milliseconds(static_cast<std::int64_t>(run.forecast.total_ms()));
@@ -123,6 +134,7 @@
             state->key = key;
             recall_word(*state);
             state->answer_time.begin_with(entry.slots);
+            state->preference = unit_share(rendezvous_weight(m_self, entry.name.value()));
             state->pace.update(pace_of(entry.pool), now);
         }
         m_by_name[entry.name] = state.get();
@@ -244,6 +256,7 @@
     auto const bare_part = 1 - foreseen.reading_part();
     auto const error = 1 + (took_ms - foreseen.total_ms()) * bare_part / std::max(foreseen.bare_ms, 1.0);
     auto& pool = pace_of(endpoint.entry.pool);
+    pool.note_error(took_ms - foreseen.total_ms());
     pool.note_bare_first_event(pool.bare_first_event_ms() * error, bare_part);
 }
 
@@ -261,6 +274,31 @@
         if (auto const pool = m_paces.find(state->entry.pool); pool != m_paces.end())
             state->pace.update(pool->second, now);
     }
+    update_scarcity(now);
+}
+
+void endpoint_board::update_scarcity(instant now)
+{
+    m_scarcity.clear();
+    for (auto const& [pool, engine] : m_engines) {
+        pool_scarcity use(m_policy);
+        if (auto const open = m_open.find(pool); open != m_open.end()) {
+            bool const uses_ejected = ignores_ejection(open->second, now);
+            for (auto const* state : open->second) {
+                if (state->word.rest.is_resting(now) || (state->health.is_ejected() && !uses_ejected))
+                    continue;
+                use.add({ state->entry.slots, engine.memory }, state->own + state->others,
+                    state->pace.forecast(state->all_unread(), 0, pace_of(pool)).before_ms);
+            }
+        }
+        m_scarcity[pool] = use.scarcity();
+    }
+}
+
+double endpoint_board::scarcity_of(pool_name const& pool) const
+{
+    auto const found = m_scarcity.find(pool);
+    return found == m_scarcity.end() ? 1 : found->second;
 }
 
 std::vector<engine_view> endpoint_board::engines() const
@@ -322,7 +360,10 @@
     auto const source = report.source();
     if (report.scope == report_scope::whole)
         forget(source);
-    auto& told = m_told_work.try_emplace(source, told_work { place, {} }).first->second;
+    auto& told = m_told_work.try_emplace(source, told_work { place, {}, {} }).first->second;
+    if (told.told_at != instant {})
+        m_news_age.note_gap(now - told.told_at);
+    told.told_at = now;
     for (auto const& load : report.loads) {
         auto* const state = find(load.endpoint);
         if (state == nullptr)
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -3,6 +3,7 @@
 // them suits a request best.
 #pragma once
 
+#include "base/hash.h"
 #include "libraries/dispatch/admission/answer_time_limit.h"
 #include "libraries/dispatch/admission/team_ledger.h"
 #include "libraries/dispatch/endpoints/cold_period.h"
@@ -13,6 +14,7 @@
 #include "libraries/dispatch/endpoints/rest_period.h"
 #include "libraries/dispatch/engines/engine_pace.h"
 #include "libraries/dispatch/engines/engine_view.h"
+#include "libraries/dispatch/engines/unseen_work.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
 
@@ -73,6 +75,9 @@
     // Of a plain service.
     answer_time_limit answer_time;
 
+    // Of this router for this endpoint, 0 for the most preferred to 1.
+    double preference { 0 };
+
     [[nodiscard]] std::uint32_t all_running() const { return own.running + others.running; }
     [[nodiscard]] token_count all_unread() const { return own.unread + others.unread; }
     [[nodiscard]] token_count all_held() const { return own.held + others.held; }
@@ -104,9 +109,11 @@
     // The part of that time within which an engine that has prompts to read must be foreseen to begin it.
     double queueing_part { 1 };
     bool is_engine { false };
-    // Filled in by the board, for engines: the pool's pace, the memory of each engine, and what the request takes of
-    // it.
+    // Filled in by the board, for engines: the pool's pace, what others have sent there unseen, how scarce the pool is,
+    // the memory of each engine, and what the request takes of it.
     pool_pace const* pace { nullptr };
+    unseen_work const* unseen { nullptr };
+    double scarcity { 1 };
     token_count memory { 0 };
     token_count held { 0 };
     // May be the one that probes an ejected endpoint.
@@ -115,8 +122,10 @@
 
 class endpoint_board {
 public:
-    explicit endpoint_board(failure_domain own, dispatch_policy policy = {}, cold_bounds cold = {})
+    explicit endpoint_board(
+        failure_domain own, dispatch_policy policy = {}, cold_bounds cold = {}, vm_name const& self = {})
         : m_own_domain(std::move(own))
+        , m_self(stable_hash(self.value()))
         , m_policy(policy)
         , m_cold_share(cold)
     {
@@ -161,6 +170,9 @@
         std::uint32_t taken { 0 };
     };
     [[nodiscard]] occupancy occupancy_of(pool_name const& pool, instant now) const;
+    // How far what the pool's engines can take at once is used up, from 0 (nothing is scarce) to 1; as of the last
+    // update of paces.
+    [[nodiscard]] double scarcity_of(pool_name const& pool) const;
     // All engines that are listed.
     [[nodiscard]] std::vector<engine_view> engines() const;
     // An engine whose believed pace has doubled or halved since it was last told so.
@@ -206,7 +218,17 @@
     void skip_domain_loads();
 
 private:
-    [[nodiscard]] double expected_time(
+    // What a request that is sent there now must expect.
+    struct outlook {
+        // Of an engine, until it has read what is before the request, by what was told.
+        double before_ms { 0 };
+        // Until the first event or the answer, by what was told: whether a request is let in goes by that.
+        double total_ms { 0 };
+        // The same with what others have sent unseen: where it goes is decided by that. Whether it is let in is not:
+        // what may have been sent is no reason to turn a caller away.
+        double likely_ms { 0 };
+    };
+    [[nodiscard]] outlook outlook_at(
         endpoint_state const& endpoint, choice_request const& wanted, token_count unkept) const;
     // An endpoint that may get the request, and how much of its prompt it does not keep.
     struct candidate {
@@ -224,9 +246,11 @@
     [[nodiscard]] bool is_free(endpoint_state const& endpoint, choice_request const& wanted) const;
     [[nodiscard]] double cost_of(
         candidate const& weighed, choice_request const& wanted, double expected_ms, std::uint64_t placement) const;
-    [[nodiscard]] bool begins_in_time(
-        endpoint_state const& engine, choice_request const& wanted, double expected_ms) const;
+    [[nodiscard]] bool begins_in_time(outlook const& foreseen, choice_request const& wanted) const;
     [[nodiscard]] pool_pace& pace_of(pool_name const& pool);
+    void update_scarcity(instant now);
+    // Tokens that the engine has to read before a request that is sent now, with what others have sent unseen.
+    [[nodiscard]] token_count unread_before(endpoint_state const& engine, unseen_work const& unseen) const;
     static void forget_failed(endpoint_state& endpoint, instant now);
     void note_seen(endpoint_state& endpoint, reading_evidence const& seen, instant now);
     void expect_paces();
@@ -234,6 +258,8 @@
     [[nodiscard]] static bool ignores_ejection(std::vector<endpoint_state*> const& endpoints, instant now);
 
     failure_domain m_own_domain;
+    // Tells this router's preferences from those of others.
+    std::uint64_t m_self { 0 };
     dispatch_policy m_policy;
     // By their starts. One that started again under its name is another one; the start before stays known while
     // attempts run there.
@@ -270,6 +296,7 @@
     struct told_work {
         source_place place { source_place::elsewhere };
         std::unordered_map<endpoint_key, engine_work> at;
+        instant told_at {};
     };
     void count_work(told_work& told, endpoint_key endpoint, engine_work const& work);
 
@@ -287,6 +314,9 @@
     instant m_last_rest_ends {};
     std::unordered_map<pool_name, double> m_service_time_ms;
     std::unordered_map<pool_name, pool_pace> m_paces;
+    std::unordered_map<pool_name, unseen_work> m_unseen;
+    news_age m_news_age;
+    std::unordered_map<pool_name, double> m_scarcity;
     struct engine_kind {
         std::uint32_t tokens_per_event { 1 };
         // 0 where it is not told.
--- a/libraries/dispatch/endpoints/endpoint_choice.cpp
+++ b/libraries/dispatch/endpoints/endpoint_choice.cpp
@@ -3,9 +3,11 @@
 // idea of the paper "Cluster continuation controller"; see docs/DESIGN.md.
 #include "base/hash.h"
 #include "libraries/dispatch/endpoints/endpoint_board.h"
+#include "libraries/dispatch/endpoints/pool_scarcity.h"
 #include "libraries/dispatch/engines/engine_room.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -24,7 +26,7 @@
 
 double placement_share(std::uint64_t part, endpoint_name const& endpoint)
 {
-    return static_cast<double>(rendezvous_weight(part, endpoint.value()) >> 11U) * 0x1.0p-53;
+    return unit_share(rendezvous_weight(part, endpoint.value()));
 }
 
 } // namespace
@@ -35,27 +37,29 @@
     found->second += weight_of_the_newest_time * (took_ms - found->second);
 }
 
-double endpoint_board::expected_time(
+endpoint_board::outlook endpoint_board::outlook_at(
     endpoint_state const& endpoint, choice_request const& wanted, token_count unkept) const
 {
-    if (wanted.is_engine)
-        return endpoint.pace.forecast(endpoint.all_unread(), unkept, *wanted.pace).total_ms();
+    if (wanted.is_engine) {
+        auto const told = endpoint.pace.forecast(endpoint.all_unread(), unkept, *wanted.pace);
+        auto const likely = endpoint.pace.forecast(unread_before(endpoint, *wanted.unseen), unkept, *wanted.pace);
+        return { told.before_ms, told.total_ms(), likely.total_ms() };
+    }
     auto const learnt = m_service_time_ms.find(wanted.pool);
     auto const service_time = learnt == m_service_time_ms.end() ? first_service_time_ms : learnt->second;
     auto const slots = std::max(endpoint.entry.slots, 1U);
     auto const running = endpoint.all_running();
     auto const ahead = running < slots ? 0.0 : static_cast<double>(running + 1 - slots) / slots;
-    return service_time * (1 + ahead);
+    auto const total = service_time * (1 + ahead);
+    return { 0, total, total };
 }
 
-bool endpoint_board::begins_in_time(
-    endpoint_state const& engine, choice_request const& wanted, double expected_ms) const
+bool endpoint_board::begins_in_time(outlook const& foreseen, choice_request const& wanted) const
 {
     // With nothing before it a request begins as soon as it can, however slow the engine is thought to be; if it were
     // refused for that, no answer would ever correct the belief.
-    auto const before_ms = engine.pace.forecast(engine.all_unread(), 0, *wanted.pace).before_ms;
-    return before_ms <= m_policy.idle_reading_ms
-        || expected_ms <= wanted.time_left_ms * wanted.queueing_part * m_policy.margin_of_objective;
+    return foreseen.before_ms <= m_policy.idle_reading_ms
+        || foreseen.total_ms <= wanted.time_left_ms * wanted.queueing_part * m_policy.margin_of_objective;
 }
 
 bool endpoint_board::is_free(endpoint_state const& endpoint, choice_request const& wanted) const
@@ -115,7 +119,9 @@
     auto const load = static_cast<double>(endpoint.all_running()) / std::max(endpoint.entry.slots, 1U);
     auto cost = expected_ms + m_policy.full_endpoint_ms * load * load;
     if (wanted.is_engine)
-        cost += m_policy.reading_weight * endpoint.pace.time_of(weighed.unkept);
+        cost += std::lerp(m_policy.idle_reading_weight, m_policy.reading_weight, wanted.scarcity)
+                * endpoint.pace.time_of(weighed.unkept)
+            + m_policy.spread_of_error * wanted.pace->usual_error_ms() * endpoint.preference;
     if (endpoint.entry.domain != m_own_domain)
         cost += m_policy.other_domain_ms;
     if (placement != 0)
@@ -128,6 +134,8 @@
     auto const& candidates = candidates_for(wanted, now);
     if (wanted.is_engine) {
         wanted.pace = &pace_of(wanted.pool);
+        wanted.unseen = &m_unseen[wanted.pool];
+        wanted.scarcity = scarcity_of(wanted.pool);
         wanted.memory = m_engines[wanted.pool].memory;
         wanted.held = held_by(*wanted.cost, candidates);
     }
@@ -136,23 +144,28 @@
     auto least_cost = std::numeric_limits<double>::max();
     std::pair<bool, bool> best_rank { false, false };
     auto least_unkept = std::numeric_limits<token_count>::max();
+    pool_scarcity use(m_policy);
     for (auto const& weighed : candidates) {
         auto& endpoint = *weighed.endpoint;
         least_unkept = std::min(least_unkept, weighed.unkept);
-        auto const expected = expected_time(endpoint, wanted, weighed.unkept);
+        auto const foreseen = outlook_at(endpoint, wanted, weighed.unkept);
+        use.add({ endpoint.entry.slots, wanted.memory }, endpoint.own + endpoint.others, foreseen.before_ms);
         bool const has_place = is_free(endpoint, wanted);
-        bool const is_quick = wanted.is_engine ? begins_in_time(endpoint, wanted, expected)
+        bool const is_quick = wanted.is_engine ? begins_in_time(foreseen, wanted)
                                                : endpoint.answer_time.allows(endpoint.own.running, now);
         std::pair const rank { has_place && is_quick, has_place };
         if (best.endpoint != nullptr && rank < best_rank)
             continue;
-        auto const cost = cost_of(weighed, wanted, expected, placement);
+        auto const cost = cost_of(weighed, wanted, foreseen.likely_ms, placement);
         if (best.endpoint != nullptr && rank == best_rank && cost >= least_cost)
             continue;
         least_cost = cost;
         best_rank = rank;
-        best = { &endpoint, weighed.unkept, expected, rank.first, 0, wanted.held };
+        best = { &endpoint, weighed.unkept, foreseen.total_ms, rank.first, 0, wanted.held };
     }
+    // What is chosen in a moment may use the pool up: terms never go by a sight older than the last choice.
+    if (wanted.is_engine)
+        m_scarcity[wanted.pool] = use.scarcity();
     best.lost = best.unkept - std::min(least_unkept, best.unkept);
     return best;
 }
--- a/libraries/dispatch/engines/engine_pace.cpp
+++ b/libraries/dispatch/engines/engine_pace.cpp
@@ -32,7 +32,7 @@
 engine_run engine_pace::begin(token_count unread, token_count unkept, token_count held, pool_pace const& pool) const
 {
     auto const foreseen = forecast(unread, unkept, pool);
-    return { unkept, held, foreseen, (foreseen.before_ms + foreseen.own_reading_ms) * m_tokens_per_ms, false };
+    return { unkept, held, foreseen, (foreseen.before_ms + foreseen.own_reading_ms) * m_tokens_per_ms, false, {} };
 }
 
 reading_evidence engine_pace::seen_in(engine_run const& run, double took_ms)
--- a/libraries/dispatch/engines/engine_pace.h
+++ b/libraries/dispatch/engines/engine_pace.h
@@ -33,6 +33,7 @@
     // Tokens that are to be read until then, its own and those before it.
     double read_tokens { 0 };
     bool has_first_event { false };
+    instant sent_at {};
 
     [[nodiscard]] engine_work work() const { return { 1, has_first_event ? 0 : unkept, held }; }
 };
--- a/libraries/dispatch/engines/pool_pace.cpp
+++ b/libraries/dispatch/engines/pool_pace.cpp
@@ -2,6 +2,8 @@
 // Guess, sums and the time of a bare first event.
 #include "libraries/dispatch/engines/pool_pace.h"
 
+#include <cmath>
+
 namespace shedhill::dispatch {
 
 namespace {
@@ -16,6 +18,8 @@
 constexpr double guessed_step_ms = 5;
 // Some tens of first events change the belief: one request that met trouble is no rule.
 constexpr double weight_of_one = 0.05;
+// An error that is larger counts as so large: a first event that never comes is no error of forecasts.
+constexpr double most_error_ms = 250;
 // No first event comes sooner: the way there and back, and a step.
 constexpr double least_bare_ms = 5;
 
@@ -40,6 +44,11 @@
     m_bare_first_event_ms += weight_of_one * weight * (bounded - m_bare_first_event_ms);
 }
 
+void pool_pace::note_error(double error_ms)
+{
+    m_usual_error_ms += weight_of_one * (std::min(std::abs(error_ms), most_error_ms) - m_usual_error_ms);
+}
+
 void pool_pace::update(instant now)
 {
     m_tokens_per_ms = m_pace.tokens_per_ms({ guessed_tokens, guessed_tokens / m_guessed_tokens_per_ms }, now);
--- a/libraries/dispatch/engines/pool_pace.h
+++ b/libraries/dispatch/engines/pool_pace.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// What the engines of a pool have in common: how fast one reads about which nothing is known yet, and how long a first
-// event takes with nothing to read. Learnt from all of them; the first guess is what the configuration says that all
-// endpoints produce together.
+// What the engines of a pool have in common: how fast one reads about which nothing is known yet, how long a first
+// event takes with nothing to read, and by how much forecasts err. Learnt from all of them; the first guess is what the
+// configuration says that all endpoints produce together.
 #pragma once
 
 #include "libraries/dispatch/engines/reading_pace.h"
@@ -18,6 +18,11 @@
     // A first event took so long besides the reading of what came before its answer; counts by its weight, 0 to 1.
     void note_bare_first_event(double took_ms, double weight);
 
+    // A first event came so much sooner or later than foreseen.
+    void note_error(double error_ms);
+    // The usual error of a forecast, whatever its sign.
+    [[nodiscard]] double usual_error_ms() const { return m_usual_error_ms; }
+
     // As of the last update.
     [[nodiscard]] double tokens_per_ms() const { return m_tokens_per_ms; }
     void update(instant now);
@@ -33,6 +38,7 @@
     double m_guessed_tokens_per_ms { usual_tokens_per_ms };
     double m_tokens_per_ms { usual_tokens_per_ms };
     double m_bare_first_event_ms { 0 };
+    double m_usual_error_ms { 0 };
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -25,15 +25,24 @@
     // runs would make the steps of what is owed longer and drive shared parts out of the engine's memory.
     double load_past_share { 0.25 };
     double load_less_per_lead { 0.5 };
+    // While no more than this part of a pool is in use, nothing there is scarce and no share binds: what is owed finds
+    // seven of eight engines with nothing to read, whatever else is let in. Shares bind in full from load_past_share
+    // on, and in between the more, the less is left: a hard edge would let in and refuse by turns.
+    double scarce_from { 0.125 };
     // A first event must be foreseen within this part of the time that is left: one in ten comes a third of an
     // objective later than foreseen. Flat from 0.6 to 0.75.
     double margin_of_objective { 0.7 };
     // An engine with so little to read, in milliseconds, counts as having nothing to read: it takes any prompt, however
     // long its own reading takes. About one short prompt. Flat from 15 to 40 (three deployments, 24 plays: 0.003 more).
     double idle_reading_ms { 40 };
-    // Reading shared parts anew costs so many times the time that it takes: it holds up all that run there, and drives
-    // other parts out. Flat from 2 to 8.
+    // Where a pool is scarce, reading shared parts anew costs so many times the time that it takes: it holds up all
+    // that run there, and drives other parts out. Flat from 2 to 8. Where nothing is scarce it holds up nobody, and
+    // what it costs is the work.
     double reading_weight { 4 };
+    double idle_reading_weight { 1 };
+    // Forecasts that differ by less than this multiple of their usual error are as good as equal. Each router prefers
+    // other engines then, so that many routers with the same news do not all choose the same one.
+    double spread_of_error { 1 };
     // Spreads first places of parts over the endpoints, the same way at all routers, in milliseconds.
     double placement_spread_ms { 200 };
     // What another failure domain costs, in milliseconds.
--- a/tests/dispatch/admission_terms_test.cpp
+++ b/tests/dispatch/admission_terms_test.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST_SUITE(admission_terms_test);
     CPPUNIT_TEST(standing_follows_level_share_and_even_level);
     CPPUNIT_TEST(terms_never_grow_with_the_level);
+    CPPUNIT_TEST(terms_never_grow_with_scarcity);
+    CPPUNIT_TEST(where_nothing_is_scarce_no_share_binds);
     CPPUNIT_TEST(what_is_past_its_share_does_not_queue_at_an_engine);
     CPPUNIT_TEST(what_is_owed_queues_though_others_are_past_their_share);
     CPPUNIT_TEST(what_is_past_its_share_is_served_while_an_engine_is_idle);
@@ -40,10 +42,11 @@
             auto const even_level = *rc::gen::inRange<token_count>(1, 1000);
             auto const less = *rc::gen::inRange<token_count>(0, 3000);
             auto const more = less + *rc::gen::inRange<token_count>(0, 3000);
+            auto const scarcity = static_cast<double>(*rc::gen::inRange(0, 101)) / 100;
             dispatch_policy const policy;
             auto const terms_at = [&](token_count level) {
                 team_account const account { level, share, even_level };
-                return terms_of(standing_of(account), account, objective, policy);
+                return terms_of(standing_of(account), account, objective, scarcity, policy);
             };
             auto const better = terms_at(less);
             auto const worse = terms_at(more);
@@ -57,6 +60,42 @@
         });
     }
 
+    static team_account any_account()
+    {
+        return { *rc::gen::inRange<token_count>(0, 3000), *rc::gen::inRange<token_count>(1, 1000),
+            *rc::gen::inRange<token_count>(1, 1000) };
+    }
+
+    void terms_never_grow_with_scarcity()
+    {
+        testing::check_property("terms never grow with scarcity", [] {
+            auto const account = any_account();
+            auto const less = static_cast<double>(*rc::gen::inRange(0, 101)) / 100;
+            auto const more = less + (1 - less) * static_cast<double>(*rc::gen::inRange(0, 101)) / 100;
+            dispatch_policy const policy;
+            auto const better = terms_of(standing_of(account), account, objective, less, policy);
+            auto const worse = terms_of(standing_of(account), account, objective, more, policy);
+            RC_ASSERT(better.longest_wait >= worse.longest_wait);
+            RC_ASSERT(better.most_load >= worse.most_load);
+            RC_ASSERT(better.queueing_part >= worse.queueing_part);
+            RC_ASSERT(better.patience <= worse.patience);
+        });
+    }
+
+    void where_nothing_is_scarce_no_share_binds()
+    {
+        testing::check_property("no share binds", [] {
+            auto const account = any_account();
+            dispatch_policy const policy;
+            auto const terms = terms_of(standing_of(account), account, objective, 0, policy);
+            auto const owed = terms_of(team_standing::within_share, account, objective, 0, policy);
+            RC_ASSERT(terms.longest_wait == owed.longest_wait);
+            RC_ASSERT(terms.patience == owed.patience);
+            RC_ASSERT(terms.most_load == owed.most_load);
+            RC_ASSERT(terms.queueing_part == owed.queueing_part);
+        });
+    }
+
     void what_is_past_its_share_does_not_queue_at_an_engine()
     {
         driver fleet;
--- a/tests/dispatch/crowded_pool_play.cpp
+++ b/tests/dispatch/crowded_pool_play.cpp
@@ -2,6 +2,8 @@
 // An agenda of actions by time.
 #include "tests/dispatch/crowded_pool_play.h"
 
+#include <cmath>
+
 namespace shedhill::dispatch {
 
 namespace {
@@ -29,6 +31,10 @@
         route.time_limit = load.objective * objectives_to_the_deadline;
         route.most_attempts = 1;
     }
+    std::vector<double> asked_for;
+    for (std::size_t rank = 1; rank <= load.shared_parts; ++rank)
+        asked_for.push_back(1 / std::pow(static_cast<double>(rank), load.skew));
+    m_parts = std::discrete_distribution<std::size_t>(asked_for.begin(), asked_for.end());
     configuration.limits.tokens_per_second = load.tokens_per_second;
     configuration.teams.clear();
     for (std::size_t index = 0; index < load.teams.size(); ++index)
@@ -66,6 +72,11 @@
         action();
     }
     auto const lanes = m_load.endpoints * (m_load.kind == pool_kind::plain ? m_load.slots : 1);
+    for (auto const& engine : m_endpoints) {
+        m_outcome.read += engine.read;
+        m_outcome.read_by_busiest = std::max(m_outcome.read_by_busiest, engine.read);
+    }
+    std::ranges::sort(m_outcome.stood);
     m_outcome.used = m_worked_ms / (static_cast<double>(m_load.lasts.count()) * static_cast<double>(lanes));
     return m_outcome;
 }
@@ -122,9 +133,16 @@
         return;
     auto& engine = m_endpoints.at(endpoint);
     auto const speed = m_load.speeds.at(endpoint % m_load.speeds.size());
-    auto const took = static_cast<double>(found->second.prompt) / (m_load.tokens_per_ms * speed);
-    if (m_now >= m_from && m_now < m_until)
+    auto const part = found->second.part;
+    auto const shared = part == 0 ? 0 : m_load.shared_prompt;
+    auto const unkept
+        = found->second.prompt + (part == 0 || engine.kept_parts.insert(part).second ? shared : token_count { 0 });
+    auto const took = static_cast<double>(unkept) / (m_load.tokens_per_ms * speed);
+    if (m_now >= m_from && m_now < m_until) {
         m_worked_ms += took;
+        engine.read += static_cast<double>(unkept);
+        m_outcome.stood.push_back(std::max(engine.read_until - m_now, milliseconds(0)));
+    }
     engine.read_until = std::max(engine.read_until, m_now) + milliseconds(static_cast<std::int64_t>(took));
     at(engine.read_until + first_step, [this, attempt] {
         auto const begun = m_calls.find({ attempt.router, attempt.request });
@@ -189,7 +207,13 @@
     arrived.time_left = m_load.objective * objectives_to_the_deadline - (m_now - asked.first_asked);
     if (m_load.kind == pool_kind::engine) {
         arrived.cost.prompt = asked.prompt;
-        arrived.cost.parts = { { m_last_request, asked.prompt } };
+        // Parts of shared prompts have other names than whole prompts.
+        constexpr std::uint64_t shared_names = 1ULL << 40U;
+        if (asked.part != 0) {
+            arrived.cost.parts.push_back({ shared_names + asked.part, m_load.shared_prompt });
+            arrived.cost.prompt += m_load.shared_prompt;
+        }
+        arrived.cost.parts.push_back({ m_last_request, asked.prompt });
     }
     m_calls.emplace(std::pair(asked.router, arrived.request), asked);
     step(asked.router, std::move(arrived));
@@ -214,7 +238,14 @@
     auto const asking = m_load.teams.size() > 1 ? team(m_random) : 0;
     second_of(asking).asked += prompt;
     m_outcome.largest = std::max(m_outcome.largest, prompt);
-    ask({ router, m_now, false, prompt, asking });
+    ask({ router, m_now, false, prompt, asking, draw_part() });
+}
+
+std::size_t crowded_pool_play::draw_part()
+{
+    if (m_load.shared_parts == 0)
+        return 0;
+    return 1 + m_parts(m_random);
 }
 
 void crowded_pool_play::tell()
--- a/tests/dispatch/crowded_pool_play.h
+++ b/tests/dispatch/crowded_pool_play.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace shedhill::dispatch {
 
@@ -29,6 +30,11 @@
     // Of a prompt, on average, and what an engine reads in a millisecond.
     token_count prompt { 6000 };
     double tokens_per_ms { 150 };
+    // Parts that prompts begin with, each asked for as often as its rank allows, and how long each is; 0 where prompts
+    // share nothing. An engine keeps the parts that it has read.
+    std::size_t shared_parts { 0 };
+    token_count shared_prompt { 0 };
+    double skew { 1 };
     // Of the engines, by turns, as parts of that.
     std::vector<double> speeds { 1 };
     // How much each team asks for, as parts of all.
@@ -59,6 +65,11 @@
     std::size_t late { 0 };
     std::size_t unserved { 0 };
     std::size_t turned_away { 0 };
+    // Tokens that all engines read, and the busiest one.
+    double read { 0 };
+    double read_by_busiest { 0 };
+    // For so long each prompt stood at its engine before it was read, the longest last.
+    std::vector<milliseconds> stood;
     // The part of the slots' time in which they worked.
     double used { 0 };
     // By team, second after second from the end of the warm-up.
@@ -80,6 +91,8 @@
         bool has_returned { false };
         token_count prompt { 0 };
         std::size_t team { 0 };
+        // Of its shared part, from 1; 0 where it has none.
+        std::size_t part { 0 };
     };
     struct attempt_key {
         std::size_t router { 0 };
@@ -92,6 +105,8 @@
         std::size_t working { 0 };
         // An engine has read all that was sent to it.
         instant read_until {};
+        double read { 0 };
+        std::set<std::size_t> kept_parts;
         std::deque<attempt_key> waiting;
     };
 
@@ -99,6 +114,7 @@
     void step(std::size_t router, event_body body);
     void carry_out(std::size_t router, effect const& wanted);
     void arrive_at(std::size_t endpoint, attempt_key const& attempt);
+    [[nodiscard]] std::size_t draw_part();
     void read_prompt(std::size_t endpoint, attempt_key const& attempt);
     void note_answered(call const& answered);
     // Of the second that is now; somewhere else before and after the play.
@@ -113,6 +129,7 @@
     crowded_pool_load m_load;
     crowded_pool_outcome m_outcome;
     std::mt19937_64 m_random;
+    std::discrete_distribution<std::size_t> m_parts;
     instant m_now { milliseconds(1000) };
     instant m_from {};
     instant m_until {};
--- /dev/null
+++ b/tests/dispatch/pool_scarcity_test.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// When a pool counts as scarce, and what that leaves for those who are owed.
+#include "libraries/dispatch/endpoints/pool_scarcity.h"
+#include "tests/support/property.h"
+
+#include <vector>
+
+namespace shedhill::dispatch {
+
+class pool_scarcity_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(pool_scarcity_test);
+    CPPUNIT_TEST(an_idle_pool_is_not_scarce);
+    CPPUNIT_TEST(a_pool_without_engines_is_scarce);
+    CPPUNIT_TEST(each_of_places_reading_and_memory_makes_it_scarce);
+    CPPUNIT_TEST(scarcity_never_falls_with_more_work);
+    CPPUNIT_TEST(where_nothing_is_scarce_an_owed_request_begins_at_once);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr engine_size usual_size { 16, 600000 };
+
+    struct engine_load {
+        engine_work work;
+        double before_ms { 0 };
+    };
+
+    static double scarcity_of(std::vector<engine_load> const& engines, engine_size size = usual_size)
+    {
+        dispatch_policy const policy;
+        pool_scarcity use(policy);
+        for (auto const& engine : engines)
+            use.add(size, engine.work, engine.before_ms);
+        return use.scarcity();
+    }
+
+    void an_idle_pool_is_not_scarce()
+    {
+        CPPUNIT_ASSERT_EQUAL(0.0, scarcity_of({ {}, {}, {} }));
+        CPPUNIT_ASSERT_EQUAL(0.0, scarcity_of({ { { 2, 0, 20000 }, 0 }, {} }));
+    }
+
+    void a_pool_without_engines_is_scarce() { CPPUNIT_ASSERT_EQUAL(1.0, scarcity_of({})); }
+
+    void each_of_places_reading_and_memory_makes_it_scarce()
+    {
+        CPPUNIT_ASSERT_EQUAL(1.0, scarcity_of({ { { 8, 0, 0 }, 0 } }));
+        CPPUNIT_ASSERT_EQUAL(1.0, scarcity_of({ { { 1, 90000, 0 }, 600 } }));
+        CPPUNIT_ASSERT_EQUAL(1.0, scarcity_of({ { { 1, 0, 300000 }, 0 } }));
+        // A memory of which nothing is told is never short.
+        CPPUNIT_ASSERT_EQUAL(0.0, scarcity_of({ { { 1, 0, 300000 }, 0 } }, { 16, 0 }));
+    }
+
+    static std::vector<engine_load> any_engines()
+    {
+        std::vector<engine_load> engines(static_cast<std::size_t>(*rc::gen::inRange(1, 60)));
+        for (auto& engine : engines) {
+            engine.work.running = *rc::gen::inRange<std::uint32_t>(0, 12);
+            engine.work.held = *rc::gen::inRange<token_count>(0, 200000);
+            engine.before_ms = *rc::gen::inRange(0, 100);
+        }
+        return engines;
+    }
+
+    void scarcity_never_falls_with_more_work()
+    {
+        testing::check_property("scarcity never falls with more work", [] {
+            auto engines = any_engines();
+            auto const before = scarcity_of(engines);
+            auto& busier = engines.at(*rc::gen::inRange<std::size_t>(0, engines.size()));
+            busier.work.running += *rc::gen::inRange<std::uint32_t>(0, 10);
+            busier.work.held += *rc::gen::inRange<token_count>(0, 100000);
+            busier.before_ms += *rc::gen::inRange(0, 100);
+            auto const after = scarcity_of(engines);
+            RC_ASSERT(after >= before);
+            RC_ASSERT(before >= 0 && after <= 1);
+        });
+    }
+
+    // What is let in past a share delays nobody who is owed: seven of eight engines have nothing to read.
+    void where_nothing_is_scarce_an_owed_request_begins_at_once()
+    {
+        testing::check_property("an owed request begins at once", [] {
+            // Few are busy: else nearly all pools drawn are scarce.
+            std::vector<engine_load> engines(static_cast<std::size_t>(*rc::gen::inRange(1, 60)));
+            for (auto& engine : engines) {
+                engine.work.running = *rc::gen::inRange<std::uint32_t>(0, 4);
+                engine.before_ms = *rc::gen::inRange(0, 8) == 0 ? *rc::gen::inRange(0, 100) : 0;
+            }
+            dispatch_policy const policy;
+            RC_PRE(scarcity_of(engines) == 0);
+            std::size_t idle = 0;
+            for (auto const& engine : engines)
+                idle += engine.before_ms <= policy.idle_reading_ms ? 1 : 0;
+            auto const idle_part = static_cast<double>(idle) / static_cast<double>(engines.size());
+            RC_ASSERT(idle_part >= 1 - policy.scarce_from);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(pool_scarcity_test);
+
+} // namespace shedhill::dispatch
