logging, relay: Log levels by what on-call must do; traffic between routers counted by kind

Levels are debug, info and warning now; changes of paces, lists and routers heard are debug, of paces the five greatest in five seconds. Messages and bytes between routers are counted by way and kind, in the metrics and in a line each ten seconds; a refusal's line and its story tell how scarce its pool was.

--- a/libraries/diagnosis/request_story.cpp
+++ b/libraries/diagnosis/request_story.cpp
@@ -29,8 +29,9 @@
         return start + ": team " + text_of(fields, "team") + " had " + text_of(fields, "level")
             + " tokens in the window, its share was " + text_of(fields, "share") + ", the even level "
             + text_of(fields, "even_level") + "; " + text_of(fields, "taken") + " of " + text_of(fields, "places")
-            + " places were taken, and the best endpoint's first event was foreseen after "
-            + text_of(fields, "best_expected_ms") + " ms";
+            + " places were taken, shares bound by " + text_of(fields, "scarce_percent")
+            + " in 100, and the best endpoint's first event was foreseen after " + text_of(fields, "best_expected_ms")
+            + " ms";
     if (reason == "endpoints_resting")
         return start + ": all endpoints of pool " + text_of(fields, "pool")
             + " had asked this router for rest, the first for " + text_of(fields, "rest_ms") + " ms more";
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -195,7 +195,7 @@
     sent.connection = request.repeat == repetition::never ? connection_choice::fresh : connection_choice::any;
     sent.silence_limit = std::max(silence, least_silence);
     step.effects.emplace_back(std::move(sent));
-    step.effects.emplace_back(log_line { severity::detail, "sent",
+    step.effects.emplace_back(log_line { severity::debug, "sent",
         log_fields()
             .add("id", request.caller_id)
             .add("attempt", request.attempt.value())
@@ -306,7 +306,7 @@
         refused.retry_after = least_return;
     step.effects.emplace_back(refused);
     step.effects.emplace_back(count_event { counted::refusals, name_of(reason) });
-    step.effects.emplace_back(log_line { severity::failure, "refused",
+    step.effects.emplace_back(log_line { severity::warning, "refused",
         log_fields()
             .add("id", arrived.caller_id)
             .add("status", status)
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint32_t most_failed_sends = 3;
+constexpr double percent = 100;
 constexpr std::uint16_t status_bad_gateway = 502;
 constexpr std::uint16_t status_unavailable = 503;
 constexpr std::uint16_t status_gateway_timeout = 504;
@@ -46,7 +47,7 @@
         leave_endpoint(request, nullptr, step);
     }
     step.effects.emplace_back(count_event { counted::cancelled, {} });
-    step.effects.emplace_back(log_line { severity::detail, "caller_left",
+    step.effects.emplace_back(log_line { severity::debug, "caller_left",
         log_fields()
             .add("id", request.caller_id)
             .add("after_ms", (step.now - request.arrived).count())
@@ -106,7 +107,7 @@
     if (ended.end == attempt_end::wrong_endpoint)
         m_board.retire(name);
     if (ended.end != attempt_end::complete) {
-        step.effects.emplace_back(log_line { severity::failure, "attempt_failed",
+        step.effects.emplace_back(log_line { severity::warning, "attempt_failed",
             log_fields()
                 .add("id", request.caller_id)
                 .add("attempt", request.attempt.value())
@@ -122,7 +123,7 @@
     settle_charge(request, step);
     step.effects.emplace_back(count_event { counted::answers, {} });
     step.effects.emplace_back(time_event { timed::answer, request.pool, step.now - request.arrived });
-    step.effects.emplace_back(log_line { severity::detail, "answered",
+    step.effects.emplace_back(log_line { severity::debug, "answered",
         log_fields()
             .add("id", request.caller_id)
             .add("status", ended.status)
@@ -185,7 +186,7 @@
         found->second.has_asked_for_rest = true;
     if (change.has_begun_rest) {
         step.effects.emplace_back(count_event { counted::notices, "rest" });
-        step.effects.emplace_back(log_line { severity::failure, "endpoint_rests",
+        step.effects.emplace_back(log_line { severity::warning, "endpoint_rests",
             log_fields()
                 .add("endpoint", told.endpoint.value())
                 .add("id", id)
@@ -194,7 +195,7 @@
     }
     if (change.has_begun_leaving) {
         step.effects.emplace_back(count_event { counted::notices, "leaving" });
-        step.effects.emplace_back(log_line { severity::failure, "endpoint_leaves",
+        step.effects.emplace_back(log_line { severity::warning, "endpoint_leaves",
             log_fields().add("endpoint", told.endpoint.value()).add("id", id).take() });
     }
 }
@@ -218,7 +219,7 @@
     if (!endpoint->health.note(*verdict, step.now))
         return;
     step.effects.emplace_back(count_event { counted::ejections, {} });
-    step.effects.emplace_back(log_line { severity::failure, "endpoint_ejected",
+    step.effects.emplace_back(log_line { severity::warning, "endpoint_ejected",
         log_fields().add("endpoint", request.endpoint.value()).add("id", request.caller_id).take() });
 }
 
@@ -282,7 +283,7 @@
     settle_charge(request, step);
     step.effects.emplace_back(pass_answer { number });
     step.effects.emplace_back(count_event { counted::failures, {} });
-    step.effects.emplace_back(log_line { severity::failure, "failure_passed_on",
+    step.effects.emplace_back(log_line { severity::warning, "failure_passed_on",
         log_fields()
             .add("id", request.caller_id)
             .add("endpoint", request.endpoint.value())
@@ -298,7 +299,7 @@
     if (request.has_answer_begun) {
         step.effects.emplace_back(break_answer { number, reason });
         step.effects.emplace_back(count_event { counted::refusals, name_of(reason) });
-        step.effects.emplace_back(log_line { severity::failure, "broken_off",
+        step.effects.emplace_back(log_line { severity::warning, "broken_off",
             log_fields()
                 .add("id", request.caller_id)
                 .add("reason", name_of(reason))
@@ -320,7 +321,7 @@
     step.effects.emplace_back(refused);
     step.effects.emplace_back(count_event { counted::refusals, name_of(reason) });
     auto const occupied = m_board.occupancy_of(request.pool, step.now);
-    step.effects.emplace_back(log_line { severity::failure, "refused",
+    step.effects.emplace_back(log_line { severity::warning, "refused",
         log_fields()
             .add("id", request.caller_id)
             .add("status", status)
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds shares_interval { 100 };
 // An engine has a line at most so often.
 constexpr milliseconds paces_interval { 5000 };
+// However many engines there are: the metrics tell the paces of all.
+constexpr std::size_t most_pace_lines = 5;
 
 } // namespace
 
@@ -51,7 +53,7 @@
         return;
     auto const& current = m_routes.current();
     m_board.take_pools(current.pools, current.limits.tokens_per_second);
-    step.effects.emplace_back(log_line { severity::state, "configuration_in_force",
+    step.effects.emplace_back(log_line { severity::info, "configuration_in_force",
         log_fields()
             .add("revision", current.revision)
             .add("routes", current.routes.size())
@@ -81,7 +83,7 @@
 void dispatch_reducer::note_evacuation(failure_domain const& domain, std::string_view event, step_context& step)
 {
     // An operator who misspelled a name sees it by the number of endpoints.
-    step.effects.emplace_back(log_line { severity::state, std::string(event),
+    step.effects.emplace_back(log_line { severity::info, std::string(event),
         log_fields().add("domain", domain.value()).add("endpoints", m_board.endpoints_in(domain)).take() });
 }
 
@@ -89,7 +91,7 @@
 {
     m_board.take_list(listed.entries, step.now);
     m_has_list = true;
-    step.effects.emplace_back(log_line { severity::failure, "endpoints_listed",
+    step.effects.emplace_back(log_line { severity::debug, "endpoints_listed",
         log_fields()
             .add("endpoints", listed.entries.size())
             .add("draining", std::ranges::count(listed.entries, true, &endpoint_entry::is_draining))
@@ -118,20 +120,25 @@
 
 void dispatch_reducer::tell_pace_changes(step_context& step)
 {
-    for (auto const& change : m_board.take_pace_changes())
-        step.effects.emplace_back(log_line { severity::failure, "engine_pace_changed",
+    auto const changes = m_board.take_pace_changes();
+    auto const told = std::min(changes.size(), most_pace_lines);
+    for (std::size_t index = 0; index < told; ++index) {
+        auto const& change = changes[index];
+        step.effects.emplace_back(log_line { severity::debug, "engine_pace_changed",
             log_fields()
                 .add("endpoint", change.engine.value())
                 .add("tokens_per_ms_before", static_cast<std::int64_t>(change.before))
                 .add("tokens_per_ms", static_cast<std::int64_t>(change.now))
+                .add("others", changes.size() - told)
                 .take() });
+    }
 }
 
 void dispatch_reducer::tell_ended_rests(step_context& step)
 {
     for (auto const& endpoint : m_board.take_ended_rests(step.now))
         step.effects.emplace_back(
-            log_line { severity::failure, "endpoint_rested", log_fields().add("endpoint", endpoint.value()).take() });
+            log_line { severity::debug, "endpoint_rested", log_fields().add("endpoint", endpoint.value()).take() });
 }
 
 void dispatch_reducer::note_overdue(instant now)
@@ -197,7 +204,7 @@
     peer_state const state { step.now, report.subject, report.domain, report.routers, report.routers_aside,
         report.busy_part };
     if (m_peers.insert_or_assign(report.source(), state).second)
-        step.effects.emplace_back(log_line { severity::failure, "peer_regained",
+        step.effects.emplace_back(log_line { severity::debug, "peer_regained",
             log_fields().add("peer", report.source().value()).add("teller", report.peer.value()).take() });
     auto const place = place_of(report);
     m_ledger.take_report(report, place, step.now);
@@ -214,7 +221,7 @@
     m_ledger.forget(lost.source);
     m_board.forget(lost.source);
     step.effects.emplace_back(
-        log_line { severity::failure, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
+        log_line { severity::warning, "peer_lost", log_fields().add("peer", lost.source.value()).take() });
 }
 
 void dispatch_reducer::forget_silent_peers(step_context& step)
@@ -293,7 +300,7 @@
         return;
     m_is_ready = is_ready;
     step.effects.emplace_back(set_ready { is_ready, m_overload.is_aside() });
-    step.effects.emplace_back(log_line { severity::state, "ready_changed",
+    step.effects.emplace_back(log_line { severity::info, "ready_changed",
         log_fields()
             .add("ready", is_ready ? 1 : 0)
             .add("aside", m_overload.is_aside() ? 1 : 0)
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -68,11 +68,11 @@
 // The drain is complete: nothing is in flight.
 struct stop_process { };
 
-enum class severity { detail, failure, state };
+enum class severity { debug, info, warning };
 
 // A line of the log: an event's stable name and its fields, already in JSON but for the outer braces.
 struct log_line {
-    severity level { severity::detail };
+    severity level { severity::debug };
     std::string event;
     std::string fields;
 };
--- a/libraries/dispatch/endpoints/endpoint_board.cpp
+++ b/libraries/dispatch/endpoints/endpoint_board.cpp
@@ -331,6 +331,9 @@
             continue;
         changes.push_back({ name, std::exchange(told, now), now });
     }
+    // Where only some are told, the greatest.
+    std::ranges::sort(changes, std::greater {},
+        [](pace_change const& change) { return std::abs(std::log(change.now / change.before)); });
     return changes;
 }
 
--- a/libraries/logging/event_log.cpp
+++ b/libraries/logging/event_log.cpp
@@ -75,14 +75,14 @@
 std::string_view name_of(event_level level)
 {
     switch (level) {
-    case event_level::detail:
-        return "detail";
-    case event_level::failure:
-        return "failure";
-    case event_level::state:
+    case event_level::debug:
+        return "debug";
+    case event_level::warning:
+        return "warning";
+    case event_level::info:
         break;
     }
-    return "state";
+    return "info";
 }
 
 } // namespace
@@ -100,14 +100,14 @@
     auto const second = now.time_since_epoch().count() / ms_per_second;
     if (second != m_second) {
         m_second = second;
-        m_details = 0;
-        m_failures = 0;
+        m_debug_lines = 0;
+        m_warnings = 0;
     }
-    if (level == event_level::state)
+    if (level == event_level::info)
         return true;
-    if (level == event_level::detail)
-        return ++m_details <= m_options.details_per_second;
-    return ++m_failures <= m_options.failures_per_second;
+    if (level == event_level::debug)
+        return ++m_debug_lines <= m_options.debug_lines_per_second;
+    return ++m_warnings <= m_options.warnings_per_second;
 }
 
 void event_log::write(event_level level, std::string_view event, std::string_view fields, instant now)
@@ -135,7 +135,7 @@
     }
     line += '}';
     write_line(line);
-    if (level == event_level::state)
+    if (level == event_level::info)
         flush();
 }
 
--- a/libraries/logging/event_log.h
+++ b/libraries/logging/event_log.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// One JSON object a line on standard output, by Boost.Log. The volume is bounded, failures are kept before successes,
+// One JSON object a line on standard output, by Boost.Log. The volume is bounded, warnings have a budget of their own,
 // and a reader that does not read never holds the process up: lines are dropped then, and counted. Lines gather until
 // flush() is called.
 #pragma once
@@ -12,11 +12,12 @@
 
 namespace shedhill::logging {
 
-enum class event_level { detail, failure, state };
+// By what whoever is on call must do: nothing, know it, look into it.
+enum class event_level { debug, info, warning };
 
 struct event_log_options {
-    std::uint32_t details_per_second { 400 };
-    std::uint32_t failures_per_second { 400 };
+    std::uint32_t debug_lines_per_second { 400 };
+    std::uint32_t warnings_per_second { 400 };
 };
 
 struct event_log_counts {
@@ -30,9 +31,9 @@
 public:
     event_log(std::string vm, event_log_options options);
 
-    // Fields are JSON members without the braces. A line of the level state is never over the budget.
+    // Fields are JSON members without the braces. A line of the level info is never over the budget.
     void write(event_level level, std::string_view event, std::string_view fields, instant now);
-    // Writes what has gathered since the last time. Lines of the level state are written at once.
+    // Writes what has gathered since the last time. Lines of the level info are written at once.
     void flush();
     [[nodiscard]] event_log_counts const& counts() const { return m_counts; }
 
@@ -44,8 +45,8 @@
     event_log_options m_options;
     event_log_counts m_counts;
     std::int64_t m_second { 0 };
-    std::uint32_t m_details { 0 };
-    std::uint32_t m_failures { 0 };
+    std::uint32_t m_debug_lines { 0 };
+    std::uint32_t m_warnings { 0 };
 };
 
 } // namespace shedhill::logging
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -29,10 +29,11 @@
     [[nodiscard]] bool is_up() const { return m_is_up; }
     [[nodiscard]] bool is_late(instant now) const { return !m_is_up && now - m_started_at > connect_limit; }
 
-    void tell(std::string const& frame)
+    void tell(std::string const& frame, traffic_kind kind)
     {
         if (!m_is_up || m_socket.unwritten_size() > most_unread)
             return;
+        m_mesh.m_traffic.sent_of(kind).add(frame.size());
         m_socket.queue(frame);
         if (!m_socket.flush())
             lose();
@@ -98,10 +99,12 @@
         for (auto size = peering::frame_size(rest); size && rest.size() >= *size; size = peering::frame_size(rest)) {
             // What a router of another version says may not be known here; the next message may be.
             if (auto message
-                = peering::decode_body(rest.substr(peering::frame_head_size, *size - peering::frame_head_size)))
+                = peering::decode_body(rest.substr(peering::frame_head_size, *size - peering::frame_head_size))) {
+                m_mesh.m_traffic.received_of(kind_of(*message)).add(*size);
                 m_mesh.m_on_message(std::move(*message));
-            else
+            } else {
                 ++m_mesh.m_skipped;
+            }
             used += *size;
             rest.remove_prefix(*size);
         }
@@ -171,11 +174,11 @@
     }
 }
 
-void peer_mesh::tell_routers(std::string const& frame)
+void peer_mesh::tell_routers(std::string const& frame, traffic_kind kind)
 {
     for (auto const& [address, link] : m_outgoing) {
         if (m_directory.is_told_singly(address))
-            link->tell(frame);
+            link->tell(frame, kind);
     }
 }
 
@@ -183,7 +186,7 @@
 {
     for (auto const& [address, link] : m_outgoing) {
         if (!m_directory.is_told_singly(address))
-            link->tell(frame);
+            link->tell(frame, traffic_kind::domain_sums);
     }
 }
 
@@ -196,7 +199,7 @@
 void peer_mesh::tell(std::string const& address, std::string const& frame)
 {
     if (auto const found = m_outgoing.find(address); found != m_outgoing.end())
-        found->second->tell(frame);
+        found->second->tell(frame, traffic_kind::documents);
 }
 
 } // namespace shedhill::relay
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -5,6 +5,7 @@
 
 #include "libraries/peering/peer_directory.h"
 #include "libraries/peering/peer_message.h"
+#include "libraries/relay/peer_traffic.h"
 #include "libraries/relay/socket.h"
 
 #include <functional>
@@ -29,13 +30,14 @@
 
     // To the routers that are connected and are told what each does by itself, or to those of other failure domains,
     // which are told sums; those that do not read fast enough are left out.
-    void tell_routers(std::string const& frame);
+    void tell_routers(std::string const& frame, traffic_kind kind);
     void tell_domains(std::string const& frame);
     [[nodiscard]] bool is_linked_to_domains() const;
     void tell(std::string const& address, std::string const& frame);
     // Routers that were connected since the last call: they may know nothing yet.
     [[nodiscard]] std::vector<std::string> take_new() { return std::exchange(m_new, {}); }
 
+    [[nodiscard]] peer_traffic const& traffic() const { return m_traffic; }
     // Messages that could not be read since the last call.
     [[nodiscard]] std::uint64_t take_skipped() { return std::exchange(m_skipped, 0); }
 
@@ -58,6 +60,7 @@
     std::uint64_t m_last_number { 0 };
     std::uint64_t m_draw { 0 };
     std::uint64_t m_skipped { 0 };
+    peer_traffic m_traffic;
     std::vector<std::string> m_new;
     std::unordered_map<std::string, std::shared_ptr<outgoing_link>> m_outgoing;
     std::unordered_map<std::uint64_t, std::shared_ptr<incoming_link>> m_incoming;
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -101,7 +101,7 @@
 
     void log_state(std::string_view event, std::string const& fields)
     {
-        log(logging::event_level::state, event, fields);
+        log(logging::event_level::info, event, fields);
     }
 
     void log(logging::event_level level, std::string_view event, std::string const& fields)
@@ -121,6 +121,7 @@
     // A tick comes at the latest so long after the one before, if the process has time for it.
     static constexpr milliseconds usual_tick { 20 };
     static constexpr milliseconds check_interval { 24 };
+    static constexpr milliseconds traffic_interval { 10000 };
     // Of the VM's memory, what may be held for peers: the rest is for the process itself, which takes 20 MB in a fleet
     // of hundreds, and for the system's own buffers of the same connections.
     static constexpr std::size_t part_of_memory_held = 4;
@@ -329,6 +330,10 @@
         take_events();
         auto const draw = m_random();
         m_knowledge.tick(now, draw);
+        if (now - m_traffic_told_at >= traffic_interval) {
+            m_traffic_told_at = now;
+            log(logging::event_level::debug, "peer_traffic", peer_traffic_fields(m_knowledge.traffic()));
+        }
         if (now - m_checked_at >= check_interval) {
             m_checked_at = now;
             check_times(now);
@@ -357,7 +362,7 @@
             readers.push_back({ number, caller->unwritten_size() });
         for (auto const number : relay::readers_to_end(std::move(readers), held.held(), held.limit())) {
             auto const caller = m_callers.at(number);
-            log(logging::event_level::failure, "slow_reader_ended",
+            log(logging::event_level::warning, "slow_reader_ended",
                 dispatch::log_fields()
                     .add("unread", caller->unwritten_size())
                     .add("held", held.held())
@@ -447,6 +452,7 @@
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
         m_metrics.set("shedhill_store_unheard_ms", static_cast<double>(m_knowledge.store_unheard().count()));
         set_dispatch_gauges(m_metrics, m_reducer, m_loop.now());
+        set_peer_gauges(m_metrics, m_knowledge.traffic());
         m_metrics.set("shedhill_held_bytes", static_cast<double>(m_loop.held().held()));
         m_metrics.set("shedhill_held_bytes_limit", static_cast<double>(m_loop.held().limit()));
         set_log_gauges(m_metrics, m_log.counts());
@@ -487,6 +493,7 @@
     relay::stop_sequence m_stop;
     instant m_ticked_at {};
     instant m_checked_at {};
+    instant m_traffic_told_at {};
     instant m_idle_callers_checked_at {};
 };
 
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -117,6 +117,7 @@
             - std::max(m_endpoints.follower().confirmed_at(), m_told.confirmed_at(document_kind::endpoints));
     }
 
+    [[nodiscard]] relay::peer_traffic const& traffic() const { return m_reports.traffic(); }
     // Since the store last answered this router.
     [[nodiscard]] milliseconds store_unheard() const { return m_loop.now() - m_followers.answered_at(); }
 
@@ -300,7 +301,7 @@
     {
         for (auto const& row : refused) {
             m_host.count("shedhill_bad_documents_total");
-            m_host.log(logging::event_level::failure, "endpoint_row_refused",
+            m_host.log(logging::event_level::warning, "endpoint_row_refused",
                 dispatch::log_fields().add("key", row.key).add("reason", row.reason).take());
         }
     }
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -90,6 +90,7 @@
 
     [[nodiscard]] peering::peer_directory& directory() { return m_peers.directory(); }
     [[nodiscard]] peering::fleet_member const& self() { return m_peers.directory().self(); }
+    [[nodiscard]] relay::peer_traffic const& traffic() const { return m_peers.traffic(); }
     [[nodiscard]] std::uint16_t port() const { return m_peers.port(); }
     // Whether this router exchanges sums with other failure domains.
     [[nodiscard]] bool is_telling_domains() const { return m_is_telling_domains; }
@@ -162,7 +163,7 @@
             m_told_members_at = now;
             state.members = directory().members();
         }
-        m_peers.tell_routers(peering::encode_frame(state));
+        m_peers.tell_routers(peering::encode_frame(state), relay::traffic_kind::own_state);
         tell_parts(newcomers, std::move(state), now);
     }
 
@@ -230,7 +231,7 @@
             return true;
         state.documents.clear();
         state.members.clear();
-        m_peers.tell_routers(peering::encode_frame(state));
+        m_peers.tell_routers(peering::encode_frame(state), relay::traffic_kind::passed_on);
         return true;
     }
 
--- a/services/shedhilld/log_levels.cpp
+++ b/services/shedhilld/log_levels.cpp
@@ -7,14 +7,14 @@
 logging::event_level level_of(dispatch::severity severity)
 {
     switch (severity) {
-    case dispatch::severity::detail:
-        return logging::event_level::detail;
-    case dispatch::severity::failure:
-        return logging::event_level::failure;
-    case dispatch::severity::state:
+    case dispatch::severity::debug:
+        return logging::event_level::debug;
+    case dispatch::severity::warning:
+        return logging::event_level::warning;
+    case dispatch::severity::info:
         break;
     }
-    return logging::event_level::state;
+    return logging::event_level::info;
 }
 
 } // namespace shedhill::daemon
--- a/services/shedhilld/router_gauges.cpp
+++ b/services/shedhilld/router_gauges.cpp
@@ -2,6 +2,8 @@
 // One gauge a line.
 #include "services/shedhilld/router_gauges.h"
 
+#include "libraries/dispatch/log_fields.h"
+
 #include <sstream>
 
 namespace shedhill::daemon {
@@ -43,6 +45,32 @@
     return text.str();
 }
 
+void set_peer_gauges(metrics::registry& registry, relay::peer_traffic const& traffic)
+{
+    auto const set = [&](char const* way, relay::traffic_kind kind, relay::traffic_count const& count) {
+        auto const labels = "{way=\"" + std::string(way) + "\",kind=\"" + std::string(name_of(kind)) + "\"}";
+        registry.set("shedhill_peer_messages" + labels, static_cast<double>(count.messages));
+        registry.set("shedhill_peer_bytes" + labels, static_cast<double>(count.bytes));
+    };
+    for (std::size_t index = 0; index < relay::peer_traffic::kinds; ++index) {
+        set("sent", static_cast<relay::traffic_kind>(index), traffic.sent.at(index));
+        set("received", static_cast<relay::traffic_kind>(index), traffic.received.at(index));
+    }
+}
+
+std::string peer_traffic_fields(relay::peer_traffic const& traffic)
+{
+    dispatch::log_fields fields;
+    for (std::size_t index = 0; index < relay::peer_traffic::kinds; ++index) {
+        auto const kind = std::string(name_of(static_cast<relay::traffic_kind>(index)));
+        fields.add("sent_" + kind, traffic.sent.at(index).messages)
+            .add("sent_bytes_" + kind, traffic.sent.at(index).bytes)
+            .add("received_" + kind, traffic.received.at(index).messages)
+            .add("received_bytes_" + kind, traffic.received.at(index).bytes);
+    }
+    return fields.take();
+}
+
 void set_log_gauges(metrics::registry& registry, logging::event_log_counts const& counts)
 {
     registry.set("shedhill_log_lines_taken", static_cast<double>(counts.taken));
--- a/services/shedhilld/store_lines.cpp
+++ b/services/shedhilld/store_lines.cpp
@@ -30,13 +30,13 @@
     case happened::call_answered:
         break;
     case happened::call_failed:
-        return store_line { event_level::failure, "store_call_failed", fields_of(note) };
+        return store_line { event_level::warning, "store_call_failed", fields_of(note) };
     case happened::call_given_up:
-        return store_line { event_level::failure, "store_call_given_up", fields_of(note) };
+        return store_line { event_level::warning, "store_call_given_up", fields_of(note) };
     case happened::lost:
-        return store_line { event_level::state, "store_lost", fields_of(note) };
+        return store_line { event_level::info, "store_lost", fields_of(note) };
     case happened::regained:
-        return store_line { event_level::state, "store_regained", fields_of(note) };
+        return store_line { event_level::info, "store_regained", fields_of(note) };
     }
     return std::nullopt;
 }
--- a/services/shedhilld/store_lines.h
+++ b/services/shedhilld/store_lines.h
@@ -11,7 +11,7 @@
 namespace shedhill::daemon {
 
 struct store_line {
-    logging::event_level level { logging::event_level::failure };
+    logging::event_level level { logging::event_level::warning };
     // The event's stable name.
     std::string event;
     std::string fields;
--- a/tests/diagnosis/request_story_test.cpp
+++ b/tests/diagnosis/request_story_test.cpp
@@ -30,7 +30,7 @@
         std::int64_t time = 1000;
         while (std::getline(log, line)) {
             auto const space = line.find(' ');
-            story.read_line(R"({"unix_ms":)" + std::to_string(++time) + R"(,"vm":"router-a","level":"detail","event":")"
+            story.read_line(R"({"unix_ms":)" + std::to_string(++time) + R"(,"vm":"router-a","level":"debug","event":")"
                 + line.substr(0, space) + "\"," + line.substr(space + 1) + "}");
         }
         story.sort();
--- a/tests/relay/peer_mesh_test.cpp
+++ b/tests/relay/peer_mesh_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(peer_mesh_test);
     CPPUNIT_TEST(a_message_that_is_not_known_is_skipped);
     CPPUNIT_TEST(sums_go_to_other_failure_domains_only);
+    CPPUNIT_TEST(what_is_told_is_counted_by_kind_at_both_ends);
     CPPUNIT_TEST(a_buffer_that_rests_keeps_little);
     CPPUNIT_TEST_SUITE_END();
 
@@ -95,7 +96,7 @@
         a.mesh.directory().add_told({ b.address(), failure_domain("north"), 0 }, loop.now());
         a.mesh.directory().add_told({ c.address(), failure_domain("south"), 0 }, loop.now());
         CPPUNIT_ASSERT(a.mesh.is_linked_to_domains());
-        a.mesh.tell_routers(state_frame("alone"));
+        a.mesh.tell_routers(state_frame("alone"), traffic_kind::own_state);
         a.mesh.tell_domains(state_frame("sums"));
         run_until(loop, [&] { return !b.heard.empty() && !c.heard.empty(); });
         auto const name
@@ -103,6 +104,35 @@
         CPPUNIT_ASSERT_EQUAL(std::string("alone"), name(b));
         CPPUNIT_ASSERT_EQUAL(std::string("sums"), name(c));
     }
+
+    void what_is_told_is_counted_by_kind_at_both_ends()
+    {
+        event_loop loop;
+        router a(loop, "north");
+        router b(loop, "north");
+        connect(loop, a, b);
+        a.mesh.directory().add_told({ b.address(), failure_domain("north"), 0 }, loop.now());
+        auto const frame = state_frame("a");
+        a.mesh.tell_routers(frame, traffic_kind::own_state);
+        peering::state_message sums;
+        sums.report.subject = dispatch::report_subject::domain;
+        sums.is_passed_on = true;
+        a.mesh.tell_routers(peering::encode_frame(sums), traffic_kind::passed_on);
+        a.mesh.tell(b.address(), peering::encode_frame(peering::link_wanted { a.address() }));
+        run_until(loop, [&] { return b.heard.size() == 3; });
+        auto const at = [](std::array<traffic_count, peer_traffic::kinds> const& counts, traffic_kind kind) {
+            return counts.at(static_cast<std::size_t>(kind));
+        };
+        auto const& sent = a.mesh.traffic().sent;
+        auto const& received = b.mesh.traffic().received;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { frame.size() }, at(sent, traffic_kind::own_state).bytes);
+        for (auto const kind : { traffic_kind::own_state, traffic_kind::passed_on, traffic_kind::documents }) {
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, at(sent, kind).messages);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, at(received, kind).messages);
+            CPPUNIT_ASSERT_EQUAL(at(sent, kind).bytes, at(received, kind).bytes);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, at(received, traffic_kind::domain_sums).messages);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_mesh_test);
