dispatch, platform: Routes and teams that are bound to regions are served there only

Nothing knew of regions: a route or a team with allowed regions was served anywhere. The settings tell the region of each failure domain; the bound of route and team together is copied into a request and held by the one gate that each send passes, first sends, repeats and resumed streams alike. A failure domain of no known region is allowed to nobody who is bound; a list that cannot be read refuses the configuration. Where no region is left the caller is told at once (no_allowed_region); rests and evacuations of other regions do not count for who is bound. Ruled out: a filter at the list (one list serves bound and unbound), a check at the send (a choice would go on picking what may not be sent). Tests: regions_test, with a property over lists, failures, evacuations and time.

--- a/base/identifiers.h
+++ b/base/identifiers.h
@@ -24,6 +24,8 @@
 using pool_name = strong_type<std::string, struct pool_name_tag>;
 // The failure domain of a VM.
 using failure_domain = strong_type<std::string, struct failure_domain_tag>;
+// Failure domains that stand near each other; between regions the way is long and narrow.
+using region_name = strong_type<std::string, struct region_name_tag>;
 
 // One start of a process. A restarted process has a larger epoch.
 using process_epoch = strong_type<std::uint64_t, struct process_epoch_tag>;
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -63,6 +63,9 @@
     request.pause_objective = route->pause_objective;
     request.priority = team != nullptr && team->priority ? *team->priority : route->priority;
     request.most_attempts = std::max(route->most_attempts, 1U);
+    request.regions.limit_to(route->allowed_regions);
+    if (team != nullptr)
+        request.regions.limit_to(team->allowed_regions);
     request.is_engine = pool_declared != nullptr && pool_declared->is_engine();
     request.arrived = step.now;
     auto const caller_time = arrived.time_left.value_or(m_options.default_deadline);
@@ -109,6 +112,7 @@
     wanted.pool = request.pool;
     wanted.cost = &request.cost;
     wanted.excluded = &request.tried;
+    wanted.regions = &request.regions;
     wanted.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
     wanted.is_engine = request.is_engine;
     auto const terms = terms_for(request, step);
@@ -276,25 +280,28 @@
 
 refusal_reason dispatch_reducer::why_nowhere(active_request const& request, step_context const& step) const
 {
-    if (m_board.all_rest_for(request.pool, step.now))
+    if (m_board.all_rest_for(request.pool, request.regions, step.now))
         return refusal_reason::endpoints_resting;
-    if (m_board.has_endpoints(request.pool))
+    if (m_board.has_endpoints(request.pool, request.regions))
         return refusal_reason::no_place;
-    return m_board.is_evacuated(request.pool) ? refusal_reason::domains_evacuated : refusal_reason::no_endpoint;
+    if (m_board.is_evacuated(request.pool, request.regions))
+        return refusal_reason::domains_evacuated;
+    return m_board.has_endpoints(request.pool) ? refusal_reason::no_allowed_region : refusal_reason::no_endpoint;
 }
 
 bool dispatch_reducer::is_in_vain(active_request const& request, step_context const& step)
 {
-    if (auto const rest = m_board.all_rest_for(request.pool, step.now))
+    if (auto const rest = m_board.all_rest_for(request.pool, request.regions, step.now))
         return step.now + *rest > request.arrived + terms_for(request, step).longest_wait;
-    return !m_board.has_endpoints(request.pool);
+    return !m_board.has_endpoints(request.pool, request.regions);
 }
 
 milliseconds dispatch_reducer::come_back_after(
     active_request const& request, refusal_reason reason, step_context const& step) const
 {
     refused_caller const refused { reason, request.objective, request.deadline - step.now, m_overload.is_aside(),
-        m_options.policy.early_return, m_board.all_rest_for(request.pool, step.now).value_or(milliseconds(0)) };
+        m_options.policy.early_return,
+        m_board.all_rest_for(request.pool, request.regions, step.now).value_or(milliseconds(0)) };
     return return_time(refused, step.draw);
 }
 
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -331,7 +331,9 @@
             .add("pool", request.pool.value())
             .add("taken", occupied.taken)
             .add("places", occupied.places)
-            .add("rest_ms", m_board.all_rest_for(request.pool, step.now).value_or(milliseconds(0)).count())
+            .add("scarce_percent", static_cast<int>(m_board.scarcity_of(request.pool) * percent))
+            .add("rest_ms",
+                m_board.all_rest_for(request.pool, request.regions, step.now).value_or(milliseconds(0)).count())
             .add("waiting", m_waiting.size())
             .add("share", m_ledger.share())
             .add("even_level", m_ledger.even_level())
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -34,7 +34,7 @@
 
 dispatch_reducer::dispatch_reducer(dispatch_options options)
     : m_options(std::move(options))
-    , m_board(m_options.domain, m_options.policy, m_options.cold, m_options.vm)
+    , m_board(m_options.domain, m_options.policy, m_options.cold, m_options.vm, m_options.regions)
     , m_ledger(m_options.share_window)
     , m_retries(m_options.retries)
 {
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -23,6 +23,7 @@
 struct dispatch_options {
     vm_name vm;
     failure_domain domain;
+    region_map regions;
     retry_bounds retries;
     cold_bounds cold;
     // Over which the teams' shares are kept.
@@ -79,6 +80,7 @@
         milliseconds pause_objective { 0 };
         std::uint32_t priority { 0 };
         std::uint32_t most_attempts { 1 };
+        region_bound regions;
         bool is_engine { false };
         instant arrived {};
         // Whichever is first, the caller's deadline or the route's limit.
@@ -149,8 +151,8 @@
     // The same, unless many wait and it was done a moment ago.
     void serve_waiting_again(step_context& step);
     void end_of_wait(request_number number, active_request& request, step_context& step);
-    // Why no endpoint takes the request: none is there, an operator holds all of them back, all rest, or none has a
-    // place.
+    // Why no endpoint takes the request: none is there, none stands where the request may be served, an operator holds
+    // all of them back, all rest, or none has a place.
     [[nodiscard]] refusal_reason why_nowhere(active_request const& request, step_context const& step) const;
     // No endpoint can take it while it may wait.
     [[nodiscard]] bool is_in_vain(active_request const& request, step_context const& step);
--- a/libraries/dispatch/endpoints/endpoint_board.cpp
+++ b/libraries/dispatch/endpoints/endpoint_board.cpp
@@ -26,6 +26,11 @@
     return scope == report_scope::whole ? work.running > 0 || has_changed : has_changed;
 }
 
+bool has_any_in(std::vector<endpoint_state*> const& endpoints, region_bound const& regions)
+{
+    return std::ranges::any_of(endpoints, [&](endpoint_state const* state) { return regions.allows(state->region); });
+}
+
 } // namespace
 
 void endpoint_board::take_pools(std::vector<pool_settings> const& pools, token_count tokens_per_second)
@@ -144,6 +149,8 @@
         if (is_new && m_has_list)
             state->cold.note_unknown(cold_pool_of(entry.pool).usual, now);
         state->entry = entry;
+        auto const region = m_regions.find(entry.domain);
+        state->region = region == m_regions.end() ? region_name() : region->second;
         if (!entry.is_draining && !state->word.is_leaving)
             open(*state);
     }
@@ -214,10 +221,10 @@
     return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
-bool endpoint_board::has_endpoints(pool_name const& pool) const
+bool endpoint_board::has_endpoints(pool_name const& pool, region_bound const& regions) const
 {
     auto const found = m_open.find(pool);
-    return found != m_open.end() && !found->second.empty();
+    return found != m_open.end() && has_any_in(found->second, regions);
 }
 
 std::size_t endpoint_board::endpoints_in(failure_domain const& domain) const
@@ -226,10 +233,10 @@
         std::ranges::count_if(m_endpoints, [&](auto const& known) { return known.second->entry.domain == domain; }));
 }
 
-bool endpoint_board::is_evacuated(pool_name const& pool) const
+bool endpoint_board::is_evacuated(pool_name const& pool, region_bound const& regions) const
 {
     auto const found = m_held_back.find(pool);
-    return found != m_held_back.end() && !found->second.empty() && !has_endpoints(pool);
+    return found != m_held_back.end() && has_any_in(found->second, regions) && !has_endpoints(pool, regions);
 }
 
 void endpoint_board::note_seen(endpoint_state& endpoint, reading_evidence const& seen, instant now)
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -17,6 +17,7 @@
 #include "libraries/dispatch/engines/unseen_work.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
+#include "libraries/dispatch/region_bound.h"
 
 #include <memory>
 #include <optional>
@@ -52,6 +53,8 @@
 
 struct endpoint_state {
     endpoint_entry entry;
+    // Of its failure domain; empty where that is not known.
+    region_name region;
     // Of its start under its name.
     endpoint_key key;
     endpoint_health health;
@@ -102,6 +105,8 @@
     request_cost const* cost { nullptr };
     // Endpoints that this request was sent to before.
     std::vector<endpoint_name> const* excluded { nullptr };
+    // Where it may be served; none for anywhere.
+    region_bound const* regions { nullptr };
     // What is left of the objective.
     double time_left_ms { 0 };
     // The part of an endpoint's places that may be taken for this request to be let in.
@@ -122,9 +127,10 @@
 
 class endpoint_board {
 public:
-    explicit endpoint_board(
-        failure_domain own, dispatch_policy policy = {}, cold_bounds cold = {}, vm_name const& self = {})
+    explicit endpoint_board(failure_domain own, dispatch_policy policy = {}, cold_bounds cold = {},
+        vm_name const& self = {}, region_map regions = {})
         : m_own_domain(std::move(own))
+        , m_regions(std::move(regions))
         , m_self(stable_hash(self.value()))
         , m_policy(policy)
         , m_cold_share(cold)
@@ -149,16 +155,18 @@
     notice_change take_notice(endpoint_key start, endpoint_notice const& notice, instant now);
     // Endpoints whose rest has ended since the last call.
     [[nodiscard]] std::vector<endpoint_name> take_ended_rests(instant now);
-    // Until the first of the pool's endpoints has rested; none where one of them does not rest.
-    [[nodiscard]] std::optional<milliseconds> all_rest_for(pool_name const& pool, instant now) const;
+    // Until the first of the pool's endpoints in these regions has rested; none where one of them does not rest.
+    [[nodiscard]] std::optional<milliseconds> all_rest_for(
+        pool_name const& pool, region_bound const& regions, instant now) const;
     // Endpoints that get no new work, or less, with each reason.
     [[nodiscard]] std::vector<held_endpoint> held_endpoints(instant now) const;
 
     [[nodiscard]] endpoint_state* find(endpoint_name const& name);
     [[nodiscard]] endpoint_state* find(endpoint_key key);
-    [[nodiscard]] bool has_endpoints(pool_name const& pool) const;
-    // The pool has endpoints, but all of them are in evacuated failure domains.
-    [[nodiscard]] bool is_evacuated(pool_name const& pool) const;
+    // The pool has endpoints in these regions that may get new work.
+    [[nodiscard]] bool has_endpoints(pool_name const& pool, region_bound const& regions = {}) const;
+    // The pool has endpoints in these regions, but all of them are in evacuated failure domains.
+    [[nodiscard]] bool is_evacuated(pool_name const& pool, region_bound const& regions = {}) const;
     [[nodiscard]] std::set<failure_domain> const& evacuated() const { return m_evacuated; }
     [[nodiscard]] std::size_t listed_endpoints() const { return m_by_name.size(); }
     [[nodiscard]] std::size_t endpoints_in(failure_domain const& domain) const;
@@ -258,6 +266,7 @@
     [[nodiscard]] static bool ignores_ejection(std::vector<endpoint_state*> const& endpoints, instant now);
 
     failure_domain m_own_domain;
+    region_map m_regions;
     // Tells this router's preferences from those of others.
     std::uint64_t m_self { 0 };
     dispatch_policy m_policy;
--- a/libraries/dispatch/endpoints/endpoint_choice.cpp
+++ b/libraries/dispatch/endpoints/endpoint_choice.cpp
@@ -97,6 +97,8 @@
     for (auto* state : open->second) {
         if (std::ranges::find(*wanted.excluded, state->entry.name) != wanted.excluded->end())
             continue;
+        if (wanted.regions != nullptr && !wanted.regions->allows(state->region))
+            continue;
         // Before all else: no rule below may let a request pass to one that rests.
         if (!state->word.rest.may_send(now) || is_held_back_cold(*state, now))
             continue;
@@ -164,7 +166,7 @@
         best = { &endpoint, weighed.unkept, foreseen.total_ms, rank.first, 0, wanted.held };
     }
     // What is chosen in a moment may use the pool up: terms never go by a sight older than the last choice.
-    if (wanted.is_engine)
+    if (wanted.is_engine && (wanted.regions == nullptr || !wanted.regions->is_bound()))
         m_scarcity[wanted.pool] = use.scarcity();
     best.lost = best.unkept - std::min(least_unkept, best.unkept);
     return best;
--- a/libraries/dispatch/endpoints/endpoint_notices.cpp
+++ b/libraries/dispatch/endpoints/endpoint_notices.cpp
@@ -51,18 +51,25 @@
     return ended;
 }
 
-std::optional<milliseconds> endpoint_board::all_rest_for(pool_name const& pool, instant now) const
+std::optional<milliseconds> endpoint_board::all_rest_for(
+    pool_name const& pool, region_bound const& regions, instant now) const
 {
     if (now >= m_last_rest_ends)
         return std::nullopt;
     auto const found = m_open.find(pool);
-    if (found == m_open.end() || found->second.empty())
+    if (found == m_open.end())
         return std::nullopt;
-    auto const first = std::ranges::min_element(
-        found->second, {}, [](endpoint_state const* state) { return state->word.rest.until(); });
-    if (!(*first)->word.rest.is_resting(now))
+    std::optional<instant> first_ends;
+    for (auto const* state : found->second) {
+        if (!regions.allows(state->region))
+            continue;
+        if (!state->word.rest.is_resting(now))
+            return std::nullopt;
+        first_ends = std::min(first_ends.value_or(state->word.rest.until()), state->word.rest.until());
+    }
+    if (!first_ends)
         return std::nullopt;
-    return (*first)->word.rest.until() - now;
+    return *first_ends - now;
 }
 
 void endpoint_board::keep_word(endpoint_state const& gone, instant now)
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -58,6 +58,8 @@
     std::uint32_t most_attempts { 1 };
     bool is_public { false };
     std::vector<weighted_pool> pools;
+    // The only regions in which its requests may be served; empty for any.
+    std::vector<region_name> allowed_regions;
 
     bool operator==(route const&) const = default;
 };
@@ -81,6 +83,8 @@
     team_name name;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority;
+    // The only regions in which its requests may be served; empty for any.
+    std::vector<region_name> allowed_regions;
 };
 
 // What a caller may send and how long it may take.
@@ -153,6 +157,7 @@
     bad_request,
     no_endpoint,
     domains_evacuated,
+    no_allowed_region,
     team_over_share,
     no_place,
     deadline_passed,
@@ -186,6 +191,8 @@
         return "no_endpoint";
     case refusal_reason::domains_evacuated:
         return "domains_evacuated";
+    case refusal_reason::no_allowed_region:
+        return "no_allowed_region";
     case refusal_reason::team_over_share:
         return "team_over_share";
     case refusal_reason::no_place:
--- a/libraries/relay/deployment.h
+++ b/libraries/relay/deployment.h
@@ -4,6 +4,7 @@
 
 #include "base/identifiers.h"
 #include "base/units.h"
+#include "libraries/dispatch/region_bound.h"
 
 #include <cstddef>
 #include <string>
@@ -14,6 +15,8 @@
 struct deployment_settings {
     vm_name vm;
     failure_domain domain;
+    // Of each failure domain; empty where the deployment tells none.
+    dispatch::region_map regions;
     // Where callers connect, where readiness is asked for, and where other routers connect.
     std::string caller_address;
     std::string ready_address;
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -136,6 +136,7 @@
         dispatch::dispatch_options options;
         options.vm = settings.vm;
         options.domain = settings.domain;
+        options.regions = settings.regions;
         options.retries = { settings.retry_ratio, settings.retry_window, settings.retry_slack, 1 };
         options.cold = { settings.cold_overage, settings.cold_slack };
         options.share_window = settings.share_window;
--- /dev/null
+++ b/tests/dispatch/regions_test.cpp
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Routes and teams that are bound to regions: by whatever way a request comes to an endpoint, it is one of an allowed
+// region; and where none is left, the caller is told so at once.
+#include "libraries/dispatch/region_bound.h"
+#include "tests/dispatch/dispatch_driver.h"
+#include "tests/support/property.h"
+
+namespace shedhill::dispatch {
+
+class regions_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(regions_test);
+    CPPUNIT_TEST(both_bounds_hold_together);
+    CPPUNIT_TEST(an_unknown_region_is_allowed_to_nobody_who_is_bound);
+    CPPUNIT_TEST(a_bound_route_is_served_in_its_region_only);
+    CPPUNIT_TEST(a_bound_team_is_served_in_its_region_only);
+    CPPUNIT_TEST(who_is_not_bound_is_served_anywhere);
+    CPPUNIT_TEST(an_order_stays_in_its_region_when_it_is_sent_again);
+    CPPUNIT_TEST(a_stream_goes_on_in_its_region);
+    CPPUNIT_TEST(what_waits_does_not_leave_its_region);
+    CPPUNIT_TEST(where_no_region_is_left_the_caller_is_told_at_once);
+    CPPUNIT_TEST(an_evacuated_region_is_told_apart);
+    CPPUNIT_TEST(rest_in_other_regions_does_not_count);
+    CPPUNIT_TEST(no_way_leads_out_of_the_region);
+    CPPUNIT_TEST_SUITE_END();
+
+    // North and west are one region, south is the other; of east nothing is told.
+    class bound_driver {
+    public:
+        explicit bound_driver(std::vector<endpoint_entry> entries, std::vector<region_name> for_team = {},
+            std::vector<region_name> for_routes = {})
+            : m_reducer(options())
+        {
+            auto configuration = dispatch_driver::usual_configuration();
+            for (auto& team : configuration.teams) {
+                if (team.name.value() == "red")
+                    team.allowed_regions = for_team;
+            }
+            for (auto& route : configuration.routes)
+                route.allowed_regions = for_routes;
+            take(configuration_learned { configuration });
+            take(endpoints_listed { std::move(entries) });
+        }
+
+        effect_list take(event_body body)
+        {
+            auto effects = m_reducer.reduce({ m_now, ++m_draw, std::move(body) });
+            for (auto const& done : effects) {
+                if (auto const* attempt = std::get_if<send_attempt>(&done))
+                    sent.push_back(*attempt);
+                if (auto const* refusal = std::get_if<answer_refusal>(&done))
+                    refused.push_back(*refusal);
+            }
+            return effects;
+        }
+
+        request_number ask(std::string path, std::string key = "red-key")
+        {
+            request_arrived arrived;
+            arrived.request = request_number(++m_last_request);
+            arrived.host = "host";
+            arrived.path = std::move(path);
+            arrived.key = std::move(key);
+            arrived.cost.prompt = 100;
+            arrived.cost.parts = { { 7, 50 }, { 1000 + m_last_request, 50 } };
+            arrived.time_left = milliseconds(4000);
+            auto const number = arrived.request;
+            take(std::move(arrived));
+            return number;
+        }
+
+        void wait(milliseconds time)
+        {
+            for (auto const until = m_now + time; m_now < until;) {
+                m_now += milliseconds(10);
+                take(tick {});
+            }
+        }
+
+        std::vector<send_attempt> sent;
+        std::vector<answer_refusal> refused;
+
+    private:
+        static dispatch_options options()
+        {
+            auto made = dispatch_driver::options();
+            made.regions = { { failure_domain("north"), region_name("inland") },
+                { failure_domain("west"), region_name("inland") }, { failure_domain("south"), region_name("coast") } };
+            return made;
+        }
+
+        dispatch_reducer m_reducer;
+        instant m_now { milliseconds(1000) };
+        std::uint64_t m_draw { 0 };
+        std::uint64_t m_last_request { 0 };
+    };
+
+    static endpoint_entry in_domain(std::string const& name, char const* domain, std::string const& pool = "plain")
+    {
+        auto entry = dispatch_driver::make_endpoint(name, pool);
+        entry.domain = failure_domain(domain);
+        return entry;
+    }
+
+    static std::vector<endpoint_entry> one_in_each(std::string const& pool = "plain")
+    {
+        return { in_domain("n", "north", pool), in_domain("w", "west", pool), in_domain("s", "south", pool),
+            in_domain("e", "east", pool) };
+    }
+
+    static std::vector<region_name> coast() { return { region_name("coast") }; }
+    static std::vector<region_name> inland() { return { region_name("inland") }; }
+
+    void both_bounds_hold_together()
+    {
+        region_bound bound;
+        CPPUNIT_ASSERT(bound.allows(region_name("inland")) && !bound.is_bound());
+        bound.limit_to({});
+        CPPUNIT_ASSERT(!bound.is_bound());
+        bound.limit_to({ region_name("inland"), region_name("coast") });
+        bound.limit_to(coast());
+        CPPUNIT_ASSERT(bound.allows(region_name("coast")) && !bound.allows(region_name("inland")));
+        bound.limit_to(inland());
+        CPPUNIT_ASSERT(!bound.allows(region_name("coast")) && !bound.allows(region_name("inland")));
+    }
+
+    void an_unknown_region_is_allowed_to_nobody_who_is_bound()
+    {
+        region_bound bound;
+        bound.limit_to({ region_name("") });
+        CPPUNIT_ASSERT(!bound.allows(region_name("")));
+        bound_driver fleet({ in_domain("e", "east") }, coast());
+        fleet.ask("/look/x");
+        CPPUNIT_ASSERT(fleet.sent.empty());
+        CPPUNIT_ASSERT(fleet.refused.back().reason == refusal_reason::no_allowed_region);
+    }
+
+    void a_bound_route_is_served_in_its_region_only()
+    {
+        bound_driver fleet(one_in_each(), {}, coast());
+        for (int index = 0; index < 4; ++index) {
+            fleet.ask("/look/x", "blue-key");
+            CPPUNIT_ASSERT_EQUAL(std::string("s"), fleet.sent.back().endpoint.value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, fleet.sent.size());
+    }
+
+    void a_bound_team_is_served_in_its_region_only()
+    {
+        bound_driver fleet(one_in_each("model"), coast());
+        for (int index = 0; index < 4; ++index) {
+            fleet.ask("/resumable/x");
+            CPPUNIT_ASSERT_EQUAL(std::string("s"), fleet.sent.back().endpoint.value());
+        }
+    }
+
+    void who_is_not_bound_is_served_anywhere()
+    {
+        bound_driver fleet({ in_domain("n", "north") }, coast());
+        fleet.ask("/look/x", "blue-key");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent.size());
+    }
+
+    void an_order_stays_in_its_region_when_it_is_sent_again()
+    {
+        bound_driver fleet({ in_domain("n", "north"), in_domain("s", "south") }, coast());
+        auto const request = fleet.ask("/order/x");
+        fleet.take(attempt_ended { request, fleet.sent.back().attempt, attempt_end::not_run, 503, 0, false });
+        fleet.wait(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent.size());
+    }
+
+    void a_stream_goes_on_in_its_region()
+    {
+        bound_driver fleet(
+            { in_domain("n", "north", "model"), in_domain("w", "west", "model"), in_domain("s", "south", "model") },
+            inland());
+        auto const request = fleet.ask("/resumable/x");
+        auto const first = fleet.sent.back();
+        fleet.take(answer_began { request, first.attempt });
+        fleet.take(attempt_ended { request, first.attempt, attempt_end::broken, 0, 1, true });
+        fleet.wait(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, fleet.sent.size());
+        CPPUNIT_ASSERT(fleet.sent.back().endpoint != first.endpoint);
+        CPPUNIT_ASSERT(fleet.sent.back().endpoint.value() != "s");
+    }
+
+    void what_waits_does_not_leave_its_region()
+    {
+        bound_driver fleet({ in_domain("s", "south", "model") }, coast());
+        // Four places and no more.
+        for (int index = 0; index < 5; ++index)
+            fleet.ask("/once/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, fleet.sent.size());
+        fleet.take(endpoints_listed { { in_domain("s", "south", "model"), in_domain("n", "north", "model") } });
+        fleet.wait(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, fleet.sent.size());
+        CPPUNIT_ASSERT(fleet.refused.back().reason == refusal_reason::no_place);
+    }
+
+    void where_no_region_is_left_the_caller_is_told_at_once()
+    {
+        bound_driver fleet(one_in_each(), coast(), inland());
+        fleet.ask("/look/x");
+        CPPUNIT_ASSERT(fleet.sent.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.refused.size());
+        CPPUNIT_ASSERT(fleet.refused.back().reason == refusal_reason::no_allowed_region);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 503 }, fleet.refused.back().status);
+        CPPUNIT_ASSERT(fleet.refused.back().retry_after.has_value());
+    }
+
+    void an_evacuated_region_is_told_apart()
+    {
+        bound_driver fleet(one_in_each(), coast());
+        fleet.take(domains_evacuated { { failure_domain("south") } });
+        fleet.ask("/look/x");
+        CPPUNIT_ASSERT(fleet.sent.empty());
+        CPPUNIT_ASSERT(fleet.refused.back().reason == refusal_reason::domains_evacuated);
+    }
+
+    // The only allowed endpoint rests; that another one does not helps nobody.
+    void rest_in_other_regions_does_not_count()
+    {
+        bound_driver fleet({ in_domain("n", "north"), in_domain("s", "south") }, coast());
+        auto const request = fleet.ask("/look/x");
+        auto const resting = fleet.sent.back();
+        fleet.take(endpoint_told { request, resting.endpoint, resting.start, { milliseconds(5000), false } });
+        fleet.ask("/look/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet.sent.size());
+        CPPUNIT_ASSERT(fleet.refused.back().reason == refusal_reason::endpoints_resting);
+    }
+
+    // Lists that change, failures of every kind, evacuations and time, in any order.
+    void no_way_leads_out_of_the_region()
+    {
+        testing::check_property("no way leads out of the region", [] {
+            bound_driver fleet(one_in_each("model"), coast());
+            std::vector<request_number> asked;
+            auto const steps = *rc::gen::inRange(1, 40);
+            for (int step = 0; step < steps; ++step) {
+                switch (*rc::gen::inRange(0, 5)) {
+                case 0:
+                    asked.push_back(fleet.ask(*rc::gen::element(std::string("/resumable/x"), std::string("/once/x"))));
+                    break;
+                case 1:
+                    fleet.wait(milliseconds(*rc::gen::inRange(10, 200)));
+                    break;
+                case 2:
+                    fleet.take(endpoints_listed { *rc::gen::element(one_in_each("model"),
+                        std::vector<endpoint_entry> { in_domain("n", "north", "model") },
+                        std::vector<endpoint_entry> {
+                            in_domain("s2", "south", "model"), in_domain("w", "west", "model") }) });
+                    break;
+                case 3:
+                    fleet.take(domains_evacuated { *rc::gen::element(
+                        std::vector<failure_domain> {}, std::vector<failure_domain> { failure_domain("south") }) });
+                    break;
+                default:
+                    if (fleet.sent.empty())
+                        break;
+                    auto const attempt = fleet.sent.at(*rc::gen::inRange<std::size_t>(0, fleet.sent.size()));
+                    fleet.take(attempt_ended { attempt.request, attempt.attempt,
+                        *rc::gen::element(attempt_end::not_sent, attempt_end::not_run, attempt_end::wrong_endpoint,
+                            attempt_end::failed, attempt_end::broken, attempt_end::silent),
+                        0, 0, false });
+                }
+            }
+            for (auto const& attempt : fleet.sent)
+                RC_ASSERT(attempt.endpoint.value().starts_with("s"));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(regions_test);
+
+} // namespace shedhill::dispatch
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(what_an_answer_tells_of_its_endpoint_is_read_with_care);
     CPPUNIT_TEST(a_refusal_says_when_to_come_back);
     CPPUNIT_TEST(a_configuration_is_read_whole);
+    CPPUNIT_TEST(regions_are_read_of_routes_and_teams);
+    CPPUNIT_TEST(regions_that_cannot_be_read_refuse_the_configuration);
     CPPUNIT_TEST(a_bad_configuration_is_refused_with_the_field);
     CPPUNIT_TEST(an_endpoint_is_read);
     CPPUNIT_TEST(a_row_of_another_writer_names_no_endpoint);
@@ -292,6 +294,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, read->teams[0].keys.size());
     }
 
+    void regions_are_read_of_routes_and_teams()
+    {
+        auto const read = table_binding::parse_configuration(R"({"version":7,
+            "routes":[{"hostname":"h","path_prefix":"/a/","route_type":"safe","service":"s","allowed_regions":["r1","r2"]},
+                {"hostname":"h","path_prefix":"/b/","route_type":"safe","service":"s","allowed_regions":null}],
+            "services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"],"allowed_regions":["r2"]}]})");
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT((read->routes[0].allowed_regions == std::vector { region_name("r1"), region_name("r2") }));
+        CPPUNIT_ASSERT(read->routes[1].allowed_regions.empty());
+        CPPUNIT_ASSERT(read->teams[0].allowed_regions == std::vector { region_name("r2") });
+    }
+
+    // A bound that cannot be read must not be taken for none.
+    void regions_that_cannot_be_read_refuse_the_configuration()
+    {
+        for (auto const* regions : { "\"r1\"", "[1]", "{}", "true" }) {
+            auto const text = std::string(R"({"version":7,"routes":[{"hostname":"h","path_prefix":"/a/",
+                "route_type":"safe","service":"s","allowed_regions":)")
+                + regions + R"(}],"services":[{"name":"s"}]})";
+            auto const read = table_binding::parse_configuration(text);
+            CPPUNIT_ASSERT(!read);
+            CPPUNIT_ASSERT(read.error().reason.find("allowed_regions") != std::string::npos);
+        }
+    }
+
     void a_bad_configuration_is_refused_with_the_field()
     {
         CPPUNIT_ASSERT(!table_binding::parse_configuration("{"));
@@ -401,12 +428,15 @@
     {
         auto const read = parse_settings(R"({"node_name":"edge-1","zone":"north","ip":"10.1.0.33",
             "listen":{"frontend":"10.1.0.33:8783","ready":"10.1.0.33:8780","control_plane":"10.1.0.33:8785"},
+            "zones":{"north":"inland","south":"coast","odd":7},
             "port_range":[7400,7415],"seed_nodes":["10.2.0.18:8785"],"limits":{"max_fds":4200,"memory_mb":88,"cpu_quota":0.19,"bandwidth_mbps":1000.0},
             "bounds":{"grace_s":8,"drain_ms":3000,"retry_budget_ratio":0.2,"retry_slack":54,"retry_window_s":10},
             "platform":{"address":"10.200.1.7:8781"},"data_dir":null})");
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.33:7400"), read->metrics_address);
         CPPUNIT_ASSERT(read->stop_time == milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, read->regions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("coast"), read->regions.at(failure_domain("south")).value());
         CPPUNIT_ASSERT(read->leaving_bound == milliseconds(3000));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 4200 }, read->descriptors);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 88000000 }, read->memory_bytes);
