--- a/libraries/dispatch/endpoints/endpoint_board.cpp
+++ b/libraries/dispatch/endpoints/endpoint_board.cpp
@@ -84,7 +84,8 @@
     engine_run run;
     if (is_engine) {
         auto const& pool = endpoint.entry.pool;
-        run = endpoint.pace.begin(unread_before(endpoint, m_unseen[pool]), chosen.unkept, chosen.held, pace_of(pool));
+        // By what was told, as admission goes: a pace that is learnt beside what is only likely lets in too much.
+        run = endpoint.pace.begin(endpoint.all_unread(), chosen.unkept, chosen.held, pace_of(pool));
         run.sent_at = now;
     }
     endpoint.own += run.work();
