--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -10,9 +10,9 @@
 #include "libraries/metrics/registry.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/exchange.h"
-#include "libraries/relay/slow_readers.h"
 #include "libraries/relay/status_server.h"
 #include "libraries/relay/stop_sequence.h"
+#include "services/shedhilld/caller_table.h"
 #include "services/shedhilld/counter_names.h"
 #include "services/shedhilld/endpoint_connections.h"
 #include "services/shedhilld/exchange_table.h"
@@ -45,13 +45,15 @@
         , m_log(m_settings.vm.value(), {})
         , m_reducer(make_options(m_settings, policy))
         , m_connections(m_loop)
-        , m_caller_listener(m_loop, [this](int descriptor) { accept(descriptor); })
+        , m_caller_listener(m_loop,
+              [this](int descriptor) { m_callers.accept(descriptor, *this, m_reducer.routes().current().limits); })
         , m_ready_server(m_loop, [this](std::string_view) { return answer_readiness(); })
         , m_metrics_server(m_loop,
               [this](std::string_view) {
                   return relay::status_answer { 200, metrics_text() };
               })
         , m_knowledge(m_loop, m_settings, *this)
+        , m_callers(m_loop)
     {
     }
 
@@ -154,16 +156,6 @@
 
     // Callers.
 
-    void accept(int descriptor)
-    {
-        auto const number = ++m_last_caller;
-        auto const& limits = m_reducer.routes().current().limits;
-        auto const made = std::make_shared<relay::caller_connection>(m_loop, number,
-            static_cast<relay::caller_listener&>(*this), relay::read_limits { limits.header_bytes, limits.body_bytes });
-        m_callers.emplace(number, made);
-        made->open(descriptor);
-    }
-
     void on_request(relay::caller_connection& connection, relay::caller_request request) override
     {
         // Where many callers stay connected, descriptors run short: who has been served is let go.
@@ -214,7 +206,7 @@
         auto const number = connection.number();
         if (auto const request = m_exchanges.forget_caller(number))
             on_event(dispatch::caller_left { *request });
-        m_loop.at_end_of_round([this, number] { m_callers.erase(number); });
+        m_callers.forget_later(number);
     }
 
     // Exchanges. What they tell is taken up at the end of the round: they are on the stack now.
@@ -351,41 +343,22 @@
             end_slow_readers();
         if (now - m_idle_callers_checked_at >= idle_check_interval) {
             m_idle_callers_checked_at = now;
-            close_callers_at_limit(now);
+            m_callers.close_at_limit(m_reducer.routes().current().limits, now);
         }
     }
 
     void end_slow_readers()
     {
-        auto const& held = m_loop.held();
-        std::vector<relay::waiting_reader> readers;
-        for (auto const& [number, caller] : m_callers)
-            readers.push_back({ number, caller->unwritten_size() });
-        for (auto const number : relay::readers_to_end(std::move(readers), held.held(), held.limit())) {
-            auto const caller = m_callers.at(number);
+        auto const held = m_loop.held().held();
+        for (auto const& reader : m_callers.end_slow_readers()) {
             log(logging::event_level::warning, "slow_reader_ended",
                 dispatch::log_fields()
-                    .add("unread", caller->unwritten_size())
-                    .add("held", held.held())
-                    .add("limit", held.limit())
+                    .add("unread", reader.unread)
+                    .add("held", held)
+                    .add("limit", m_loop.held().limit())
                     .take());
             m_metrics.add("shedhill_slow_readers_ended_total");
-            caller->drop();
-        }
-    }
-
-    void close_callers_at_limit(instant now)
-    {
-        auto const& limits = m_reducer.routes().current().limits;
-        std::vector<std::shared_ptr<relay::caller_connection>> idle;
-        for (auto const& [number, caller] : m_callers) {
-            auto const rest = now - caller->last_activity();
-            auto const limit = caller->has_begun_request() ? limits.header_time : limits.idle_time;
-            if (!caller->is_answering() && rest > limit)
-                idle.push_back(caller);
         }
-        for (auto const& caller : idle)
-            caller->close_idle();
     }
 
     // Stopping.
@@ -402,9 +375,7 @@
     {
         if (!m_stop.has_begun())
             return;
-        bool const has_half_an_exchange = std::ranges::any_of(m_callers,
-            [](auto const& entry) { return entry.second->has_begun_request() || entry.second->has_unwritten(); });
-        switch (m_stop.advance({ m_exchanges.size(), has_half_an_exchange }, m_settings.stop_time, now)) {
+        switch (m_stop.advance({ m_exchanges.size(), m_callers.has_half_an_exchange() }, m_settings.stop_time, now)) {
         case relay::stop_step::wait:
             return;
         case relay::stop_step::close_callers:
@@ -418,12 +389,7 @@
     void close_idle_callers()
     {
         m_caller_listener.close();
-        auto const callers = m_callers;
-        for (auto const& [number, caller] : callers) {
-            // An answer of this very round is not written yet.
-            if (!caller->has_begun_request())
-                caller->let_go();
-        }
+        m_callers.close_idle();
     }
 
     void reload()
@@ -480,9 +446,8 @@
     relay::status_server m_metrics_server;
     knowledge m_knowledge;
 
-    std::uint64_t m_last_caller { 0 };
     std::uint64_t m_last_request { 0 };
-    std::unordered_map<std::uint64_t, std::shared_ptr<relay::caller_connection>> m_callers;
+    caller_table m_callers;
     exchange_table<exchange> m_exchanges;
     std::deque<dispatch::event_body> m_events;
     bool m_is_drain_scheduled { false };
