--- a/tests/dispatch/regions_test.cpp
+++ b/tests/dispatch/regions_test.cpp
@@ -26,8 +26,8 @@
     // North and west are one region, south is the other; of east nothing is told.
     class bound_driver {
     public:
-        explicit bound_driver(std::vector<endpoint_entry> entries, std::vector<region_name> for_team = {},
-            std::vector<region_name> for_routes = {})
+        explicit bound_driver(std::vector<endpoint_entry> entries, std::vector<region_name> const& for_team = {},
+            std::vector<region_name> const& for_routes = {})
             : m_reducer(options())
         {
             auto configuration = dispatch_driver::usual_configuration();
--- a/utilities/benchmarks/dispatch_bench.cpp
+++ b/utilities/benchmarks/dispatch_bench.cpp
@@ -56,8 +56,9 @@
 class driven_router {
 public:
     explicit driven_router(std::size_t engines)
-        : m_reducer({ vm_name("router"), failure_domain("north"), { 0.2, milliseconds(10000), 50, 1 }, {},
-            milliseconds(4000), milliseconds(15000), {} })
+        : m_reducer({ .vm = vm_name("router"),
+            .domain = failure_domain("north"),
+            .retries = { 0.2, milliseconds(10000), 50, 1 } })
     {
         take(configuration_learned { make_configuration(engines) });
         take(endpoints_listed { make_endpoints(engines) });
