peering, shedhilld: Which routers there are is told to a few neighbours in turn, not to all

Cause: each router told all its neighbours the list of all routers each four seconds, and again with each newcomer: routers times neighbours, 384 x 76. Now a neighbour each 350 ms in turn, however many there are, and whoever has just connected: in a fleet in which all are connected to all each one still hears it within four seconds. A router that comes up connects to its failure domain itself, and is heard there without any list. Ruled out: a digest and a question (two more messages and a race for what rarely changes); a longer interval for all (still the square, only later).

--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -196,10 +196,21 @@
         [this](auto const& entry) { return entry.second->is_up() && !m_directory.is_told_singly(entry.first); });
 }
 
-void peer_mesh::tell(std::string const& address, std::string const& frame)
+std::vector<std::string> peer_mesh::linked_routers() const
+{
+    std::vector<std::string> linked;
+    for (auto const& [address, link] : m_outgoing) {
+        if (link->is_up() && m_directory.is_told_singly(address))
+            linked.push_back(address);
+    }
+    std::ranges::sort(linked);
+    return linked;
+}
+
+void peer_mesh::tell(std::string const& address, std::string const& frame, traffic_kind kind)
 {
     if (auto const found = m_outgoing.find(address); found != m_outgoing.end())
-        found->second->tell(frame, traffic_kind::documents);
+        found->second->tell(frame, kind);
 }
 
 } // namespace shedhill::relay
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -33,7 +33,9 @@
     void tell_routers(std::string const& frame, traffic_kind kind);
     void tell_domains(std::string const& frame);
     [[nodiscard]] bool is_linked_to_domains() const;
-    void tell(std::string const& address, std::string const& frame);
+    // Those that are connected and told what each does by itself, in the order of their addresses.
+    [[nodiscard]] std::vector<std::string> linked_routers() const;
+    void tell(std::string const& address, std::string const& frame, traffic_kind kind);
     // Routers that were connected since the last call: they may know nothing yet.
     [[nodiscard]] std::vector<std::string> take_new() { return std::exchange(m_new, {}); }
 
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -6,6 +6,7 @@
 
 #include "libraries/dispatch/dispatch_reducer.h"
 #include "libraries/peering/domain_tellers.h"
+#include "libraries/peering/member_turns.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/peer_mesh.h"
 
@@ -86,7 +87,10 @@
         return true;
     }
 
-    void tell(std::string const& address, std::string const& frame) { m_peers.tell(address, frame); }
+    void tell(std::string const& address, std::string const& frame)
+    {
+        m_peers.tell(address, frame, relay::traffic_kind::documents);
+    }
 
     [[nodiscard]] peering::peer_directory& directory() { return m_peers.directory(); }
     [[nodiscard]] peering::fleet_member const& self() { return m_peers.directory().self(); }
@@ -100,7 +104,6 @@
     static constexpr milliseconds whole_interval { 1000 };
     // Connections lose nothing but to a reader that is far behind. A whole sum of 3,000 endpoints has 72 kB.
     static constexpr milliseconds whole_domain_interval { 5000 };
-    static constexpr milliseconds members_interval { 4000 };
     // Beginning with the first tick that finds a new link.
     static constexpr milliseconds link_wanted_interval { 1000 };
 
@@ -143,7 +146,7 @@
     {
         auto const frame = peering::encode_frame(peering::link_wanted { self().address });
         for (auto const& address : directory().wanted_links())
-            m_peers.tell(address, frame);
+            m_peers.tell(address, frame, relay::traffic_kind::documents);
     }
 
     // Most messages hold only what changed. Once in a while, and when a router is new, the whole is told, so that a
@@ -159,26 +162,37 @@
         auto state = make_message(std::move(report), now);
         if (is_whole)
             m_told_whole_at = now;
-        if (is_new || now - m_told_members_at >= members_interval) {
-            m_told_members_at = now;
-            state.members = directory().members();
-        }
         m_peers.tell_routers(peering::encode_frame(state), relay::traffic_kind::own_state);
-        tell_parts(newcomers, std::move(state), now);
+        state.report.scope = dispatch::report_scope::changes;
+        state.report.loads.clear();
+        state.report.parts.clear();
+        state.members = directory().members();
+        tell_members(state, now);
+        tell_newcomers(newcomers, std::move(state), now);
     }
 
-    // A router that has just come up learns where parts of prompts are kept.
-    void tell_parts(std::vector<std::string> const& newcomers, peering::state_message state, instant now)
+    // Which routers there are is as long as the fleet, and hardly ever news: a few neighbours in turn are told. Told to
+    // all of them at once, it would grow with the fleet times the neighbours, and be most of what routers say.
+    void tell_members(peering::state_message const& state, instant now)
+    {
+        auto const due = m_members_turn.take_due(m_peers.linked_routers(), now);
+        if (due.empty())
+            return;
+        auto const frame = peering::encode_frame(state);
+        for (auto const& address : due)
+            m_peers.tell(address, frame, relay::traffic_kind::own_state);
+    }
+
+    // A router that has just come up learns which routers there are, and where parts of prompts are kept.
+    void tell_newcomers(std::vector<std::string> const& newcomers, peering::state_message state, instant now)
     {
         if (newcomers.empty())
             return;
-        state.report.scope = dispatch::report_scope::changes;
-        state.report.loads.clear();
         state.report.parts = m_owner.reducer().recent_parts(now);
         auto const frame = peering::encode_frame(std::move(state));
         for (auto const& address : newcomers) {
             if (directory().is_told_singly(address))
-                m_peers.tell(address, frame);
+                m_peers.tell(address, frame, relay::traffic_kind::own_state);
         }
     }
 
@@ -248,7 +262,7 @@
     bool m_is_telling_domains { false };
     instant m_told_at {};
     instant m_told_whole_at {};
-    instant m_told_members_at {};
+    peering::member_turns m_members_turn;
     instant m_told_domain_whole_at {};
     instant m_wanted_links_at {};
 };
--- a/tests/relay/peer_mesh_test.cpp
+++ b/tests/relay/peer_mesh_test.cpp
@@ -62,8 +62,8 @@
         router a(loop, "north");
         router b(loop, "north");
         connect(loop, a, b);
-        a.mesh.tell(b.address(), std::string("\x03\x00\x00\x00", 4) + "???");
-        a.mesh.tell(b.address(), state_frame("a"));
+        a.mesh.tell(b.address(), std::string("\x03\x00\x00\x00", 4) + "???", traffic_kind::documents);
+        a.mesh.tell(b.address(), state_frame("a"), traffic_kind::documents);
         run_until(loop, [&] { return !b.heard.empty(); });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, b.mesh.take_skipped());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, b.mesh.take_skipped());
@@ -118,7 +118,7 @@
         sums.report.subject = dispatch::report_subject::domain;
         sums.is_passed_on = true;
         a.mesh.tell_routers(peering::encode_frame(sums), traffic_kind::passed_on);
-        a.mesh.tell(b.address(), peering::encode_frame(peering::link_wanted { a.address() }));
+        a.mesh.tell(b.address(), peering::encode_frame(peering::link_wanted { a.address() }), traffic_kind::documents);
         run_until(loop, [&] { return b.heard.size() == 3; });
         auto const at = [](std::array<traffic_count, peer_traffic::kinds> const& counts, traffic_kind kind) {
             return counts.at(static_cast<std::size_t>(kind));
