--- a/libraries/dispatch/admission/overload_guard.cpp
+++ b/libraries/dispatch/admission/overload_guard.cpp
@@ -15,7 +15,7 @@
 // A process that hardly ever waits has more to do than it can: what comes queues up where it is not seen.
 constexpr double too_busy = 0.94;
 constexpr double busy_enough = 0.85;
-// What queues up before a link that is this full takes longer than a tenth of a second: measured on links of 10 Mbit/s.
+// What queues up before a link that is this full takes longer than a tenth of a second.
 constexpr double weight_of_the_newest_link = 0.03;
 constexpr double too_full = 0.8;
 constexpr double full_enough = 0.65;
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -17,8 +17,8 @@
     double patience_within_share { 0.3 };
     double patience_past_share { 4 };
     // The part of the time left within which an engine that has prompts to read must be foreseen to begin what is past
-    // its team's share; at 0 only an engine that has nothing to read takes it. Flat from 0 to 0.7; in between, so that
-    // engines do not idle for a moment after each prompt.
+    // its team's share; at 0 only an engine that has nothing to read takes it. Above that engines do not idle for a
+    // moment after each prompt.
     double queueing_past_share { 0.35 };
     // What is past its team's share may take an endpoint's places up to this part, and less for each even level of
     // lead: half an even level ahead, a team gets nothing more, which bounds the gap between backlogged teams. More
@@ -29,15 +29,14 @@
     // seven of eight engines with nothing to read, whatever else is let in. Shares bind in full from load_past_share
     // on, and in between the more, the less is left: a hard edge would let in and refuse by turns.
     double scarce_from { 0.125 };
-    // A first event must be foreseen within this part of the time that is left: one in ten comes a third of an
-    // objective later than foreseen. Flat from 0.6 to 0.75.
+    // A first event must be foreseen within this part of the time that is left: forecasts err.
     double margin_of_objective { 0.7 };
     // An engine with so little to read, in milliseconds, counts as having nothing to read: it takes any prompt, however
-    // long its own reading takes. About one short prompt. Flat from 15 to 40 (three deployments, 24 plays: 0.003 more).
+    // long its own reading takes. About one short prompt.
     double idle_reading_ms { 40 };
     // Where a pool is scarce, reading shared parts anew costs so many times the time that it takes: it holds up all
-    // that run there, and drives other parts out. Flat from 2 to 8. Where nothing is scarce it holds up nobody, and
-    // what it costs is the work.
+    // that run there, and drives other parts out. Where nothing is scarce it holds up nobody, and what it costs is the
+    // work.
     double reading_weight { 4 };
     double idle_reading_weight { 1 };
     // Forecasts that differ by less than this multiple of their usual error are as good as equal. Each router prefers
@@ -50,9 +49,7 @@
     // What a full endpoint costs above an empty one, in milliseconds.
     double full_endpoint_ms { 40 };
     // An engine's memory is filled up to this part by what was sent there. The rest is for what requests make beyond
-    // the caller's guess, for what other routers have sent in the last moments, and for shared parts that rest. Flat
-    // from 0.7 to no bound where paces are known (two deployments with little memory, 24 plays): it is for those that
-    // have less.
+    // the caller's guess, for what other routers have sent in the last moments, and for shared parts that rest.
     double memory_filled { 0.7 };
     // What waits for a plain service waits this part of its objective at most. Its answers come every few milliseconds
     // where it has room, so a longer wait only brings later answers.
@@ -60,9 +57,7 @@
     // The part of the objective that a plain service's answer may take: the rest is for the wait and one return.
     double bearable_answer { 0.5 };
     // A caller that found no place is told to come back after this part of its objective, on average: early enough to
-    // be served in time. Against a return after a second or more, 0.029 more of what is owed was served on the shifted
-    // work (0.842 to 0.871 of the credit, three days and two seeds), and nobody more was left unserved. Flat from 0.15
-    // to 0.3; 0 switches it off.
+    // be served in time, late enough that a place may have come free. 0 switches it off.
     double early_return { 0.2 };
     // How long a shared part that is not asked for is thought to stay in an engine's memory.
     milliseconds keeping_time { 12000 };
--- a/libraries/dispatch/store/store_followers.h
+++ b/libraries/dispatch/store/store_followers.h
@@ -8,8 +8,8 @@
 // - a call of another table failed, after all had been answered: from then on the tables take turns to probe;
 // - a call of another table was answered, after none had been;
 // - another table's answer tells a version of the store that no row which has been told explains.
-// Measured by a play in virtual time, store silent for 6 s: a change confirmed after its return is known 0.04 to 0.4 s
-// later, where it took up to 2.75 s with held calls alone, at 52 calls in a calm minute where it took 56.
+// So a change that was confirmed after an outage is known within half a second of it, though calls are held for
+// seconds.
 #pragma once
 
 #include "libraries/dispatch/store/follow_terms.h"
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -108,7 +108,7 @@
     static constexpr milliseconds link_wanted_interval { 1000 };
 
     // What others have sent in the last moments is what a choice knows least of, so a small fleet tells more often;
-    // each message costs a few system calls at both ends. Measured: docs/DECISIONS.md.
+    // each message costs a few system calls at both ends.
     static milliseconds interval(std::size_t routers)
     {
         constexpr std::int64_t messages_per_second = 300;
