relay, dispatch: An attempt that broke off is logged with the content of its request

Two arrivals of the same request could not be told to be the same: its id is new each time. attempt_failed tells a stable hash of method, host, target and body now, worked out only where an attempt broke off; the gauge shedhill_other_routers tells whom a router hears.

--- a/base/identifiers.h
+++ b/base/identifiers.h
@@ -41,6 +41,8 @@
 using chunk_sequence = strong_type<std::uint32_t, struct chunk_sequence_tag>;
 // The service of one team in one pool.
 using account_id = strong_type<std::uint64_t, struct account_id_tag>;
+// A stable hash of a request's method, host, path, query and body: the same where a caller sends it again.
+using content_hash = strong_type<std::uint64_t, struct content_hash_tag>;
 // A connection between two processes, as the daemon numbers them.
 using connection_id = strong_type<std::uint64_t, struct connection_id_tag>;
 
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -116,6 +116,7 @@
                 .add("status", ended.status)
                 .add("events", request.events_passed)
                 .add("after_ms", (step.now - request.sent_at).count())
+                .add("content", ended.content.value_or(content_hash()).value())
                 .take() });
         try_again_or_end(ended.request, request, ended.end, step);
         return serve_waiting_again(step);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -49,6 +49,8 @@
     [[nodiscard]] std::size_t waiting_requests() const { return m_waiting.size(); }
     [[nodiscard]] std::size_t cold_endpoints(instant now) const { return m_board.cold_endpoints(now); }
     [[nodiscard]] std::size_t listed_endpoints() const { return m_board.listed_endpoints(); }
+    // Other routers that are heard, singly or in the sums of their failure domain.
+    [[nodiscard]] std::size_t other_routers() const;
     [[nodiscard]] std::size_t evacuated_domains() const { return m_board.evacuated().size(); }
     [[nodiscard]] std::vector<engine_view> engines() const { return m_board.engines(); }
     [[nodiscard]] endpoint_board::occupancy occupancy_of(pool_name const& pool, instant now) const
@@ -196,7 +198,6 @@
     void end_attempts_at_ended_starts(step_context& step);
     void note_placed(part_placed const& placed, step_context const& step);
     void note_evacuation(failure_domain const& domain, std::string_view event, step_context& step);
-    [[nodiscard]] std::size_t other_routers() const;
     void update_ready(step_context& step);
     void stop_if_drained(step_context& step);
 
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -44,6 +44,8 @@
     std::uint32_t events { 0 };
     // Something of an answer reached the caller, by this attempt or an earlier one.
     bool has_answer_begun { false };
+    // Of the request, where the attempt broke off.
+    std::optional<content_hash> content {};
 };
 
 // The head of an answer told something of the endpoint itself. It comes before the attempt's own end.
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -8,6 +8,7 @@
 #include "libraries/relay/call_connection.h"
 #include "libraries/relay/event_stream.h"
 #include "libraries/relay/protocol.h"
+#include "libraries/relay/request_content.h"
 
 #include <memory>
 
@@ -232,8 +233,11 @@
     void end_attempt(dispatch::attempt_end end)
     {
         m_connection.reset();
-        m_owner.on_event(dispatch::attempt_ended {
-            m_number, m_attempt.attempt, end, m_status, std::exchange(m_events_of_attempt, 0), m_has_head_passed });
+        dispatch::attempt_ended ended { m_number, m_attempt.attempt, end, m_status,
+            std::exchange(m_events_of_attempt, 0), m_has_head_passed };
+        if (end == dispatch::attempt_end::broken)
+            ended.content = content_of(m_request);
+        m_owner.on_event(std::move(ended));
     }
 
     static constexpr std::uint16_t first_status_not_good = 300;
--- a/services/shedhilld/router_gauges.cpp
+++ b/services/shedhilld/router_gauges.cpp
@@ -17,6 +17,7 @@
     registry.set("shedhill_waiting_requests", static_cast<double>(reducer.waiting_requests()));
     registry.set("shedhill_listed_endpoints", static_cast<double>(reducer.listed_endpoints()));
     registry.set("shedhill_cold_endpoints", static_cast<double>(reducer.cold_endpoints(now)));
+    registry.set("shedhill_other_routers", static_cast<double>(reducer.other_routers()));
     registry.set("shedhill_evacuated_domains", static_cast<double>(reducer.evacuated_domains()));
 }
 
