tests: A request that comes again ends replica after replica: red

Three real routers, eight stand-ins that end when they run it, the request back each 0.4 s at the next router.

--- /dev/null
+++ b/tests/processes/hosted_crash_test.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// A request that ends whatever process runs it, before real routers and stand-ins of replicas.
+#include "tests/harness/hosted_fleet.h"
+#include "tests/harness/parallel.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::harness {
+
+class hosted_crash_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(hosted_crash_test);
+    CPPUNIT_TEST(a_resumable_request_that_comes_again_ends_three_replicas_at_most);
+    CPPUNIT_TEST(a_request_that_may_not_be_repeated_ends_three_replicas_at_most);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t routers = 3;
+    static constexpr std::size_t replicas = 8;
+    static constexpr std::size_t most_ended = 3;
+    // Each time at the next router.
+    static constexpr std::size_t returns = 8;
+    static constexpr int return_pause_ms = 400;
+
+    static hosted_fleet started()
+    {
+        hosted_fleet_options options;
+        options.routers = routers;
+        options.replicas = replicas;
+        auto fleet = hosted_fleet::start(options);
+        CPPUNIT_ASSERT_MESSAGE(fleet ? "" : fleet.error().to_string(), fleet.has_value());
+        // Routers that do not know each other yet can tell each other nothing.
+        for (std::size_t index = 0; index < routers; ++index)
+            CPPUNIT_ASSERT(wait_until([&] { return fleet->metric(index, "shedhill_other_routers") >= routers - 1; }));
+        return std::move(*fleet);
+    }
+
+    static std::size_t ended_replicas(hosted_fleet& fleet)
+    {
+        std::size_t ended = 0;
+        for (std::size_t index = 0; index < replicas; ++index)
+            ended += fleet.replica(index).has_ended() ? 1 : 0;
+        return ended;
+    }
+
+    static void check_returns_of(std::string const& target)
+    {
+        auto fleet = started();
+        for (std::size_t index = 0; index < returns; ++index) {
+            (void)fleet.ask(index % routers, target, "crash-" + std::to_string(index));
+            // The caller comes again after a pause.
+            pause(return_pause_ms);
+        }
+        CPPUNIT_ASSERT(ended_replicas(fleet) <= most_ended);
+        for (std::size_t index = 0; index < routers; ++index) {
+            auto const answer = fleet.ask(index, "/look/a", "other-" + std::to_string(index));
+            CPPUNIT_ASSERT(answer && answer->status == 200);
+        }
+    }
+
+    void a_resumable_request_that_comes_again_ends_three_replicas_at_most() { check_returns_of("/stream/crash/a"); }
+    void a_request_that_may_not_be_repeated_ends_three_replicas_at_most() { check_returns_of("/order/crash/a"); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(hosted_crash_test);
+
+} // namespace shedhill::harness
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
+#include <cstdlib>
 
 namespace shedhill::stand_ins {
 
@@ -97,6 +98,8 @@
         return turn_away(exchange);
     ++m_runs[id];
     note("ran", request);
+    if (request.target.find("/crash/") != std::string::npos)
+        crash(request);
     if (m_mode == "mute") {
         boost::this_fiber::sleep_for(mute_for);
         return exchange.abort_stream();
@@ -117,6 +120,13 @@
             + " body=" + request.body });
 }
 
+void hosted_replica::crash(net::http_request const& request)
+{
+    boost::this_fiber::sleep_for(m_interval);
+    note("crashed", request);
+    std::_Exit(EXIT_FAILURE);
+}
+
 void hosted_replica::count_while_cold(net::http_request const& request)
 {
     constexpr std::chrono::seconds span { 1 };
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -25,9 +25,10 @@
         std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file, cold_start cold);
 
     // Any path is a request; under /stream/ ten events are streamed, and under a path with /own/ each holds the
-    // request's id. POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail" | "rest" | "rest_once" |
-    // "leaving"}; GET /counts: how often each request id was run. One that rests turns all away and asks for two
-    // seconds without requests; "rest_once" the first only. One that leaves says so in all answers from then on.
+    // request's id; one under a path with /crash/ ends the process soon after it has begun to run. POST /control
+    // {"mode": "ok" | "busy" | "cut" | "mute" | "fail" | "rest" | "rest_once" | "leaving"}; GET /counts: how often each
+    // request id was run. One that rests turns all away and asks for two seconds without requests; "rest_once" the
+    // first only. One that leaves says so in all answers from then on.
     void serve(net::http_exchange& exchange);
 
 private:
@@ -38,6 +39,8 @@
     void turn_away(net::http_exchange& exchange);
     // Writes a line of the runs file: what happened, to which request, what was asked, and when (steady clock, ms).
     void note(char const* event, net::http_request const& request);
+    // Ends the process: all its connections break, and its port is closed.
+    [[noreturn]] void crash(net::http_request const& request);
     void stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
 
     static constexpr int events_of_a_stream = 10;
