dispatch: A request that crashes its endpoints is quarantined by the third crash

What callers saw: one request that came again ended 14 engines, and with each of them every stream that ran there.

Cause: what an attempt proved of its request went with the attempt. A crash was counted against the endpoint (health), never against the request, whose next arrival has a new id; no router told another. Each arrival was sent to max_attempts endpoints. Class: the memory of a cause is lost with the attempt that showed it.

Now: an attempt that breaks off leaves a suspect (team, hash of method, host, target and body). Whether its endpoint crashed shows by its port: a connection is opened, unless an older attempt is under way there still; refused is a crash, accepted twice is none. A suspect is served on, one attempt at a time in the fleet; an answer clears it, the third crash in a row quarantines it for ten minutes, and every way to an endpoint passes the same gate (choose()). A crash counts more only for an attempt that was sent when those before were known, so a domain that is lost under many like requests counts once. Records are joined by the greater (epoch, crashes): late, doubled and overtaken news changes nothing. Refused with 503, not run, and the time left; one trial after the quarantine.

Nothing is hashed while nobody is suspected.

Before: both process tests red (each return ended two, or one). After: three at most; 24 tests without a network pass, a property over restarts, freezes, resets, lost endpoints and copies among them; all 438 unit tests pass.

--- a/libraries/dispatch/admission/return_time.cpp
+++ b/libraries/dispatch/admission/return_time.cpp
@@ -40,6 +40,8 @@
     // Told whole, also where the caller has less time: before it nobody is served, and coming back is in vain.
     if (refused.reason == refusal_reason::endpoints_resting)
         return refused.rest + milliseconds(static_cast<std::int64_t>(draw % spread_after_rest_ms));
+    if (refused.reason == refusal_reason::crashes_endpoints)
+        return refused.quarantine;
     bool const is_early = refused.reason == refusal_reason::no_place && refused.early_part > 0;
     auto const wanted = is_early ? early_time(refused, draw) : usual_time(refused, draw);
     return std::max(std::min(wanted, refused.left / waited_part), milliseconds(1));
--- a/libraries/dispatch/admission/return_time.h
+++ b/libraries/dispatch/admission/return_time.h
@@ -19,6 +19,8 @@
     double early_part { 0 };
     // Until the first endpoint of its pool has rested, where all rest.
     milliseconds rest { 0 };
+    // Until its request's quarantine ends.
+    milliseconds quarantine { 0 };
 };
 
 // The draw spreads callers that were refused together.
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -66,6 +66,7 @@
     request.regions.limit_to(route->allowed_regions);
     if (team != nullptr)
         request.regions.limit_to(team->allowed_regions);
+    request.content = arrived.content;
     request.is_engine = pool_declared != nullptr && pool_declared->is_engine();
     request.arrived = step.now;
     auto const caller_time = arrived.time_left.value_or(m_options.default_deadline);
@@ -81,6 +82,8 @@
 void dispatch_reducer::admit(request_number number, active_request request, step_context& step)
 {
     auto& kept = m_requests.insert_or_assign(number, std::move(request)).first->second;
+    if (suspicion_of(kept, step) == suspicion::quarantined)
+        return refuse(number, kept, status_unavailable, refusal_reason::crashes_endpoints, step);
     if (is_overloaded_for(kept, step))
         return refuse(number, kept, status_unavailable, refusal_reason::router_overloaded, step);
     // It never fits: the caller is told so with a status after which nobody tries again.
@@ -107,6 +110,9 @@
 
 endpoint_choice dispatch_reducer::choose(active_request const& request, step_context const& step)
 {
+    // Every way to an endpoint passes here.
+    if (suspicion_of(request, step) != suspicion::none)
+        return {};
     ++m_choices;
     choice_request wanted;
     wanted.pool = request.pool;
@@ -176,6 +182,7 @@
     request.start = endpoint.key;
     request.overdue_noted = {};
     request.has_asked_for_rest = false;
+    begin_trial(request, step);
     request.run = m_board.note_attempt(chosen, request.is_engine, step.now);
     if (endpoint.health.is_ejected())
         endpoint.health.note_probe_sent();
@@ -280,6 +287,14 @@
 
 refusal_reason dispatch_reducer::why_nowhere(active_request const& request, step_context const& step) const
 {
+    switch (suspicion_of(request, step)) {
+    case suspicion::quarantined:
+        return refusal_reason::crashes_endpoints;
+    case suspicion::waits_for_trial:
+        return refusal_reason::awaits_trial;
+    case suspicion::none:
+        break;
+    }
     if (m_board.all_rest_for(request.pool, request.regions, step.now))
         return refusal_reason::endpoints_resting;
     if (m_board.has_endpoints(request.pool, request.regions))
@@ -291,6 +306,8 @@
 
 bool dispatch_reducer::is_in_vain(active_request const& request, step_context const& step)
 {
+    if (suspicion_of(request, step) == suspicion::quarantined)
+        return true;
     if (auto const rest = m_board.all_rest_for(request.pool, request.regions, step.now))
         return step.now + *rest > request.arrived + terms_for(request, step).longest_wait;
     return !m_board.has_endpoints(request.pool, request.regions);
@@ -301,7 +318,8 @@
 {
     refused_caller const refused { reason, request.objective, request.deadline - step.now, m_overload.is_aside(),
         m_options.policy.early_return,
-        m_board.all_rest_for(request.pool, request.regions, step.now).value_or(milliseconds(0)) };
+        m_board.all_rest_for(request.pool, request.regions, step.now).value_or(milliseconds(0)),
+        m_suspects.quarantine_left(identity_of(request), step.now) };
     return return_time(refused, step.draw);
 }
 
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -103,6 +103,10 @@
     if (!request.is_engine)
         note_plain_end(request, ended.end, verdict, step);
     auto const name = request.endpoint;
+    if (ended.content)
+        request.content = ended.content;
+    if (ended.end == attempt_end::broken)
+        note_broken(request, step);
     leave_endpoint(request, &verdict, step);
     if (ended.end == attempt_end::wrong_endpoint)
         m_board.retire(name);
@@ -121,6 +125,7 @@
         try_again_or_end(ended.request, request, ended.end, step);
         return serve_waiting_again(step);
     }
+    note_answered(request, step);
     settle_charge(request, step);
     step.effects.emplace_back(count_event { counted::answers, {} });
     step.effects.emplace_back(time_event { timed::answer, request.pool, step.now - request.arrived });
@@ -204,6 +209,7 @@
 void dispatch_reducer::leave_endpoint(active_request& request, attempt_verdict const* verdict, step_context& step)
 {
     request.at = phase::waiting;
+    end_trial(request);
     auto* endpoint = m_board.find(request.start);
     if (endpoint == nullptr)
         return;
@@ -259,6 +265,8 @@
     else
         ++request.arrivals;
     request.may_have_run |= end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::failed;
+    if (reason == refusal_reason::none && suspicion_of(request, step) == suspicion::quarantined)
+        reason = refusal_reason::crashes_endpoints;
     if (reason == refusal_reason::none && request.arrivals > 0 && !m_retries.spend(request.pool, step.now))
         reason = refusal_reason::retry_budget_spent;
     if (reason != refusal_reason::none && end == attempt_end::failed)
@@ -335,6 +343,8 @@
             .add("scarce_percent", static_cast<int>(m_board.scarcity_of(request.pool) * percent))
             .add("rest_ms",
                 m_board.all_rest_for(request.pool, request.regions, step.now).value_or(milliseconds(0)).count())
+            .add("content", request.content.value_or(content_hash()).value())
+            .add("crashes", m_suspects.crashes_of(identity_of(request)))
             .add("waiting", m_waiting.size())
             .add("share", m_ledger.share())
             .add("even_level", m_ledger.even_level())
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -197,6 +197,7 @@
 
 void dispatch_reducer::handle(peer_reported const& report, step_context& step)
 {
+    take_crash_records(report, step);
     if (is_counted_already(report))
         return;
     if (report.subject == report_subject::domain)
@@ -253,8 +254,10 @@
         m_ledger.update_shares(m_routes.current().limits.tokens_per_second, step.now);
         note_overdue(step.now);
         m_board.update_paces(step.now);
+        m_suspects.forget_old(step.now);
         tell_ended_rests(step);
     }
+    probe_broken_endpoints(step);
     if (!m_waiting.empty())
         serve_waiting(step);
     if (step.now - m_deadlines_checked >= deadline_interval) {
@@ -330,6 +333,7 @@
     report.routers_aside = m_overload.is_aside() ? 1 : 0;
     report.busy_part = m_overload.busy_part();
     report.parts = std::exchange(m_placed, {});
+    report.crashes = m_suspects.take_told(report_subject::router, scope, now);
     return report;
 }
 
@@ -349,6 +353,7 @@
     report.teams = m_domain_usage_told.take(m_ledger.domain_usage(now), scope);
     report.known_span = m_ledger.known_span(now);
     report.parts = std::exchange(m_domain_placed, {});
+    report.crashes = m_suspects.take_told(report_subject::domain, scope, now);
     report.routers_aside = m_overload.is_aside() ? 1 : 0;
     auto busy = m_overload.is_aside() ? 0 : m_overload.busy_part();
     for (auto const& [source, state] : m_peers) {
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -14,6 +14,7 @@
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/route_table.h"
+#include "libraries/dispatch/suspects/crash_suspects.h"
 
 #include <list>
 #include <unordered_map>
@@ -59,10 +60,15 @@
     }
     [[nodiscard]] std::vector<held_endpoint> held_endpoints(instant now) const { return m_board.held_endpoints(now); }
 
+    // Whether any request is suspected: only then the content of those that arrive is of use.
+    [[nodiscard]] bool suspects_requests() const { return !m_suspects.is_empty(); }
+    [[nodiscard]] crash_suspects const& suspects() const { return m_suspects; }
+
     // What the other routers are to know. The parts placed are those since the last call.
     [[nodiscard]] peer_reported take_own_report(report_scope scope, instant now);
     // What other failure domains are to know of this one. Tells the whole where none was told for a while.
     [[nodiscard]] peer_reported take_domain_report(report_scope scope, instant now);
+    [[nodiscard]] std::vector<crash_record> crash_records(instant now) const { return m_suspects.all(now); }
     [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const { return m_board.recent_parts(now); }
 
 private:
@@ -117,6 +123,11 @@
         bool may_have_run { false };
         // The attempt's endpoint turned it away and asked for rest.
         bool has_asked_for_rest { false };
+        // Known from its arrival on where any request was suspected then, and from when an attempt of it broke off.
+        std::optional<content_hash> content;
+        // Of the attempt that runs.
+        crash_stamp stamp;
+        bool is_trial { false };
         // The endpoint's own failure is kept back, and would be the answer if no other attempt follows.
         bool is_failure_kept { false };
     };
@@ -133,6 +144,7 @@
     void handle(attempt_ended const& ended, step_context& step);
     void handle(attempt_stalled const& stalled, step_context& step);
     void handle(endpoint_told const& told, step_context& step);
+    void handle(endpoint_probed const& probed, step_context& step);
     void handle(configuration_learned const& learned, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
@@ -183,6 +195,19 @@
     void end_at_deadline(request_number number, active_request& request, step_context& step);
     void forget(request_number number);
 
+    // Requests that may crash endpoints.
+    [[nodiscard]] static request_identity identity_of(active_request const& request);
+    [[nodiscard]] suspicion suspicion_of(active_request const& request, step_context const& step) const;
+    void begin_trial(active_request& request, step_context const& step);
+    void end_trial(active_request& request);
+    void note_broken(active_request const& request, step_context const& step);
+    void note_answered(active_request const& request, step_context& step);
+    void take_crash_records(peer_reported const& report, step_context& step);
+    void probe_broken_endpoints(step_context& step);
+    // An attempt of this router that was sent there before then is under way still.
+    [[nodiscard]] bool has_outlived(endpoint_key start, instant then) const;
+    void quarantine(request_identity const& request, std::string_view source, step_context& step);
+
     [[nodiscard]] fleet_load load_of_fleet() const;
     [[nodiscard]] source_place place_of(peer_reported const& report) const;
     // Whether the report tells of routers that are counted already, in their failure domain's sums or as neighbours.
@@ -231,6 +256,7 @@
     instant m_paces_told {};
     instant m_waiting_served {};
     overload_guard m_overload;
+    crash_suspects m_suspects;
     std::uint64_t m_choices { 0 };
     bool m_has_list { false };
     bool m_is_ready { false };
--- /dev/null
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What becomes of a request whose attempts break off with their endpoints.
+#include "libraries/dispatch/dispatch_reducer.h"
+#include "libraries/dispatch/log_fields.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedhill::dispatch {
+
+request_identity dispatch_reducer::identity_of(active_request const& request)
+{
+    return { request.account, request.content.value_or(content_hash()) };
+}
+
+suspicion dispatch_reducer::suspicion_of(active_request const& request, step_context const& step) const
+{
+    if (m_suspects.is_empty() || !request.content)
+        return suspicion::none;
+    return m_suspects.suspicion_of(identity_of(request), step.now);
+}
+
+void dispatch_reducer::begin_trial(active_request& request, step_context const& step)
+{
+    request.stamp = {};
+    if (m_suspects.is_empty() || !request.content)
+        return;
+    request.stamp = m_suspects.stamp_of(identity_of(request));
+    request.is_trial = m_suspects.begin_trial(identity_of(request), step.now);
+}
+
+void dispatch_reducer::end_trial(active_request& request)
+{
+    if (std::exchange(request.is_trial, false))
+        m_suspects.end_trial(identity_of(request));
+}
+
+void dispatch_reducer::note_broken(active_request const& request, step_context const& step)
+{
+    auto const* const endpoint = m_board.find(request.start);
+    // One that leaves may end what it has not finished.
+    if (!request.content || endpoint == nullptr || endpoint->entry.is_draining || endpoint->word.is_leaving)
+        return;
+    m_suspects.note_broken({ request.endpoint, request.start, endpoint->entry.address },
+        { identity_of(request), request.stamp, step.now });
+}
+
+void dispatch_reducer::note_answered(active_request const& request, step_context& step)
+{
+    if (m_suspects.is_empty() || !request.content || !m_suspects.note_answered(identity_of(request), step.now))
+        return;
+    step.effects.emplace_back(log_line { severity::debug, "suspect_cleared",
+        log_fields().add("id", request.caller_id).add("content", request.content->value()).take() });
+}
+
+bool dispatch_reducer::has_outlived(endpoint_key start, instant then) const
+{
+    return std::ranges::any_of(m_requests, [&](auto const& entry) {
+        auto const& request = entry.second;
+        return request.at == phase::running && request.start == start && request.sent_at < then;
+    });
+}
+
+void dispatch_reducer::probe_broken_endpoints(step_context& step)
+{
+    for (auto& due : m_suspects.take_due_probes(step.now)) {
+        if (has_outlived(due.endpoint.start, due.broken_at))
+            handle(endpoint_probed { due.endpoint.start, probe_outcome::accepted }, step);
+        else
+            step.effects.emplace_back(probe_endpoint { due.endpoint.start, std::move(due.endpoint.address) });
+    }
+}
+
+void dispatch_reducer::handle(endpoint_probed const& probed, step_context& step)
+{
+    auto const judged = m_suspects.take_probe(probed.start, probed.outcome, step.now);
+    for (auto const& crash : judged.crashes) {
+        step.effects.emplace_back(count_event { counted::crashes, {} });
+        step.effects.emplace_back(log_line { severity::debug, "request_crashed_endpoint",
+            log_fields()
+                .add("endpoint", judged.endpoint.value())
+                .add("content", crash.request.content.value())
+                .add("crashes", crash.crashes)
+                .take() });
+        if (crash.is_quarantined)
+            quarantine(crash.request, m_options.vm.value(), step);
+    }
+    serve_waiting_again(step);
+}
+
+void dispatch_reducer::take_crash_records(peer_reported const& report, step_context& step)
+{
+    auto const place = place_of(report);
+    for (auto const& told : report.crashes) {
+        if (m_suspects.join(told, place, step.now))
+            quarantine(told.request, report.peer.value(), step);
+    }
+}
+
+void dispatch_reducer::quarantine(request_identity const& request, std::string_view source, step_context& step)
+{
+    step.effects.emplace_back(log_line { severity::warning, "request_quarantined",
+        log_fields()
+            .add("content", request.content.value())
+            .add("crashes", m_suspects.crashes_of(request))
+            .add("left_ms", m_suspects.quarantine_left(request, step.now).count())
+            .add("source", source)
+            .take() });
+    auto const waiting = m_waiting;
+    for (auto const number : waiting) {
+        auto& held = m_requests.at(number);
+        if (held.content && identity_of(held) == request)
+            end_of_wait(number, held, step);
+    }
+}
+
+} // namespace shedhill::dispatch
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -35,6 +35,12 @@
     milliseconds silence_limit { 0 };
 };
 
+// Opens a connection to see whether the endpoint still listens; an endpoint_probed follows.
+struct probe_endpoint {
+    endpoint_key start;
+    std::string address;
+};
+
 // Drops the attempt under way and its connection.
 struct cancel_attempt {
     request_number request {};
@@ -77,7 +83,7 @@
     std::string fields;
 };
 
-enum class counted { requests, answers, failures, refusals, retries, ejections, notices, cancelled };
+enum class counted { requests, answers, failures, refusals, retries, ejections, notices, crashes, cancelled };
 
 struct count_event {
     counted which { counted::requests };
@@ -105,7 +111,7 @@
 };
 
 using effect = std::variant<send_attempt, cancel_attempt, answer_refusal, pass_answer, break_answer, set_ready,
-    stop_process, log_line, count_event, time_event>;
+    stop_process, probe_endpoint, log_line, count_event, time_event>;
 
 using effect_list = std::vector<effect>;
 
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "libraries/dispatch/engines/engine_work.h"
+#include "libraries/dispatch/suspects/crash_evidence.h"
+#include "libraries/dispatch/suspects/crash_record.h"
 #include "libraries/dispatch/types.h"
 
 #include <string>
@@ -22,6 +24,8 @@
     request_cost cost;
     // How long the caller waits; none where it did not say.
     std::optional<milliseconds> time_left;
+    // Where the dispatcher suspects any request.
+    std::optional<content_hash> content {};
 };
 
 struct caller_left {
@@ -64,6 +68,12 @@
     bool has_answer_begun { false };
 };
 
+// What came of a probe_endpoint.
+struct endpoint_probed {
+    endpoint_key start;
+    probe_outcome outcome { probe_outcome::no_answer };
+};
+
 struct configuration_learned {
     configuration learned;
     // Who told it: the store, or a router.
@@ -131,6 +141,8 @@
     failure_domain domain {};
     // How many routers it tells of.
     std::uint32_t routers { 1 };
+    // Of requests that may crash endpoints.
+    std::vector<crash_record> crashes {};
 
     [[nodiscard]] report_source source() const
     {
@@ -161,8 +173,8 @@
 };
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
-    endpoint_told, configuration_learned, domains_evacuated, endpoints_listed, routers_listed, peer_reported, peer_lost,
-    drain_requested, tick>;
+    endpoint_told, endpoint_probed, configuration_learned, domains_evacuated, endpoints_listed, routers_listed,
+    peer_reported, peer_lost, drain_requested, tick>;
 
 struct event {
     instant now {};
--- /dev/null
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// One record for each request.
+#include "libraries/dispatch/suspects/crash_suspects.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedhill::dispatch {
+
+namespace {
+
+constexpr std::size_t most_records = 512;
+constexpr std::uint8_t crashes_to_quarantine = 3;
+// What has crashed so often is told again and again.
+constexpr std::uint8_t crashes_to_repeat = 2;
+constexpr milliseconds record_lasts { 600000 };
+// A request that was cleared is remembered so long, so that older news of it does not count.
+constexpr milliseconds cleared_lasts { 30000 };
+// Others wait so long for the end of an attempt. Most that crash do so sooner; a long answer, or a router that is lost,
+// does not hold up a request that is not at fault.
+constexpr milliseconds trial_lasts { 1000 };
+
+} // namespace
+
+suspicion crash_suspects::suspicion_of(request_identity const& request, instant now) const
+{
+    auto const found = m_records.find(request);
+    if (found == m_records.end())
+        return suspicion::none;
+    auto const& known = found->second;
+    if (known.stamp.crashes >= crashes_to_quarantine)
+        return suspicion::quarantined;
+    auto const crashes = std::max(known.stamp.crashes, presumed_crashes(request, known));
+    if (crashes == 0)
+        return suspicion::none;
+    bool const is_tried = now < std::max(known.own_trial_until, known.told_trial_until);
+    return is_tried || crashes >= crashes_to_quarantine ? suspicion::waits_for_trial : suspicion::none;
+}
+
+milliseconds crash_suspects::quarantine_left(request_identity const& request, instant now) const
+{
+    auto const found = m_records.find(request);
+    if (found == m_records.end() || found->second.stamp.crashes < crashes_to_quarantine)
+        return milliseconds(0);
+    return std::max(found->second.until - now, milliseconds(0));
+}
+
+std::uint8_t crash_suspects::crashes_of(request_identity const& request) const { return stamp_of(request).crashes; }
+
+std::size_t crash_suspects::suspects() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_records, [](auto const& known) { return known.second.stamp.crashes > 0; }));
+}
+
+std::size_t crash_suspects::quarantined() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_records, [](auto const& known) { return known.second.stamp.crashes >= crashes_to_quarantine; }));
+}
+
+std::uint8_t crash_suspects::presumed_crashes(request_identity const& request, record const& known) const
+{
+    return m_evidence.is_empty() ? std::uint8_t { 0 } : m_evidence.presumed_crashes(request, known.stamp.epoch);
+}
+
+crash_stamp crash_suspects::stamp_of(request_identity const& request) const
+{
+    auto const found = m_records.find(request);
+    if (found == m_records.end())
+        return {};
+    auto stamp = found->second.stamp;
+    stamp.crashes = std::max(stamp.crashes, presumed_crashes(request, found->second));
+    return stamp;
+}
+
+bool crash_suspects::begin_trial(request_identity const& request, instant now)
+{
+    auto const found = m_records.find(request);
+    if (found == m_records.end() || stamp_of(request).crashes == 0)
+        return false;
+    auto& known = found->second;
+    known.own_trial_until = now + trial_lasts;
+    known.is_news_for_routers = true;
+    known.is_news_for_domains = true;
+    return true;
+}
+
+void crash_suspects::end_trial(request_identity const& request)
+{
+    if (auto const found = m_records.find(request); found != m_records.end())
+        found->second.own_trial_until = {};
+}
+
+void crash_suspects::note_broken(broken_endpoint const& endpoint, broken_attempt const& broken)
+{
+    auto const& known = record_of(broken.request, broken.at);
+    if (broken.stamp.epoch == known.stamp.epoch)
+        m_evidence.add(endpoint, broken);
+}
+
+crash_suspects::record& crash_suspects::record_of(request_identity const& request, instant now)
+{
+    auto const found = m_records.find(request);
+    if (found != m_records.end())
+        return found->second;
+    if (m_records.size() >= most_records)
+        make_room();
+    record made;
+    made.until = now + cleared_lasts;
+    return m_records.emplace(request, made).first->second;
+}
+
+void crash_suspects::make_room()
+{
+    auto const least = std::ranges::min_element(
+        m_records, {}, [](auto const& known) { return std::pair(known.second.stamp.crashes, known.second.until); });
+    m_evidence.acquit(least->first);
+    m_records.erase(least);
+}
+
+void crash_suspects::change(record& known, crash_stamp stamp, instant until)
+{
+    known.stamp = stamp;
+    known.until = until;
+    known.told_trial_until = {};
+    known.is_news_for_domains = true;
+}
+
+crash_suspects::probe_verdict crash_suspects::take_probe(endpoint_key start, probe_outcome outcome, instant now)
+{
+    auto const judged = m_evidence.judge(start, outcome, now);
+    probe_verdict made { judged.endpoint, {} };
+    for (auto const& broken : judged.crashed) {
+        auto& known = record_of(broken.request, now);
+        crash_stamp const counted { broken.stamp.epoch, static_cast<std::uint8_t>(broken.stamp.crashes + 1) };
+        if (counted <= known.stamp)
+            continue;
+        change(known, counted, now + record_lasts);
+        known.is_news_for_routers = true;
+        made.crashes.push_back({ broken.request, counted.crashes, counted.crashes >= crashes_to_quarantine });
+    }
+    return made;
+}
+
+bool crash_suspects::note_answered(request_identity const& request, instant now)
+{
+    auto const found = m_records.find(request);
+    if (found == m_records.end() || stamp_of(request).crashes == 0)
+        return false;
+    m_evidence.acquit(request);
+    auto& known = found->second;
+    crash_stamp const cleared { static_cast<std::uint16_t>(known.stamp.epoch + 1), 0 };
+    change(known, cleared, now + cleared_lasts);
+    known.is_news_for_routers = true;
+    return true;
+}
+
+bool crash_suspects::join(crash_record const& told, source_place place, instant now)
+{
+    if (told.left <= milliseconds(0))
+        return false;
+    auto& known = record_of(told.request, now);
+    if (told.stamp < known.stamp)
+        return false;
+    bool const is_newer = told.stamp > known.stamp;
+    if (is_newer) {
+        change(known, told.stamp, now + std::min(told.left, record_lasts));
+        // The neighbours hear of it from who told it, and other failure domains from who tells for this one.
+        known.is_news_for_domains = place == source_place::own_domain;
+    }
+    known.told_trial_until = std::max(known.told_trial_until, now + std::min(told.trial_left, trial_lasts));
+    return is_newer && known.stamp.crashes >= crashes_to_quarantine;
+}
+
+crash_record crash_suspects::to_told(
+    request_identity const& request, record const& known, report_subject subject, instant now)
+{
+    // A router tells of its own attempts only: told on, one would seem to be under way for ever.
+    auto const trial_until = subject == report_subject::domain ? std::max(known.own_trial_until, known.told_trial_until)
+                                                               : known.own_trial_until;
+    return { request, known.stamp, known.until - now, std::max(trial_until - now, milliseconds(0)) };
+}
+
+std::vector<crash_record> crash_suspects::take_told(report_subject subject, report_scope scope, instant now)
+{
+    std::vector<crash_record> told;
+    for (auto& [request, known] : m_records) {
+        // Not known to have crashed anything yet.
+        if (known.stamp == crash_stamp())
+            continue;
+        bool& is_news = subject == report_subject::domain ? known.is_news_for_domains : known.is_news_for_routers;
+        bool const is_repeated = scope == report_scope::whole && known.stamp.crashes >= crashes_to_repeat;
+        if (std::exchange(is_news, false) || is_repeated)
+            told.push_back(to_told(request, known, subject, now));
+    }
+    return told;
+}
+
+std::vector<crash_record> crash_suspects::all(instant now) const
+{
+    std::vector<crash_record> told;
+    for (auto const& [request, known] : m_records) {
+        if (known.stamp != crash_stamp())
+            told.push_back(to_told(request, known, report_subject::router, now));
+    }
+    return told;
+}
+
+void crash_suspects::forget_old(instant now)
+{
+    for (auto entry = m_records.begin(); entry != m_records.end();) {
+        auto& [request, known] = *entry;
+        if (now >= known.until && known.stamp.crashes < crashes_to_quarantine) {
+            m_evidence.acquit(request);
+            entry = m_records.erase(entry);
+            continue;
+        }
+        // What made it crash may be gone: it is tried once more, and quarantined anew by the first crash.
+        if (now >= known.until)
+            change(known, { static_cast<std::uint16_t>(known.stamp.epoch + 1), crashes_to_quarantine - 1 },
+                now + record_lasts);
+        ++entry;
+    }
+}
+
+} // namespace shedhill::dispatch
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -171,6 +171,8 @@
     prompt_too_large,
     endpoints_resting,
     memory_full,
+    awaits_trial,
+    crashes_endpoints,
     count,
 };
 
@@ -219,6 +221,10 @@
         return "endpoints_resting";
     case refusal_reason::memory_full:
         return "memory_full";
+    case refusal_reason::awaits_trial:
+        return "awaits_trial";
+    case refusal_reason::crashes_endpoints:
+        return "crashes_endpoints";
     case refusal_reason::count:
         break;
     }
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -57,6 +57,18 @@
         { work.read_units() * tokens_in_a_unit, static_cast<double>(work.read_ms()) } };
 }
 
+fbs::Crash to_wire(dispatch::crash_record const& record)
+{
+    return { record.request.team.value(), record.request.content.value(), saturated<std::uint32_t>(record.left.count()),
+        saturated<std::uint16_t>(record.trial_left.count()), record.stamp.epoch, record.stamp.crashes };
+}
+
+dispatch::crash_record from_wire(fbs::Crash const& crash)
+{
+    return { { team_key(crash.team()), content_hash(crash.content()) }, { crash.epoch(), crash.crashes() },
+        milliseconds(crash.left_ms()), milliseconds(crash.trial_ms()) };
+}
+
 flatbuffers::Offset<fbs::State> encode(flatbuffers::FlatBufferBuilder& builder, state_message const& state)
 {
     std::vector<fbs::Work> work;
@@ -69,6 +81,9 @@
     std::vector<fbs::Placed> parts;
     for (auto const& placed : state.report.parts)
         parts.emplace_back(placed.endpoint.value(), placed.part);
+    std::vector<fbs::Crash> crashes;
+    for (auto const& record : state.report.crashes)
+        crashes.push_back(to_wire(record));
     std::vector<flatbuffers::Offset<fbs::DocumentVersion>> documents;
     for (auto const& document : state.documents)
         documents.push_back(fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(document.kind),
@@ -87,7 +102,7 @@
         static_cast<float>(state.report.busy_part), domain, state.weight,
         state.report.subject == dispatch::report_subject::domain, saturated<std::uint16_t>(state.report.routers),
         saturated<std::uint16_t>(state.report.routers_aside), state.number, state.is_passed_on,
-        builder.CreateVectorOfStructs(work));
+        builder.CreateVectorOfStructs(work), builder.CreateVectorOfStructs(crashes));
 }
 
 result<state_message> decode(fbs::State const& state)
@@ -117,6 +132,10 @@
         for (auto const* placed : *state.parts())
             made.report.parts.push_back({ endpoint_key(placed->endpoint()), placed->part() });
     }
+    if (state.crashes() != nullptr) {
+        for (auto const* crash : *state.crashes())
+            made.report.crashes.push_back(from_wire(*crash));
+    }
     if (state.documents() != nullptr) {
         for (auto const* document : *state.documents()) {
             auto const kind = TRY(kind_of(document->kind()));
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -69,6 +69,7 @@
         return false;
     set_common_options(descriptor);
     if (::connect(descriptor, as_generic(*target), sizeof(*target)) != 0 && errno != EINPROGRESS) {
+        m_was_refused = errno == ECONNREFUSED;
         ::close(descriptor);
         return false;
     }
@@ -91,8 +92,10 @@
 {
     int failure = 0;
     socklen_t size = sizeof(failure);
-    if (getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0)
+    if (getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0) {
+        m_was_refused = failure == ECONNREFUSED;
         return false;
+    }
     m_is_connecting = false;
     update_interest();
     return true;
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -52,6 +52,8 @@
     void adopt(int descriptor);
     // Whether a connection that was started has come up. Call it when the socket is first writable.
     [[nodiscard]] bool has_connected();
+    // The last connection did not come up because nothing listens at the address.
+    [[nodiscard]] bool was_refused() const { return m_was_refused; }
 
     // Reads once into the loop's buffer; the bytes are valid until the next read of any socket.
     [[nodiscard]] read_outcome read();
@@ -79,6 +81,7 @@
     interest m_interest { interest::nothing };
     bool m_is_reading { true };
     bool m_is_connecting { false };
+    bool m_was_refused { false };
     bool m_is_blocked { false };
     std::string m_out;
     // Invariant: at most m_out.size().
--- a/services/shedhilld/counter_names.cpp
+++ b/services/shedhilld/counter_names.cpp
@@ -23,6 +23,8 @@
         return "shedhill_ejections_total";
     case dispatch::counted::notices:
         return with_reason("shedhill_endpoint_notices_total");
+    case dispatch::counted::crashes:
+        return "shedhill_request_crashes_total";
     case dispatch::counted::cancelled:
         break;
     }
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -9,6 +9,7 @@
 #include "libraries/logging/event_log.h"
 #include "libraries/metrics/registry.h"
 #include "libraries/relay/deployment.h"
+#include "libraries/relay/endpoint_probes.h"
 #include "libraries/relay/exchange.h"
 #include "libraries/relay/status_server.h"
 #include "libraries/relay/stop_sequence.h"
@@ -45,6 +46,10 @@
         , m_log(m_settings.vm.value(), {})
         , m_reducer(make_options(m_settings, policy))
         , m_connections(m_loop)
+        , m_probes(m_loop,
+              [this](endpoint_key start, dispatch::probe_outcome outcome) {
+                  on_event(dispatch::endpoint_probed { start, outcome });
+              })
         , m_caller_listener(m_loop,
               [this](int descriptor) { m_callers.accept(descriptor, *this, m_reducer.routes().current().limits); })
         , m_ready_server(m_loop, [this](std::string_view) { return answer_readiness(); })
@@ -176,6 +181,8 @@
             m_metrics.add("shedhill_refusals_total{reason=\"bad_request\"}");
             return connection.finish_answer();
         }
+        if (m_reducer.suspects_requests())
+            arrived.content = relay::content_of(request);
         m_exchanges.add(arrived.request,
             std::make_unique<exchange>(m_loop, static_cast<relay::exchange_owner&>(*this), arrived.request,
                 std::move(request), connection.shared_from_this()));
@@ -290,6 +297,8 @@
 
     void carry_out(dispatch::stop_process const&) { }
 
+    void carry_out(dispatch::probe_endpoint const& probe) { m_probes.start(probe.start, probe.address); }
+
     void carry_out(dispatch::log_line const& line) { log(level_of(line.level), line.event, line.fields); }
 
     void carry_out(dispatch::count_event const& happened) { m_metrics.add(counter_name(happened)); }
@@ -337,6 +346,7 @@
     void check_times(instant now)
     {
         m_exchanges.for_each([now](exchange& served) { served.check_time(now, connect_limit); });
+        m_probes.check_time(now);
         take_events();
         m_connections.close_old(now);
         if (m_loop.held().is_over())
@@ -440,6 +450,7 @@
     metrics::registry m_metrics;
     dispatch::dispatch_reducer m_reducer;
     endpoint_connections m_connections;
+    relay::endpoint_probes m_probes;
 
     relay::listener_socket m_caller_listener;
     relay::status_server m_ready_server;
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -166,6 +166,7 @@
         state.report.scope = dispatch::report_scope::changes;
         state.report.loads.clear();
         state.report.parts.clear();
+        state.report.crashes.clear();
         state.members = directory().members();
         tell_members(state, now);
         tell_newcomers(newcomers, std::move(state), now);
@@ -189,6 +190,7 @@
         if (newcomers.empty())
             return;
         state.report.parts = m_owner.reducer().recent_parts(now);
+        state.report.crashes = m_owner.reducer().crash_records(now);
         auto const frame = peering::encode_frame(std::move(state));
         for (auto const& address : newcomers) {
             if (directory().is_told_singly(address))
@@ -205,8 +207,10 @@
             now);
         if (is_whole)
             m_told_domain_whole_at = now;
-        if (is_new)
+        if (is_new) {
             state.members = directory().members();
+            state.report.crashes = m_owner.reducer().crash_records(now);
+        }
         m_peers.tell_domains(peering::encode_frame(state));
     }
 
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -166,6 +166,7 @@
     [[nodiscard]] std::vector<break_answer> const& broken() const { return m_broken; }
     [[nodiscard]] std::vector<cancel_attempt> const& cancelled() const { return m_cancelled; }
     [[nodiscard]] std::vector<pass_answer> const& passed() const { return m_passed; }
+    [[nodiscard]] std::vector<probe_endpoint> const& probes() const { return m_probes; }
     [[nodiscard]] bool has_stopped() const { return m_has_stopped; }
     [[nodiscard]] instant now() const { return m_now; }
 
@@ -184,6 +185,8 @@
             m_passed.push_back(*passed);
         else if (std::holds_alternative<stop_process>(done))
             m_has_stopped = true;
+        else if (auto const* probe = std::get_if<probe_endpoint>(&done))
+            m_probes.push_back(*probe);
         else if (auto const* line = std::get_if<log_line>(&done))
             m_log += line->event + " " + line->fields + "\n";
     }
@@ -199,6 +202,7 @@
     std::vector<break_answer> m_broken;
     std::vector<pass_answer> m_passed;
     std::vector<cancel_attempt> m_cancelled;
+    std::vector<probe_endpoint> m_probes;
     std::string m_log;
     bool m_has_stopped { false };
 };
