dispatch: Suspects go to endpoints of their own, and any answer clears them

A request that has crashed twice prefers endpoints by a hash of itself and the endpoint, so the third crash tells suspects apart; and answers to requests that arrived before anybody was suspected clear them too: their content is worked out when they end, while any request is suspected.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -125,6 +125,7 @@
     wanted.most_load = terms.most_load;
     wanted.queueing_part = terms.queueing_part;
     wanted.may_probe = request.repeat != repetition::never && request.most_attempts > 1;
+    wanted.suspect = spread_of(request);
     return m_board.choose(wanted, step.now);
 }
 
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -198,6 +198,8 @@
     // Requests that may crash endpoints.
     [[nodiscard]] static request_identity identity_of(active_request const& request);
     [[nodiscard]] suspicion suspicion_of(active_request const& request, step_context const& step) const;
+    // By which a suspect chooses other endpoints than other suspects do; 0 where it has not crashed twice.
+    [[nodiscard]] std::uint64_t spread_of(active_request const& request) const;
     void begin_trial(active_request& request, step_context const& step);
     void end_trial(active_request& request);
     void note_broken(active_request const& request, step_context const& step);
--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -20,6 +20,14 @@
     return m_suspects.suspicion_of(identity_of(request), step.now);
 }
 
+std::uint64_t dispatch_reducer::spread_of(active_request const& request) const
+{
+    constexpr std::uint8_t crashes_to_spread = 2;
+    if (m_suspects.is_empty() || !request.content)
+        return 0;
+    return m_suspects.stamp_of(identity_of(request)).crashes < crashes_to_spread ? 0 : request.content->value();
+}
+
 void dispatch_reducer::begin_trial(active_request& request, step_context const& step)
 {
     request.stamp = {};
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -123,6 +123,9 @@
     token_count held { 0 };
     // May be the one that probes an ejected endpoint.
     bool may_probe { false };
+    // Of a request that may crash its endpoint: each such request prefers endpoints of its own, so that the next crash
+    // tells them apart. 0 for others.
+    std::uint64_t suspect { 0 };
 };
 
 class endpoint_board {
--- a/libraries/dispatch/endpoints/endpoint_choice.cpp
+++ b/libraries/dispatch/endpoints/endpoint_choice.cpp
@@ -17,6 +17,8 @@
 
 constexpr double first_service_time_ms = 40;
 constexpr double weight_of_the_newest_time = 0.1;
+// Far more than endpoints differ by otherwise.
+constexpr double suspect_spread_ms = 10000;
 
 std::uint64_t placement_key(request_cost const& cost)
 {
@@ -126,6 +128,8 @@
             + m_policy.spread_of_error * wanted.pace->usual_error_ms() * endpoint.preference;
     if (endpoint.entry.domain != m_own_domain)
         cost += m_policy.other_domain_ms;
+    if (wanted.suspect != 0)
+        cost += suspect_spread_ms * unit_share(rendezvous_weight(wanted.suspect, endpoint.entry.name.value()));
     if (placement != 0)
         cost += m_policy.placement_spread_ms * placement_share(placement, endpoint.entry.name);
     return cost;
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -48,7 +48,7 @@
     std::uint32_t events { 0 };
     // Something of an answer reached the caller, by this attempt or an earlier one.
     bool has_answer_begun { false };
-    // Of the request, where the attempt broke off.
+    // Of the request, where the attempt broke off, or where any request is suspected.
     std::optional<content_hash> content {};
 };
 
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -22,6 +22,8 @@
     // The endpoint's connection is free again.
     virtual void on_connection_free(dispatch::send_attempt const& attempt, std::shared_ptr<call_connection> connection)
         = 0;
+    // Whether the content of requests that are answered is of use.
+    [[nodiscard]] virtual bool suspects_requests() const = 0;
     // The answer has ended, well or badly; the exchange is to be dropped.
     virtual void on_exchange_over(request_number request) = 0;
 };
@@ -235,7 +237,8 @@
         m_connection.reset();
         dispatch::attempt_ended ended { m_number, m_attempt.attempt, end, m_status,
             std::exchange(m_events_of_attempt, 0), m_has_head_passed };
-        if (end == dispatch::attempt_end::broken)
+        bool const may_clear = end == dispatch::attempt_end::complete && m_owner.suspects_requests();
+        if (end == dispatch::attempt_end::broken || may_clear)
             ended.content = content_of(m_request);
         m_owner.on_event(std::move(ended));
     }
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -235,6 +235,8 @@
         m_connections.keep(attempt.start, std::move(connection));
     }
 
+    [[nodiscard]] bool suspects_requests() const override { return m_reducer.suspects_requests(); }
+
     void on_exchange_over(request_number request) override { m_exchanges.note_over(request); }
 
     void take_events()
--- a/tests/dispatch/crash_fleet_test.cpp
+++ b/tests/dispatch/crash_fleet_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_request_that_is_harmless_from_then_on_is_served_again);
     CPPUNIT_TEST(a_hot_request_outlives_the_loss_of_most_endpoints);
     CPPUNIT_TEST(a_hot_request_outlives_resets_of_all_connections);
+    CPPUNIT_TEST(a_hot_request_beside_a_harmful_one_is_served_on);
     CPPUNIT_TEST(nothing_goes_on_after_the_third_under_random_troubles);
     CPPUNIT_TEST_SUITE_END();
 
@@ -154,6 +155,22 @@
         check_served(play, hot);
     }
 
+    // Half of the endpoints are lost, and the others to a request that comes four at a time, beside the hot one.
+    void a_hot_request_beside_a_harmful_one_is_served_on()
+    {
+        auto play = started();
+        strike(play, 4, 0);
+        keep_asking(play, hot, milliseconds(60));
+        strike(play, 0, 4);
+        keep_asking(play, hot, milliseconds(140));
+        strike(play, 0, 0);
+        keep_asking(play, hot, milliseconds(80));
+        strike(play, 5, 11);
+        keep_asking(play, hot, milliseconds(80));
+        play.wait(milliseconds(12000));
+        check_served(play, hot);
+    }
+
     static void strike(crash_play& play, int kind, int choice)
     {
         auto const drawn = static_cast<std::size_t>(choice);
--- a/tests/dispatch/crash_play.cpp
+++ b/tests/dispatch/crash_play.cpp
@@ -183,8 +183,12 @@
             if (m_now < one.ends_at || m_stories[one.content].is_harmful)
                 return false;
             ++m_stories[one.content].served;
-            if (m_routers[one.router].life == one.life)
-                tell(one.router, attempt_ended { one.request, one.attempt, attempt_end::complete, 200 }, no_delay);
+            if (m_routers[one.router].life != one.life)
+                return true;
+            attempt_ended answered { one.request, one.attempt, attempt_end::complete, 200 };
+            if (m_routers[one.router].reducer->suspects_requests())
+                answered.content = one.content;
+            tell(one.router, answered, no_delay);
             return true;
         });
     }
