base, relay, shedhilld: Time is kept by a clock that counts suspension

A machine that was suspended believed what it held (deadlines, ages of the list and of what others told, rests, quarantines) to be younger by the time it was away: std::chrono::steady_clock leaves that out. boot_clock is the one place that reads the clock now, for the platform's routers and for the own roles; the loop takes it as a parameter, so that a test drives it. To the dispatcher a suspension looks like a process that stood still, which its tests cover.

The timers of the own roles' fibers still wait by the library's steady clock: they end later by the suspension at the most.

--- a/libraries/relay/event_loop.cpp
+++ b/libraries/relay/event_loop.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <chrono>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <utility>
@@ -33,13 +32,12 @@
     return (static_cast<std::uint64_t>(watched.generation) << slot_bits) | watched.slot;
 }
 
-std::int64_t steady_ns() { return std::chrono::steady_clock::now().time_since_epoch() / std::chrono::nanoseconds(1); }
-
 } // namespace
 
-event_loop::event_loop()
-    : m_poll(epoll_create1(EPOLL_CLOEXEC))
-    , m_started_ns(steady_ns())
+event_loop::event_loop(clock_function clock)
+    : m_clock(clock)
+    , m_poll(epoll_create1(EPOLL_CLOEXEC))
+    , m_started_ns(time_ns())
     , m_busy_since_ns(m_started_ns)
 {
     verify(m_poll >= 0, "the system gives a poll descriptor");
@@ -48,7 +46,9 @@
 
 event_loop::~event_loop() { close(m_poll); }
 
-void event_loop::refresh_now() { set_now(steady_ns()); }
+std::int64_t event_loop::time_ns() const { return m_clock().time_since_epoch().count(); }
+
+void event_loop::refresh_now() { set_now(time_ns()); }
 
 void event_loop::set_now(std::int64_t time_ns)
 {
@@ -59,12 +59,12 @@
 
 double event_loop::take_busy_part()
 {
-    auto const now = steady_ns();
+    auto const now = time_ns();
     auto const passed = std::max<std::int64_t>(now - std::exchange(m_busy_since_ns, now), 1);
     return 1 - static_cast<double>(std::exchange(m_waited_ns, 0)) / static_cast<double>(passed);
 }
 
-double event_loop::take_link_part() { return m_link.take_part(steady_ns()); }
+double event_loop::take_link_part() { return m_link.take_part(time_ns()); }
 
 watch_id event_loop::watch(int descriptor, io_handler& handler, interest wanted)
 {
@@ -106,9 +106,9 @@
 void event_loop::run_once(milliseconds limit)
 {
     std::array<epoll_event, events_per_round> events {};
-    auto const waits_from = steady_ns();
+    auto const waits_from = time_ns();
     auto const count = epoll_wait(m_poll, events.data(), events_per_round, static_cast<int>(limit.count()));
-    auto const waited_until = steady_ns();
+    auto const waited_until = time_ns();
     m_waited_ns += waited_until - waits_from;
     set_now(waited_until);
     for (int index = 0; index < count; ++index) {
--- a/libraries/relay/event_loop.h
+++ b/libraries/relay/event_loop.h
@@ -3,6 +3,7 @@
 // does not change: events of streams are the most frequent thing a router handles (docs/PLATFORM.md has the figures).
 #pragma once
 
+#include "base/boot_clock.h"
 #include "base/error.h"
 #include "base/units.h"
 #include "libraries/relay/held_bytes.h"
@@ -46,7 +47,9 @@
 public:
     static constexpr std::size_t read_buffer_size = 65536;
 
-    event_loop();
+    using clock_function = boot_clock::time_point (*)();
+
+    explicit event_loop(clock_function clock = boot_clock::now);
     ~event_loop();
     event_loop(event_loop const&) = delete;
     event_loop& operator=(event_loop const&) = delete;
@@ -77,6 +80,7 @@
     [[nodiscard]] std::array<char, read_buffer_size>& read_buffer() { return m_read_buffer; }
 
 private:
+    [[nodiscard]] std::int64_t time_ns() const;
     void set_now(std::int64_t time_ns);
 
     struct watched_slot {
@@ -84,6 +88,7 @@
         std::uint32_t generation { 0 };
     };
 
+    clock_function m_clock;
     int m_poll { -1 };
     std::int64_t m_started_ns { 0 };
     std::int64_t m_waited_ns { 0 };
--- a/services/shedhilld/process.cpp
+++ b/services/shedhilld/process.cpp
@@ -10,7 +10,7 @@
 namespace shedhill::daemon {
 
 process::process()
-    : m_started_at(std::chrono::steady_clock::now())
+    : m_started_at(boot_clock::now())
     , m_random(std::random_device {}())
     , m_signals(net::process_io())
     , m_tick_timer(net::process_io())
@@ -20,7 +20,7 @@
 instant process::now() const
 {
     // One second on, so that no event carries the instant that means "never".
-    auto const running = std::chrono::steady_clock::now() - m_started_at + std::chrono::seconds(1);
+    auto const running = boot_clock::now() - m_started_at + std::chrono::seconds(1);
     return instant(std::chrono::duration_cast<milliseconds>(running));
 }
 
--- a/services/shedhilld/process.h
+++ b/services/shedhilld/process.h
@@ -2,6 +2,7 @@
 // What both roles of the daemon share: time, random draws, signals, the admin server and the counters.
 #pragma once
 
+#include "base/boot_clock.h"
 #include "base/units.h"
 #include "libraries/metrics/registry.h"
 #include "libraries/net/await.h"
@@ -42,7 +43,7 @@
     void serve_admin(net::http_exchange& exchange);
     void measure_process();
 
-    std::chrono::steady_clock::time_point m_started_at;
+    boot_clock::time_point m_started_at;
     std::mt19937_64 m_random;
     metrics::registry m_metrics;
     net::fiber_event m_stop;
