dispatch: Endpoints lost right after one another convict no request that was answered

Before the trial that decides, 200 ms pass since the last crash: what runs elsewhere may be answered and clears the request. One that was answered while it was suspected is quarantined for 10 s, one that never was for ten minutes.

Weighed: not counting crashes within 50 ms of each other (a request that ends its endpoint within 6 ms takes one more); an early trial for all (a fourth endpoint lost to each harmful request).

--- a/libraries/dispatch/suspects/crash_record.h
+++ b/libraries/dispatch/suspects/crash_record.h
@@ -39,6 +39,8 @@
     milliseconds left { 0 };
     // For how much longer others wait for an attempt that is under way.
     milliseconds trial_left { 0 };
+    // It was answered once while it was suspected.
+    bool was_answered { false };
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -14,11 +14,15 @@
 // What has crashed so often is told again and again.
 constexpr std::uint8_t crashes_to_repeat = 2;
 constexpr milliseconds record_lasts { 600000 };
+constexpr milliseconds quarantine_of_answered { 10000 };
 // A request that was cleared is remembered so long, so that older news of it does not count.
 constexpr milliseconds cleared_lasts { 30000 };
 // Others wait so long for the end of an attempt. Most that crash do so sooner; a long answer, or a router that is lost,
 // does not hold up a request that is not at fault.
 constexpr milliseconds trial_lasts { 1000 };
+// Endpoints that are lost one right after another may have one cause, which was another request. What runs elsewhere
+// may be answered meanwhile.
+constexpr milliseconds pause_before_last_trial { 200 };
 
 } // namespace
 
@@ -34,7 +38,10 @@
     if (crashes == 0)
         return suspicion::none;
     bool const is_tried = now < std::max(known.own_trial_until, known.told_trial_until);
-    return is_tried || crashes >= crashes_to_quarantine ? suspicion::waits_for_trial : suspicion::none;
+    bool const has_just_broken
+        = crashes + 1 == crashes_to_quarantine && now < known.broken_at + pause_before_last_trial;
+    return is_tried || has_just_broken || crashes >= crashes_to_quarantine ? suspicion::waits_for_trial
+                                                                           : suspicion::none;
 }
 
 milliseconds crash_suspects::quarantine_left(request_identity const& request, instant now) const
@@ -94,7 +101,8 @@
 
 void crash_suspects::note_broken(broken_endpoint const& endpoint, broken_attempt const& broken)
 {
-    auto const& known = record_of(broken.request, broken.at);
+    auto& known = record_of(broken.request, broken.at);
+    known.broken_at = broken.at;
     if (broken.stamp.epoch == known.stamp.epoch)
         m_evidence.add(endpoint, broken);
 }
@@ -136,7 +144,8 @@
         crash_stamp const counted { broken.stamp.epoch, static_cast<std::uint8_t>(broken.stamp.crashes + 1) };
         if (counted <= known.stamp)
             continue;
-        change(known, counted, now + record_lasts);
+        bool const is_short = known.was_answered && counted.crashes >= crashes_to_quarantine;
+        change(known, counted, now + (is_short ? quarantine_of_answered : record_lasts));
         known.is_news_for_routers = true;
         made.crashes.push_back({ broken.request, counted.crashes, counted.crashes >= crashes_to_quarantine });
     }
@@ -152,6 +161,7 @@
     auto& known = found->second;
     crash_stamp const cleared { static_cast<std::uint16_t>(known.stamp.epoch + 1), 0 };
     change(known, cleared, now + cleared_lasts);
+    known.was_answered = true;
     known.is_news_for_routers = true;
     return true;
 }
@@ -166,9 +176,11 @@
     bool const is_newer = told.stamp > known.stamp;
     if (is_newer) {
         change(known, told.stamp, now + std::min(told.left, record_lasts));
+        known.broken_at = now;
         // The neighbours hear of it from who told it, and other failure domains from who tells for this one.
         known.is_news_for_domains = place == source_place::own_domain;
     }
+    known.was_answered |= told.was_answered;
     known.told_trial_until = std::max(known.told_trial_until, now + std::min(told.trial_left, trial_lasts));
     return is_newer && known.stamp.crashes >= crashes_to_quarantine;
 }
@@ -179,7 +191,8 @@
     // A router tells of its own attempts only: told on, one would seem to be under way for ever.
     auto const trial_until = subject == report_subject::domain ? std::max(known.own_trial_until, known.told_trial_until)
                                                                : known.own_trial_until;
-    return { request, known.stamp, known.until - now, std::max(trial_until - now, milliseconds(0)) };
+    return { request, known.stamp, known.until - now, std::max(trial_until - now, milliseconds(0)),
+        known.was_answered };
 }
 
 std::vector<crash_record> crash_suspects::take_told(report_subject subject, report_scope scope, instant now)
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Requests that may crash the endpoints that run them. When an endpoint crashes, all that ran there is under suspicion.
 // A suspect is served on, one attempt at a time in the whole fleet: an answer clears it, a third crash in a row
-// quarantines it. Routers join what they know; nothing is counted twice, whatever the way of the news.
+// quarantines it, for a short time only where it was answered before: then it is likely to be one that was beside
+// others that crash. Routers join what they know; nothing is counted twice, whatever the way of the news.
 #pragma once
 
 #include "libraries/dispatch/admission/team_ledger.h"
@@ -16,7 +17,7 @@
 
 enum class suspicion {
     none,
-    // Another attempt of it is under way, or it is not known yet how one ended.
+    // Another attempt of it is under way or has just broken off, or it is not known yet how one ended.
     waits_for_trial,
     quarantined,
 };
@@ -70,9 +71,12 @@
     struct record {
         crash_stamp stamp;
         instant until {};
+        // When an attempt last broke off, or this was told.
+        instant broken_at {};
         // An attempt of this router, and of another one, for whose end others wait.
         instant own_trial_until {};
         instant told_trial_until {};
+        bool was_answered { false };
         bool is_news_for_routers { false };
         bool is_news_for_domains { false };
     };
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -60,13 +60,14 @@
 fbs::Crash to_wire(dispatch::crash_record const& record)
 {
     return { record.request.team.value(), record.request.content.value(), saturated<std::uint32_t>(record.left.count()),
-        saturated<std::uint16_t>(record.trial_left.count()), record.stamp.epoch, record.stamp.crashes };
+        saturated<std::uint16_t>(record.trial_left.count()), record.stamp.epoch, record.stamp.crashes,
+        record.was_answered };
 }
 
 dispatch::crash_record from_wire(fbs::Crash const& crash)
 {
     return { { team_key(crash.team()), content_hash(crash.content()) }, { crash.epoch(), crash.crashes() },
-        milliseconds(crash.left_ms()), milliseconds(crash.trial_ms()) };
+        milliseconds(crash.left_ms()), milliseconds(crash.trial_ms()), crash.was_answered() };
 }
 
 flatbuffers::Offset<fbs::State> encode(flatbuffers::FlatBufferBuilder& builder, state_message const& state)
--- a/tests/dispatch/crash_fleet_test.cpp
+++ b/tests/dispatch/crash_fleet_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_hot_request_outlives_the_loss_of_most_endpoints);
     CPPUNIT_TEST(a_hot_request_outlives_resets_of_all_connections);
     CPPUNIT_TEST(a_hot_request_beside_a_harmful_one_is_served_on);
+    CPPUNIT_TEST(a_hot_request_beside_the_last_endpoints_lost_at_once_is_served_on);
     CPPUNIT_TEST(nothing_goes_on_after_the_third_under_random_troubles);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,22 @@
         check_served(play, hot);
     }
 
+    // Two harmful copies take three of the last four endpoints within 70 ms.
+    void a_hot_request_beside_the_last_endpoints_lost_at_once_is_served_on()
+    {
+        auto play = started();
+        strike(play, 4, 0);
+        keep_asking(play, hot, milliseconds(390));
+        strike(play, 1, 0);
+        keep_asking(play, hot, milliseconds(230));
+        strike(play, 0, 17);
+        keep_asking(play, hot, milliseconds(210));
+        strike(play, 5, 1);
+        keep_asking(play, hot, milliseconds(40));
+        play.wait(milliseconds(12000));
+        check_served(play, hot);
+    }
+
     static void strike(crash_play& play, int kind, int choice)
     {
         auto const drawn = static_cast<std::size_t>(choice);
--- a/tests/dispatch/crash_suspects_test.cpp
+++ b/tests/dispatch/crash_suspects_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_quarantined_request_is_refused_at_once_until_the_quarantine_ends);
     CPPUNIT_TEST(after_its_quarantine_a_request_is_tried_once);
     CPPUNIT_TEST(an_answer_clears_a_suspect);
+    CPPUNIT_TEST(one_that_was_answered_is_quarantined_for_a_short_time);
     CPPUNIT_TEST(another_content_or_team_is_not_suspected);
     CPPUNIT_TEST(a_connection_that_breaks_is_no_crash);
     CPPUNIT_TEST(an_endpoint_with_an_older_attempt_under_way_is_not_probed);
@@ -76,11 +77,12 @@
                 m_driver.take(endpoint_probed { m_driver.probes()[m_probes_seen].start, outcome });
         }
 
-        // The endpoint that runs the request ends.
+        // The endpoint that runs the request ends. A while later it may be tried again.
         void crash(request_number request, content_hash content = bad)
         {
             break_off(request, content);
             answer_probes(probe_outcome::refused);
+            m_driver.wait(milliseconds(200));
         }
 
         void quarantine(content_hash content = bad)
@@ -151,6 +153,17 @@
         CPPUNIT_ASSERT(is_sent(fleet, fleet.ask(bad)));
     }
 
+    void one_that_was_answered_is_quarantined_for_a_short_time()
+    {
+        fleet_of_one fleet;
+        fleet.crash(fleet.ask(bad));
+        fleet->end(fleet.ask(bad), attempt_end::complete, 200);
+        fleet.quarantine();
+        CPPUNIT_ASSERT(!is_sent(fleet, fleet.ask(bad)));
+        fleet->wait(milliseconds(10200));
+        CPPUNIT_ASSERT(is_sent(fleet, fleet.ask(bad)));
+    }
+
     void another_content_or_team_is_not_suspected()
     {
         fleet_of_one fleet;
--- a/tests/peering/peer_message_test.cpp
+++ b/tests/peering/peer_message_test.cpp
@@ -33,6 +33,8 @@
         state.report.subject = dispatch::report_subject::domain;
         state.report.routers = 20;
         state.report.routers_aside = 2;
+        state.report.crashes = { { { key_of(team_name("red")), content_hash(5) }, { 7, 2 }, milliseconds(90000),
+            milliseconds(300), true } };
         auto const frame = encode_frame(state);
         CPPUNIT_ASSERT_EQUAL(frame.size(), *frame_size(frame));
         CPPUNIT_ASSERT(!frame_size(frame.substr(0, 3)));
@@ -70,7 +72,15 @@
             + state.address + std::to_string(state.documents.at(0).version) + to_text(state.members.at(0))
             + std::to_string(state.number) + (state.is_passed_on ? " passed on " : " ") + to_text(state.sender())
             + state.report.source().value() + std::to_string(state.report.routers)
-            + std::to_string(state.report.routers_aside);
+            + std::to_string(state.report.routers_aside) + crash_text_of(state.report.crashes.at(0));
+    }
+
+    static std::string crash_text_of(dispatch::crash_record const& record)
+    {
+        return " " + std::to_string(record.request.team.value()) + " " + std::to_string(record.request.content.value())
+            + " " + std::to_string(record.stamp.epoch) + " " + std::to_string(record.stamp.crashes) + " "
+            + std::to_string(record.left.count()) + " " + std::to_string(record.trial_left.count())
+            + (record.was_answered ? " answered" : "");
     }
 
     void peers_are_tried_with_back_off_and_forgotten()
