tests/soak: Requests that end their replicas, and the bound on where they go

A harmful request comes twelve times to routers in turn, beside all other faults; a replica that it ended refuses connections, loses its row after 1.5 s and starts again after 3 s. Promise: after the third end and 3 s, three arrivals at the most from routers that nothing disturbed; the check is tested on a broken record.

--- a/tests/harness/fault_proxy.cpp
+++ b/tests/harness/fault_proxy.cpp
@@ -80,6 +80,7 @@
     , m_state(std::make_shared<shared_state>())
 {
     m_state->target = std::move(target);
+    m_address = "127.0.0.1:" + std::to_string(m_acceptor->local_endpoint().port());
 }
 
 fault_proxy::~fault_proxy()
@@ -90,7 +91,7 @@
     reset_connections();
 }
 
-std::string fault_proxy::address() const { return "127.0.0.1:" + std::to_string(m_acceptor->local_endpoint().port()); }
+std::string fault_proxy::address() const { return m_address; }
 
 void fault_proxy::set_target(std::string const& target) { m_state->target = target; }
 
@@ -111,6 +112,21 @@
     m_state->connections.clear();
 }
 
+void fault_proxy::refuse_connections()
+{
+    boost::system::error_code ignored;
+    m_acceptor->close(ignored);
+}
+
+result<void> fault_proxy::take_connections()
+{
+    if (m_acceptor->is_open())
+        return {};
+    *m_acceptor = TRY(net::open_acceptor(m_address));
+    accept_next();
+    return {};
+}
+
 void fault_proxy::silence_connections()
 {
     for (auto const& known : m_state->connections) {
@@ -124,7 +140,7 @@
     // The handler outlives this object by one call at the most; what it uses is shared.
     m_acceptor->async_accept(
         [acceptor = m_acceptor, state = m_state, this](boost::system::error_code failure, tcp::socket opener) {
-            if (state->is_over)
+            if (state->is_over || failure == asio::error::operation_aborted)
                 return;
             if (!failure)
                 serve(state, std::move(opener));
--- a/tests/harness/fault_proxy.h
+++ b/tests/harness/fault_proxy.h
@@ -40,6 +40,9 @@
     void set_target(std::string const& target);
     void set_fault(link_fault fault, std::chrono::milliseconds delay = {});
     void reset_connections();
+    // Refuses new connections, as a machine does on which nothing listens, or takes them again at the same address.
+    void refuse_connections();
+    result<void> take_connections();
     // Nothing arrives any more on the connections that are open; new ones work.
     void silence_connections();
 
@@ -53,6 +56,8 @@
     static void start_pump(std::shared_ptr<connection> const& made, bool is_onward);
 
     std::shared_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    // As it was when it last listened.
+    std::string m_address;
     std::shared_ptr<shared_state> m_state;
 };
 
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t duration_spread_ms = 2500;
 constexpr std::uint64_t seed_of_kinds_beside = 1U << 30U;
 constexpr std::uint64_t seed_of_notices = 1U << 31U;
+constexpr std::uint64_t seed_of_harmful_requests = 3U << 30U;
 
 milliseconds draw_time(random_draw& draw, std::int64_t least, std::size_t spread)
 {
@@ -89,6 +90,8 @@
         return "replica_rests";
     case fault_kind::replica_leaves:
         return "replica_leaves";
+    case fault_kind::harmful_request:
+        return "harmful_request";
     case fault_kind::count:
         break;
     }
@@ -115,6 +118,9 @@
         if (notices.below(2) == 0)
             draw_series(kind, options.run_for, notices, plan);
     }
+    random_draw harmful(options.seed + seed_of_harmful_requests);
+    if (!is_planned_only && harmful.below(2) == 0)
+        draw_series(fault_kind::harmful_request, options.run_for, harmful, plan);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -42,6 +42,8 @@
     // Replicas that turn all away and ask for rest; one that says in its answers that it leaves.
     replica_rests,
     replica_leaves,
+    // A request that ends each replica that runs it comes again and again.
+    harmful_request,
     count,
 };
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -14,6 +14,12 @@
 // After a leaving replica is listed as such, what it still serves ends within this time.
 constexpr int drain_ms = 2500;
 constexpr int lapse_return_ms = 1000;
+// A replica that has ended is listed for so long, and starts again as long after.
+constexpr int ended_row_lasts_ms = 1500;
+// How often a harmful request comes, and the pauses between.
+constexpr std::size_t harmful_returns = 12;
+constexpr std::uint64_t least_return_ms = 50;
+constexpr std::uint64_t return_spread_ms = 700;
 
 } // namespace
 
@@ -74,6 +80,8 @@
         return rest_replicas(fault);
     case fault_kind::replica_leaves:
         return leave_by_answers(replica);
+    case fault_kind::harmful_request:
+        return send_harmful_request(fault);
     // What happens to the store excuses no lost request.
     case fault_kind::store_pause:
         return pause_process(m_fleet.store(), fault.lasts);
@@ -184,6 +192,37 @@
     state.has_owner = false;
 }
 
+void soak_run::send_harmful_request(planned_fault const& fault)
+{
+    auto const began = soak_clock::now();
+    auto const target = "/look/crash/" + std::to_string(fault.draw);
+    for (std::size_t index = 0; index < harmful_returns; ++index) {
+        auto const router = (fault.draw + index) % m_options.routers;
+        auto const id = "crash-" + std::to_string(fault.draw) + "-" + std::to_string(index);
+        m_record.harmful.push_back({ id, target, router });
+        if (m_fleet.router(router).is_running())
+            (void)m_fleet.ask(router, target, id);
+        harness::pause(static_cast<int>(least_return_ms + (fault.draw >> index) % return_spread_ms));
+    }
+    note_failure(began);
+}
+
+void soak_run::revive_replica(std::size_t index)
+{
+    auto const began = soak_clock::now();
+    auto& state = m_replicas.at(index);
+    state.has_owner = true;
+    m_fleet.replica_link(index).refuse_connections();
+    harness::pause(ended_row_lasts_ms);
+    m_fleet.unlist_replica(index);
+    harness::pause(ended_row_lasts_ms);
+    if (auto const taken = m_fleet.replica_link(index).take_connections(); !taken)
+        m_record.findings.push_back("replica " + std::to_string(index) + ": " + taken.error().to_string());
+    renew_replica(index, milliseconds(0));
+    note_failure(began);
+    state.has_owner = false;
+}
+
 void soak_run::renew_replica(std::size_t index, milliseconds old_entry_stays)
 {
     auto const before = m_fleet.incarnation(index);
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -2,6 +2,7 @@
 // The promises, one function each.
 #include "tests/soak/soak_record.h"
 
+#include "tests/soak/crash_promises.h"
 #include "tests/soak/notice_promises.h"
 
 #include <algorithm>
@@ -93,7 +94,9 @@
     for (auto const& request : record.requests)
         asked.emplace(request.id, &request);
     for (auto const& [id, seen] : record.replicas) {
-        if (id.starts_with("probe-"))
+        bool const is_harmful
+            = std::ranges::any_of(record.harmful, [&](harmful_request const& sent) { return sent.id == id; });
+        if (id.starts_with("probe-") || is_harmful)
             continue;
         auto const found = asked.find(id);
         if (found == asked.end()) {
@@ -151,6 +154,7 @@
     check_replicas(record, broken);
     check_revisions(record, broken);
     std::ranges::copy(find_broken_notices(record), std::back_inserter(broken));
+    std::ranges::copy(find_broken_crash_bounds(record), std::back_inserter(broken));
     return broken;
 }
 
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -91,6 +91,13 @@
     failure_span span;
 };
 
+// A request that ends whatever replica runs it, each time it is sent.
+struct harmful_request {
+    std::string id;
+    std::string target;
+    std::size_t router { 0 };
+};
+
 struct soak_record {
     std::vector<caller_request> requests;
     // In the order in which each router's answers came.
@@ -103,6 +110,9 @@
     // Answers that asked for rest, and answers that said that the replica leaves.
     std::vector<replica_event> rests;
     std::vector<replica_event> leavings;
+    std::vector<harmful_request> harmful;
+    // Ends of replicas under harmful requests.
+    std::vector<replica_event> crashes;
     // Found while the run went on, such as a process that ended by itself.
     std::vector<std::string> findings;
 };
--- a/tests/soak/soak_record_test.cpp
+++ b/tests/soak/soak_record_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_request_that_crossed_a_close_is_not_lost);
     CPPUNIT_TEST(a_missing_answer_is_found);
     CPPUNIT_TEST(a_denial_is_found);
+    CPPUNIT_TEST(a_harmful_request_that_goes_on_is_found);
     CPPUNIT_TEST(an_older_revision_is_found_within_one_life);
     CPPUNIT_TEST(what_comes_in_a_rest_is_found_unless_the_router_was_in_trouble);
     CPPUNIT_TEST(what_comes_to_one_that_left_is_found);
@@ -202,6 +203,27 @@
         }
     }
 
+    void a_harmful_request_that_goes_on_is_found()
+    {
+        soak_record record;
+        for (int index = 0; index < 8; ++index) {
+            auto const id = "crash-" + std::to_string(index);
+            record.harmful.push_back({ id, "/look/crash/1", 0 });
+            record.arrivals.push_back({ "i-" + std::to_string(index), id, at(1000 * index) });
+            record.crashes.push_back(record.arrivals.back());
+        }
+        // The third ended at 2 s; two came after 5 s.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(record));
+        for (int index = 8; index < 10; ++index) {
+            auto const id = "crash-" + std::to_string(index);
+            record.harmful.push_back({ id, "/look/crash/1", 0 });
+            record.arrivals.push_back({ "i-" + std::to_string(index), id, at(1000 * index) });
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, broken_in(record));
+        record.router_troubles.push_back({ 0, { at(5000), at(9000) } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, broken_in(record));
+    }
+
     void an_older_revision_is_found_within_one_life()
     {
         soak_record record;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -64,6 +64,7 @@
 {
     harness::fiber_group background;
     background.start([this] { watch_processes(); });
+    background.start([this] { watch_replicas(); });
     for (std::size_t index = 0; index < m_options.routers; ++index)
         background.start([this, index] { probe_revisions(index); });
     std::vector<std::unique_ptr<soak_caller>> callers;
@@ -133,6 +134,20 @@
     }
 }
 
+void soak_run::watch_replicas()
+{
+    harness::fiber_group revived;
+    while (!m_is_over) {
+        for (std::size_t index = 0; index < m_options.replicas; ++index) {
+            if (m_replicas.at(index).has_owner || !m_fleet.replica(index).has_ended())
+                continue;
+            m_replicas.at(index).has_owner = true;
+            revived.start([this, index] { revive_replica(index); });
+        }
+        harness::pause(poll_ms);
+    }
+}
+
 void soak_run::probe_revisions(std::size_t router)
 {
     std::uint64_t number = 0;
@@ -201,6 +216,8 @@
                 m_record.rests.push_back(written);
             if (event == "told_leaving")
                 m_record.leavings.push_back(written);
+            if (event == "crashed")
+                m_record.crashes.push_back(written);
             if (event == "arrived")
                 m_record.arrivals.push_back(written);
             if (event != "ran" && event != "arrived")
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -49,6 +49,9 @@
     void rest_replicas(planned_fault const& fault);
     // It says so in its answers alone; its row goes, comes back and goes again before it ends.
     void leave_by_answers(std::size_t index);
+    void send_harmful_request(planned_fault const& fault);
+    // Of a replica that has ended by itself: its port is closed at once, its row goes, and another start of it comes.
+    void revive_replica(std::size_t index);
     void pause_router(std::size_t index, milliseconds lasts);
     static void pause_process(harness::child_process& process, milliseconds lasts);
     void spoil_replica(std::size_t index, char const* mode, milliseconds lasts);
@@ -66,6 +69,7 @@
     // Starts the replica as a new incarnation; the entry of the one before goes at once, or stays for a while.
     void renew_replica(std::size_t index, milliseconds old_entry_stays);
     void watch_processes();
+    void watch_replicas();
     void probe_revisions(std::size_t router);
     void heal_and_wait();
     void read_runs();
