--- a/libraries/diagnosis/request_story.cpp
+++ b/libraries/diagnosis/request_story.cpp
@@ -35,6 +35,10 @@
     if (reason == "endpoints_resting")
         return start + ": all endpoints of pool " + text_of(fields, "pool")
             + " had asked this router for rest, the first for " + text_of(fields, "rest_ms") + " ms more";
+    if (reason == "crashes_endpoints")
+        return start + ": endpoints had crashed under its last " + text_of(fields, "crashes")
+            + " tries, one after another; request_crashed_endpoint with content " + text_of(fields, "content")
+            + " names them";
     if (reason == "no_route" || reason == "unknown_key")
         return start + ": by configuration " + text_of(fields, "revision");
     return start + " after " + text_of(fields, "after_ms") + " ms";
--- a/tests/diagnosis/request_story_test.cpp
+++ b/tests/diagnosis/request_story_test.cpp
@@ -2,6 +2,8 @@
 // A failed request's lines alone name the cause: three kinds, with the lines that the dispatcher itself writes.
 #include "libraries/diagnosis/request_story.h"
 
+#include "base/hash.h"
+
 #include "tests/dispatch/dispatch_driver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,6 +14,7 @@
 class request_story_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(request_story_test);
     CPPUNIT_TEST(a_refusal_for_the_teams_share_is_explained);
+    CPPUNIT_TEST(a_refusal_of_a_quarantined_request_is_explained);
     CPPUNIT_TEST(an_answer_broken_by_a_crash_is_explained);
     CPPUNIT_TEST(a_request_under_an_old_configuration_is_explained);
     CPPUNIT_TEST(a_refusal_while_all_rest_is_explained);
@@ -74,6 +77,27 @@
             "for 1500 ms more"));
     }
 
+    void a_refusal_of_a_quarantined_request_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain") });
+        dispatch::peer_reported report;
+        report.peer = vm_name("router-b");
+        report.crashes = { { { key_of(team_name("red")), content_hash(77) }, { 0, 3 }, milliseconds(1000), {} } };
+        fleet.take(report);
+        dispatch::request_arrived arrived;
+        arrived.request = request_number(1);
+        arrived.caller_id = "id-1";
+        arrived.host = "host";
+        arrived.path = "/look/x";
+        arrived.key = "red-key";
+        arrived.content = content_hash(77);
+        fleet.take(std::move(arrived));
+        CPPUNIT_ASSERT(names(story_of(fleet, "id-1"),
+            "refused with 503 (crashes_endpoints): endpoints had crashed under its last 3 tries, one after another; "
+            "request_crashed_endpoint with content 77 names them"));
+    }
+
     void an_answer_broken_by_a_crash_is_explained()
     {
         driver fleet;
