--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -24,6 +24,8 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    // A port that this process closes would stay open in a child that had inherited it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<std::string> texts { program };
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
