shedhilld, peering: A router's quarantines outlive it in its row

After the loss of all routers at once nothing was known of a request that crashes endpoints: up to three more were lost to it.

A router that counted the third crash keeps the quarantine in its own row of the table of routers, and reads it back at its next start: one write for a verdict and one at its end, no call more to read it. Others' rows are not believed: a router that is alive tells of its own, and a row of the dead goes after 15 s as before.

Before: no such row. After: a_quarantine_outlives_the_loss_of_all_routers passes on three real routers, killed together.

--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -69,6 +69,8 @@
     // What other failure domains are to know of this one. Tells the whole where none was told for a while.
     [[nodiscard]] peer_reported take_domain_report(report_scope scope, instant now);
     [[nodiscard]] std::vector<crash_record> crash_records(instant now) const { return m_suspects.all(now); }
+    // Quarantines that this router is to keep beyond its life.
+    [[nodiscard]] std::vector<crash_record> kept_quarantines(instant now) const { return m_suspects.kept(now); }
     [[nodiscard]] std::vector<part_placed> recent_parts(instant now) const { return m_board.recent_parts(now); }
 
 private:
@@ -145,6 +147,7 @@
     void handle(attempt_stalled const& stalled, step_context& step);
     void handle(endpoint_told const& told, step_context& step);
     void handle(endpoint_probed const& probed, step_context& step);
+    void handle(quarantines_read const& read, step_context& step);
     void handle(configuration_learned const& learned, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -96,6 +96,14 @@
     serve_waiting_again(step);
 }
 
+void dispatch_reducer::handle(quarantines_read const& read, step_context& step)
+{
+    for (auto const& record : read.records) {
+        if (m_suspects.keep(record, step.now))
+            quarantine(record.request, "store", step);
+    }
+}
+
 void dispatch_reducer::take_crash_records(peer_reported const& report, step_context& step)
 {
     auto const place = place_of(report);
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -74,6 +74,11 @@
     probe_outcome outcome { probe_outcome::no_answer };
 };
 
+// What this router had quarantined in an earlier life.
+struct quarantines_read {
+    std::vector<crash_record> records;
+};
+
 struct configuration_learned {
     configuration learned;
     // Who told it: the store, or a router.
@@ -173,8 +178,8 @@
 };
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
-    endpoint_told, endpoint_probed, configuration_learned, domains_evacuated, endpoints_listed, routers_listed,
-    peer_reported, peer_lost, drain_requested, tick>;
+    endpoint_told, endpoint_probed, quarantines_read, configuration_learned, domains_evacuated, endpoints_listed,
+    routers_listed, peer_reported, peer_lost, drain_requested, tick>;
 
 struct event {
     instant now {};
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t most_records = 512;
+// Of a router's row.
+constexpr std::size_t most_kept = 64;
 constexpr std::uint8_t crashes_to_quarantine = 3;
 // What has crashed so often is told again and again.
 constexpr std::uint8_t crashes_to_repeat = 2;
@@ -132,6 +134,7 @@
     known.stamp = stamp;
     known.until = until;
     known.told_trial_until = {};
+    known.is_own = false;
     known.is_news_for_domains = true;
 }
 
@@ -147,6 +150,7 @@
         bool const is_short = known.was_answered && counted.crashes >= crashes_to_quarantine;
         change(known, counted, now + (is_short ? quarantine_of_answered : record_lasts));
         known.is_news_for_routers = true;
+        known.is_own = true;
         made.crashes.push_back({ broken.request, counted.crashes, counted.crashes >= crashes_to_quarantine });
     }
     return made;
@@ -185,6 +189,31 @@
     return is_newer && known.stamp.crashes >= crashes_to_quarantine;
 }
 
+bool crash_suspects::keep(crash_record const& read, instant now)
+{
+    auto told = read;
+    told.left = read.was_answered ? quarantine_of_answered : record_lasts;
+    if (!join(told, source_place::own_domain, now))
+        return false;
+    auto& known = m_records.at(read.request);
+    known.is_own = true;
+    known.is_news_for_routers = true;
+    return true;
+}
+
+std::vector<crash_record> crash_suspects::kept(instant now) const
+{
+    std::vector<crash_record> own;
+    for (auto const& [request, known] : m_records) {
+        if (known.is_own && known.stamp.crashes >= crashes_to_quarantine)
+            own.push_back(to_told(request, known, report_subject::router, now));
+    }
+    std::ranges::sort(own, {}, &crash_record::request);
+    if (own.size() > most_kept)
+        own.resize(most_kept);
+    return own;
+}
+
 crash_record crash_suspects::to_told(
     request_identity const& request, record const& known, report_subject subject, instant now)
 {
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -60,6 +60,10 @@
 
     // What another router tells. Whether the request is quarantined by it.
     bool join(crash_record const& told, source_place place, instant now);
+    // A quarantine of this router's earlier life. Whether it holds: others may know better by now.
+    bool keep(crash_record const& read, instant now);
+    // Quarantines that were counted by this router, the first of them by identity.
+    [[nodiscard]] std::vector<crash_record> kept(instant now) const;
     // What the other routers, or other failure domains, are to know. Changes are told once; what has crashed twice is
     // in each whole report too, since a router may miss one.
     [[nodiscard]] std::vector<crash_record> take_told(report_subject subject, report_scope scope, instant now);
@@ -77,6 +81,8 @@
         instant own_trial_until {};
         instant told_trial_until {};
         bool was_answered { false };
+        // This router counted its last crash.
+        bool is_own { false };
         bool is_news_for_routers { false };
         bool is_news_for_domains { false };
     };
--- a/services/shedhilld/direct_router.h
+++ b/services/shedhilld/direct_router.h
@@ -429,6 +429,7 @@
         m_metrics.set("shedhill_tells_other_domains", m_knowledge.is_telling_domains() ? 1 : 0);
         m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_knowledge.configuration_age().count()));
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_knowledge.endpoint_list_age().count()));
+        m_metrics.set("shedhill_stored_quarantines", static_cast<double>(m_knowledge.stored_quarantines()));
         m_metrics.set("shedhill_store_unheard_ms", static_cast<double>(m_knowledge.store_unheard().count()));
         set_dispatch_gauges(m_metrics, m_reducer, m_loop.now());
         set_peer_gauges(m_metrics, m_knowledge.traffic());
--- a/services/shedhilld/fleet_knowledge.h
+++ b/services/shedhilld/fleet_knowledge.h
@@ -63,8 +63,12 @@
               })
         , m_endpoints(
               loop, settings.store_address, relay::table_name::endpoints, m_followers, [this] { take_endpoint_rows(); })
-        , m_routers(loop, settings, m_reports.directory(), m_followers,
-              [this] { m_host.count("shedhill_store_write_failures_total"); })
+        , m_routers(
+              loop, settings, m_reports.directory(), m_followers,
+              [this] { m_host.count("shedhill_store_write_failures_total"); },
+              [this](std::vector<dispatch::crash_record> records) {
+                  m_host.learn(dispatch::quarantines_read { std::move(records) });
+              })
     {
         static_assert(knowledge_host<Host>);
     }
@@ -95,6 +99,7 @@
         if (m_roster.drop_lapsed(now))
             m_host.learn(dispatch::endpoints_listed { m_roster.entries() });
         if (!m_settings.peer_address.empty() && m_reports.tick(now, draw)) {
+            m_routers.set_quarantined(m_host.reducer().kept_quarantines(now));
             m_routers.keep_rows(m_is_following, now);
             note_routers();
         }
@@ -118,6 +123,8 @@
     }
 
     [[nodiscard]] relay::peer_traffic const& traffic() const { return m_reports.traffic(); }
+    // Quarantined requests in this router's row, as the store last confirmed it.
+    [[nodiscard]] std::size_t stored_quarantines() const { return m_routers.stored_quarantines(); }
     // Since the store last answered this router.
     [[nodiscard]] milliseconds store_unheard() const { return m_loop.now() - m_followers.answered_at(); }
 
--- a/services/shedhilld/routers_table.h
+++ b/services/shedhilld/routers_table.h
@@ -4,12 +4,16 @@
 #pragma once
 
 #include "libraries/peering/peer_directory.h"
+#include "libraries/peering/router_row.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/store_session.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace shedhill::daemon {
 
@@ -18,13 +22,17 @@
 public:
     // Told that a write failed, or that it is not known whether it was done.
     using failed_function = std::function<void()>;
+    // Told once what the own row of an earlier life had quarantined.
+    using quarantined_function = std::function<void(std::vector<dispatch::crash_record> records)>;
 
     routers_table(relay::event_loop& loop, relay::deployment_settings const& settings,
-        peering::peer_directory& directory, dispatch::store_followers& followers, failed_function on_failed)
+        peering::peer_directory& directory, dispatch::store_followers& followers, failed_function on_failed,
+        quarantined_function on_quarantined)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_on_failed(std::move(on_failed))
+        , m_on_quarantined(std::move(on_quarantined))
         , m_rows(loop, settings.store_address, relay::table_name::routers, followers, [this] { take_rows(); })
         , m_writer(loop, settings.store_address, [this](unsigned status, std::string const&) { take_written(status); })
     {
@@ -47,6 +55,11 @@
             remove_dead_row(now);
     }
 
+    // What the own row is to keep.
+    void set_quarantined(std::vector<dispatch::crash_record> records) { m_quarantined = std::move(records); }
+    // How many of them the store has confirmed.
+    [[nodiscard]] std::size_t stored_quarantines() const { return m_stored_quarantines; }
+
     // The own row is not written again.
     void leave() { m_is_leaving = true; }
 
@@ -59,26 +72,41 @@
     void take_rows()
     {
         std::map<std::string, peering::fleet_member> members;
-        for (auto const& [key, row] : m_rows.follower().rows())
-            members.emplace(key, peering::parse_member(row.value));
+        for (auto const& [key, row] : m_rows.follower().rows()) {
+            auto parsed = peering::parse_router_row(row.value);
+            members.emplace(key, std::move(parsed.member));
+            if (key == m_settings.vm.value() && !std::exchange(m_has_read_own_row, true) && !parsed.quarantined.empty())
+                m_on_quarantined(std::move(parsed.quarantined));
+        }
         m_directory.take_table(members);
     }
 
     [[nodiscard]] bool is_own_row_missing()
     {
+        if (m_is_leaving)
+            return false;
+        if (m_written_text && *m_written_text != own_text())
+            return true;
         // Rows that were read before the last write do not show it: a router that does not follow them would write on.
-        if (m_is_leaving || m_rows.follower().confirmed_at() <= m_written_at)
+        if (m_rows.follower().confirmed_at() <= m_written_at)
             return false;
         auto const& rows = m_rows.follower().rows();
         auto const own = rows.find(m_settings.vm.value());
-        return own == rows.end() || own->second.value != peering::to_text(m_directory.self());
+        return own == rows.end() || own->second.value != own_text();
+    }
+
+    [[nodiscard]] std::string own_text() const
+    {
+        return peering::to_text(peering::router_row { m_directory.self(), m_quarantined });
     }
 
     void write_own_row(instant now)
     {
         m_write_again_at = now + write_interval;
+        m_text_under_way = own_text();
+        m_quarantines_under_way = m_quarantined.size();
         m_writer.start(TableBinding::put_call(m_settings.store_address, relay::table_name::routers,
-                           m_settings.vm.value(), peering::to_text(m_directory.self())),
+                           m_settings.vm.value(), *m_text_under_way),
             write_limit);
     }
 
@@ -98,19 +126,31 @@
 
     void take_written(unsigned status)
     {
-        if (status != 0 && TableBinding::verdict_of(status) != relay::store_verdict::failed)
-            m_written_at = m_loop.now();
-        else
-            m_on_failed();
+        auto const text = std::exchange(m_text_under_way, std::nullopt);
+        if (status == 0 || TableBinding::verdict_of(status) == relay::store_verdict::failed)
+            return m_on_failed();
+        m_written_at = m_loop.now();
+        if (!text)
+            return;
+        m_written_text = text;
+        m_stored_quarantines = m_quarantines_under_way;
     }
 
     relay::event_loop& m_loop;
     relay::deployment_settings const& m_settings;
     peering::peer_directory& m_directory;
     failed_function m_on_failed;
+    quarantined_function m_on_quarantined;
     relay::table_session<TableBinding> m_rows;
     relay::whole_call m_writer;
     bool m_is_leaving { false };
+    bool m_has_read_own_row { false };
+    std::vector<dispatch::crash_record> m_quarantined;
+    // Of the own row: as it is being written, and as a write of it was last confirmed in this life.
+    std::optional<std::string> m_text_under_way;
+    std::optional<std::string> m_written_text;
+    std::size_t m_quarantines_under_way { 0 };
+    std::size_t m_stored_quarantines { 0 };
     // When a write, of the own row or of one that was removed, was last confirmed.
     instant m_written_at {};
     instant m_write_again_at {};
--- a/tests/processes/hosted_crash_test.cpp
+++ b/tests/processes/hosted_crash_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(hosted_crash_test);
     CPPUNIT_TEST(a_resumable_request_that_comes_again_ends_three_replicas_at_most);
     CPPUNIT_TEST(a_request_that_may_not_be_repeated_ends_three_replicas_at_most);
+    CPPUNIT_TEST(a_quarantine_outlives_the_loss_of_all_routers);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t routers = 3;
@@ -56,6 +57,36 @@
         }
     }
 
+    static double stored_quarantines(hosted_fleet const& fleet)
+    {
+        double stored = 0;
+        for (std::size_t index = 0; index < routers; ++index)
+            stored += fleet.metric(index, "shedhill_stored_quarantines");
+        return stored;
+    }
+
+    void a_quarantine_outlives_the_loss_of_all_routers()
+    {
+        std::string const target = "/look/crash/a";
+        auto fleet = started();
+        for (std::size_t index = 0; index < most_ended; ++index) {
+            (void)fleet.ask(0, target, "before-" + std::to_string(index));
+            pause(return_pause_ms);
+        }
+        CPPUNIT_ASSERT(wait_until([&] { return stored_quarantines(fleet) > 0; }));
+        auto const ended = ended_replicas(fleet);
+        for (std::size_t index = 0; index < routers; ++index)
+            fleet.router(index).kill();
+        for (std::size_t index = 0; index < routers; ++index)
+            CPPUNIT_ASSERT(fleet.restart_router(index).has_value());
+        for (std::size_t index = 0; index < routers; ++index) {
+            CPPUNIT_ASSERT(fleet.wait_until_ready(index).has_value());
+            CPPUNIT_ASSERT(wait_until([&] { return fleet.metric(index, "shedhill_quarantined_requests") > 0; }));
+            (void)fleet.ask(index, target, "after-" + std::to_string(index));
+        }
+        CPPUNIT_ASSERT_EQUAL(ended, ended_replicas(fleet));
+    }
+
     void a_resumable_request_that_comes_again_ends_three_replicas_at_most() { check_returns_of("/stream/crash/a"); }
     void a_request_that_may_not_be_repeated_ends_three_replicas_at_most() { check_returns_of("/order/crash/a"); }
 };
