--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -81,12 +81,12 @@
 
 void dispatch_reducer::handle(endpoint_probed const& probed, step_context& step)
 {
-    auto const judged = m_suspects.take_probe(probed.start, probed.outcome, step.now);
-    for (auto const& crash : judged.crashes) {
+    auto const resolved = m_suspects.take_probe(probed.start, probed.outcome, step.now);
+    for (auto const& crash : resolved.crashes) {
         step.effects.emplace_back(count_event { counted::crashes, {} });
         step.effects.emplace_back(log_line { severity::debug, "request_crashed_endpoint",
             log_fields()
-                .add("endpoint", judged.endpoint.value())
+                .add("endpoint", resolved.endpoint.value())
                 .add("content", crash.request.content.value())
                 .add("crashes", crash.crashes)
                 .take() });
--- a/libraries/dispatch/suspects/crash_evidence.cpp
+++ b/libraries/dispatch/suspects/crash_evidence.cpp
@@ -45,7 +45,7 @@
     return most;
 }
 
-void crash_evidence::acquit(request_identity const& request)
+void crash_evidence::forget(request_identity const& request)
 {
     for (auto& [start, evidence] : m_endpoints)
         m_kept -= std::erase_if(evidence.broken, [&](auto const& broken) { return broken.request == request; });
@@ -66,34 +66,34 @@
     return due;
 }
 
-crash_evidence::verdict crash_evidence::judge(endpoint_key start, probe_outcome outcome, instant now)
+crash_evidence::resolution crash_evidence::resolve(endpoint_key start, probe_outcome outcome, instant now)
 {
-    verdict judged;
+    resolution resolved;
     auto const found = m_endpoints.find(start);
     if (found == m_endpoints.end())
-        return judged;
+        return resolved;
     auto& evidence = found->second;
-    judged.endpoint = evidence.endpoint.name;
+    resolved.endpoint = evidence.endpoint.name;
     evidence.is_probing = false;
     evidence.probe_at = now + next_probe_after;
     if (outcome == probe_outcome::refused) {
-        judged.crashed = std::move(evidence.broken);
-        m_kept -= judged.crashed.size();
+        resolved.crashed = std::move(evidence.broken);
+        m_kept -= resolved.crashed.size();
         m_endpoints.erase(found);
-        return judged;
+        return resolved;
     }
     auto& seen = outcome == probe_outcome::accepted ? evidence.accepted : evidence.unanswered;
     ++seen;
     bool const is_over = evidence.accepted >= accepted_to_live || evidence.unanswered >= most_unanswered;
     if (is_over) {
-        // What broke off after the probe was sent is judged by the next one.
+        // What broke off after the probe was sent is resolved by the next one.
         m_kept -= std::erase_if(evidence.broken, [&](auto const& broken) { return broken.at <= evidence.probed_at; });
         evidence.accepted = 0;
         evidence.unanswered = 0;
     }
     if (evidence.broken.empty())
         m_endpoints.erase(found);
-    return judged;
+    return resolved;
 }
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/suspects/crash_evidence.h
+++ b/libraries/dispatch/suspects/crash_evidence.h
@@ -41,23 +41,24 @@
 
     // The crashes that the request would have if each endpoint at which it broke off had ended.
     [[nodiscard]] std::uint8_t presumed_crashes(request_identity const& request, std::uint16_t epoch) const;
-    // The request was answered: it is not to blame.
-    void acquit(request_identity const& request);
+    // The request was answered, or is no longer known.
+    void forget(request_identity const& request);
 
     struct due_probe {
         broken_endpoint endpoint;
         // Of the last attempt that broke off there.
         instant broken_at {};
     };
-    // Endpoints that are to be probed now. Each is answered by a call of judge().
+    // Endpoints that are to be probed now. A call of resolve() follows for each.
     [[nodiscard]] std::vector<due_probe> take_due(instant now);
 
-    struct verdict {
+    struct resolution {
         endpoint_name endpoint;
         // Attempts that broke off because the endpoint ended.
         std::vector<broken_attempt> crashed;
     };
-    verdict judge(endpoint_key start, probe_outcome outcome, instant now);
+    // What the outcome of a probe shows.
+    resolution resolve(endpoint_key start, probe_outcome outcome, instant now);
 
 private:
     struct endpoint_evidence {
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -13,17 +13,15 @@
 // Of a router's row.
 constexpr std::size_t most_kept = 64;
 constexpr std::uint8_t crashes_to_quarantine = 3;
-// What has crashed so often is told again and again.
 constexpr std::uint8_t crashes_to_repeat = 2;
 constexpr milliseconds record_lasts { 600000 };
 constexpr milliseconds quarantine_of_answered { 10000 };
 // A request that was cleared is remembered so long, so that older news of it does not count.
 constexpr milliseconds cleared_lasts { 30000 };
-// Others wait so long for the end of an attempt. Most that crash do so sooner; a long answer, or a router that is lost,
-// does not hold up a request that is not at fault.
+// Other attempts wait so long for the end of one. Neither a long answer nor a router that is lost holds them up longer.
 constexpr milliseconds trial_lasts { 1000 };
-// Endpoints that are lost one right after another may have one cause, which was another request. What runs elsewhere
-// may be answered meanwhile.
+// Endpoints that are lost right after one another may have been crashed by another request. Attempts under way
+// elsewhere have this time to be answered.
 constexpr milliseconds pause_before_last_trial { 200 };
 
 } // namespace
@@ -125,7 +123,7 @@
 {
     auto const least = std::ranges::min_element(
         m_records, {}, [](auto const& known) { return std::pair(known.second.stamp.crashes, known.second.until); });
-    m_evidence.acquit(least->first);
+    m_evidence.forget(least->first);
     m_records.erase(least);
 }
 
@@ -138,11 +136,11 @@
     known.is_news_for_domains = true;
 }
 
-crash_suspects::probe_verdict crash_suspects::take_probe(endpoint_key start, probe_outcome outcome, instant now)
+crash_suspects::probe_result crash_suspects::take_probe(endpoint_key start, probe_outcome outcome, instant now)
 {
-    auto const judged = m_evidence.judge(start, outcome, now);
-    probe_verdict made { judged.endpoint, {} };
-    for (auto const& broken : judged.crashed) {
+    auto const resolved = m_evidence.resolve(start, outcome, now);
+    probe_result made { resolved.endpoint, {} };
+    for (auto const& broken : resolved.crashed) {
         auto& known = record_of(broken.request, now);
         crash_stamp const counted { broken.stamp.epoch, static_cast<std::uint8_t>(broken.stamp.crashes + 1) };
         if (counted <= known.stamp)
@@ -161,7 +159,7 @@
     auto const found = m_records.find(request);
     if (found == m_records.end() || stamp_of(request).crashes == 0)
         return false;
-    m_evidence.acquit(request);
+    m_evidence.forget(request);
     auto& known = found->second;
     crash_stamp const cleared { static_cast<std::uint16_t>(known.stamp.epoch + 1), 0 };
     change(known, cleared, now + cleared_lasts);
@@ -217,7 +215,7 @@
 crash_record crash_suspects::to_told(
     request_identity const& request, record const& known, report_subject subject, instant now)
 {
-    // A router tells of its own attempts only: told on, one would seem to be under way for ever.
+    // A router tells of its own attempts only: passed on by each other, an attempt would never seem to end.
     auto const trial_until = subject == report_subject::domain ? std::max(known.own_trial_until, known.told_trial_until)
                                                                : known.own_trial_until;
     return { request, known.stamp, known.until - now, std::max(trial_until - now, milliseconds(0)),
@@ -254,7 +252,7 @@
     for (auto entry = m_records.begin(); entry != m_records.end();) {
         auto& [request, known] = *entry;
         if (now >= known.until && known.stamp.crashes < crashes_to_quarantine) {
-            m_evidence.acquit(request);
+            m_evidence.forget(request);
             entry = m_records.erase(entry);
             continue;
         }
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Requests that may crash the endpoints that run them. When an endpoint crashes, all that ran there is under suspicion.
-// A suspect is served on, one attempt at a time in the whole fleet: an answer clears it, a third crash in a row
-// quarantines it, for a short time only where it was answered before: then it is likely to be one that was beside
-// others that crash. Routers join what they know; nothing is counted twice, whatever the way of the news.
+// Requests that may crash the endpoints that run them. When an endpoint crashes, all requests that ran there become
+// suspects. A suspect is still served, one attempt at a time in the whole fleet: an answer clears it, and a third crash
+// in a row quarantines it. One that was answered before is quarantined for a short time only, since it is more likely
+// to have run beside another request that crashes endpoints. Routers merge each other's records; no crash counts twice.
 #pragma once
 
 #include "libraries/dispatch/admission/team_ledger.h"
@@ -33,9 +33,9 @@
     [[nodiscard]] std::size_t suspects() const;
     [[nodiscard]] std::size_t quarantined() const;
 
-    // What an attempt that is sent now must keep until its end.
+    // An attempt that is sent now keeps it until its end.
     [[nodiscard]] crash_stamp stamp_of(request_identity const& request) const;
-    // An attempt is sent. Whether others wait for its end, of which end_trial() tells.
+    // An attempt is sent. Whether other attempts of the request wait until end_trial() is called.
     [[nodiscard]] bool begin_trial(request_identity const& request, instant now);
     void end_trial(request_identity const& request);
 
@@ -49,23 +49,23 @@
         std::uint8_t crashes { 0 };
         bool is_quarantined { false };
     };
-    struct probe_verdict {
+    struct probe_result {
         endpoint_name endpoint;
         // Requests that count a crash more.
         std::vector<crash> crashes;
     };
-    probe_verdict take_probe(endpoint_key start, probe_outcome outcome, instant now);
+    probe_result take_probe(endpoint_key start, probe_outcome outcome, instant now);
     // Whether the request was suspected until now.
     bool note_answered(request_identity const& request, instant now);
 
-    // What another router tells. Whether the request is quarantined by it.
+    // Merges what another router tells. Whether that quarantines the request.
     bool join(crash_record const& told, source_place place, instant now);
-    // A quarantine of this router's earlier life. Whether it holds: others may know better by now.
+    // Merges a quarantine of this router's earlier life. Whether it still holds.
     bool keep(crash_record const& read, instant now);
-    // Quarantines that were counted by this router, the first of them by identity.
+    // Quarantines whose last crash this router counted; of too many, the first by identity.
     [[nodiscard]] std::vector<crash_record> kept(instant now) const;
     // What the other routers, or other failure domains, are to know. Changes are told once; what has crashed twice is
-    // in each whole report too, since a router may miss one.
+    // repeated in each whole report, since a message may be lost.
     [[nodiscard]] std::vector<crash_record> take_told(report_subject subject, report_scope scope, instant now);
     // All of it, for a router that knows nothing yet.
     [[nodiscard]] std::vector<crash_record> all(instant now) const;
