--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -304,6 +304,11 @@
         CPPUNIT_ASSERT_EQUAL(0, code.value());
         CPPUNIT_ASSERT(printed.find("ready, revision 1") != std::string::npos);
         CPPUNIT_ASSERT(printed.find("first events of plain") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0,
+            child_process::run(program_path("shedhill"),
+                { "fleet", fleet.router(0).address("metrics"), fleet.router(1).address("metrics") }, printed)
+                .value());
+        CPPUNIT_ASSERT(printed.find("2 routers, 2 ready, 0 silent") != std::string::npos);
         auto const gone = fleet.router(1).address("metrics");
         fleet.router(1).kill();
         CPPUNIT_ASSERT_EQUAL(5, child_process::run(program_path("shedhill"), { "routers", gone }, printed).value());
--- a/utilities/shedhill/router_commands.cpp
+++ b/utilities/shedhill/router_commands.cpp
@@ -3,6 +3,7 @@
 #include "utilities/shedhill/router_commands.h"
 
 #include "libraries/diagnosis/engine_table.h"
+#include "libraries/diagnosis/fleet_summary.h"
 #include "libraries/diagnosis/metrics_summary.h"
 #include "libraries/net/http.h"
 
@@ -44,6 +45,38 @@
                   << " s, 95 in 100 within " << pool.most_within << " s, of " << pool.count << '\n';
 }
 
+boost::json::object to_json(diagnosis::fleet_summary const& fleet, std::vector<std::string> const& silent)
+{
+    boost::json::object revisions;
+    for (auto const& [revision, routers] : fleet.revisions)
+        revisions[std::to_string(revision)] = routers;
+    boost::json::object refusals;
+    for (auto const& [reason, count] : fleet.refusals)
+        refusals[reason] = count;
+    boost::json::array measures;
+    for (auto const& spread : fleet.measures)
+        measures.push_back(boost::json::object { { "measure", spread.measure }, { "least", spread.least },
+            { "middle", spread.middle }, { "most_below", spread.most_below }, { "greatest", spread.greatest },
+            { "greatest_at", spread.greatest_at } });
+    return { { "routers", fleet.routers }, { "ready", fleet.ready }, { "silent", boost::json::value_from(silent) },
+        { "revisions", revisions }, { "refusals", refusals }, { "measures", measures } };
+}
+
+void print(diagnosis::fleet_summary const& fleet, std::vector<std::string> const& silent)
+{
+    std::cout << fleet.routers << " routers, " << fleet.ready << " ready, " << silent.size() << " silent\n";
+    for (auto const& address : silent)
+        std::cout << "    silent " << address << '\n';
+    for (auto const& [revision, routers] : fleet.revisions)
+        std::cout << "    revision " << revision << " at " << routers << '\n';
+    for (auto const& [reason, count] : fleet.refusals)
+        std::cout << "    refused " << reason << ' ' << count << '\n';
+    std::cout << "measure: least, middle, 95 in 100 below, greatest, and where\n";
+    for (auto const& spread : fleet.measures)
+        std::cout << "    " << spread.measure << ": " << spread.least << ", " << spread.middle << ", "
+                  << spread.most_below << ", " << spread.greatest << ", " << spread.greatest_at << '\n';
+}
+
 void print(std::vector<diagnosis::engine_row> const& engines)
 {
     std::cout
@@ -92,6 +125,28 @@
     return outcome;
 }
 
+exit_code show_fleet(command_context& context)
+{
+    if (context.arguments.empty())
+        return report_usage("fleet ADDRESS...: the metrics addresses, IP:PORT");
+    std::vector<diagnosis::named_summary> routers;
+    std::vector<std::string> silent;
+    for (auto const& address : context.arguments) {
+        if (auto const answer = net::fetch(address, { "GET", "/metrics", {}, {} }, metrics_limit))
+            routers.push_back({ address, diagnosis::summarize_metrics(answer->body) });
+        else
+            silent.push_back(address);
+    }
+    auto const fleet = diagnosis::summarize_fleet(routers);
+    if (context.is_json())
+        std::cout << boost::json::serialize(to_json(fleet, silent)) << '\n';
+    else
+        print(fleet, silent);
+    if (!silent.empty())
+        return exit_code::unavailable;
+    return fleet.ready == fleet.routers ? exit_code::done : exit_code::differs;
+}
+
 exit_code show_engines(command_context& context)
 {
     if (context.arguments.size() != 1)
