--- /dev/null
+++ b/tests/dispatch/failing_request_test.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// A request to which every endpoint answers that it failed.
+#include "tests/dispatch/dispatch_driver.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shedhill::dispatch {
+
+class failing_request_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(failing_request_test);
+    CPPUNIT_TEST(a_request_that_fails_everywhere_ejects_nobody);
+    CPPUNIT_TEST_SUITE_END();
+
+    using driver = dispatch_driver;
+
+    static std::size_t ejected(driver& fleet)
+    {
+        auto const held = fleet.reducer().held_endpoints(fleet.now());
+        return static_cast<std::size_t>(std::ranges::count(held, hold_reason::ejected, &held_endpoint::reason));
+    }
+
+    // It comes 20 times a second, beside three times as many that are answered well.
+    void a_request_that_fails_everywhere_ejects_nobody()
+    {
+        constexpr std::size_t most_attempts = 2;
+        driver fleet;
+        std::vector<endpoint_entry> entries;
+        for (int index = 0; index < 8; ++index)
+            entries.push_back(driver::make_endpoint("p" + std::to_string(index), "plain", 1000));
+        fleet.start(entries);
+        std::size_t most_ejected = 0;
+        for (int time = 0; time < 100; ++time) {
+            auto const failing = fleet.ask("/look/failing");
+            for (std::size_t attempt = 1; attempt <= most_attempts; ++attempt) {
+                if (fleet.sent_for(failing).size() == attempt)
+                    fleet.end(failing, attempt_end::failed, 500);
+            }
+            for (int other = 0; other < 3; ++other)
+                fleet.end(fleet.ask("/look/good"), attempt_end::complete, 200);
+            most_ejected = std::max(most_ejected, ejected(fleet));
+            fleet.wait(milliseconds(50));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, most_ejected);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(failing_request_test);
+
+} // namespace shedhill::dispatch
