--- a/tests/processes/hosted_crash_test.cpp
+++ b/tests/processes/hosted_crash_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(hosted_crash_test);
     CPPUNIT_TEST(a_resumable_request_that_comes_again_ends_three_replicas_at_most);
     CPPUNIT_TEST(a_request_that_may_not_be_repeated_ends_three_replicas_at_most);
+    CPPUNIT_TEST(routers_of_other_failure_domains_hear_of_a_quarantine);
     CPPUNIT_TEST(a_quarantine_outlives_the_loss_of_all_routers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -65,6 +66,29 @@
         return stored;
     }
 
+    void routers_of_other_failure_domains_hear_of_a_quarantine()
+    {
+        constexpr std::size_t many = 6;
+        hosted_fleet_options options;
+        options.routers = many;
+        options.domains = 2;
+        options.replicas = replicas;
+        auto fleet = hosted_fleet::start(options);
+        CPPUNIT_ASSERT_MESSAGE(fleet ? "" : fleet.error().to_string(), fleet.has_value());
+        for (std::size_t index = 0; index < many; ++index)
+            CPPUNIT_ASSERT(wait_until([&] { return fleet->metric(index, "shedhill_other_routers") >= many - 1; }));
+        for (std::size_t index = 0; index < most_ended; ++index) {
+            (void)fleet->ask(0, "/look/crash/a", "crash-" + std::to_string(index));
+            pause(return_pause_ms);
+        }
+        for (std::size_t index = 0; index < many; ++index)
+            CPPUNIT_ASSERT(wait_until([&] { return fleet->metric(index, "shedhill_quarantined_requests") > 0; }));
+        auto const ended = ended_replicas(*fleet);
+        for (std::size_t index = 0; index < many; ++index)
+            (void)fleet->ask(index, "/look/crash/a", "after-" + std::to_string(index));
+        CPPUNIT_ASSERT_EQUAL(ended, ended_replicas(*fleet));
+    }
+
     void a_quarantine_outlives_the_loss_of_all_routers()
     {
         std::string const target = "/look/crash/a";
