--- a/libraries/diagnosis/fleet_summary.cpp
+++ b/libraries/diagnosis/fleet_summary.cpp
@@ -42,6 +42,7 @@
             sums[reason] += count;
     }
     std::vector<refusal_count> refusals;
+    refusals.reserve(sums.size());
     for (auto const& [reason, count] : sums)
         refusals.push_back({ reason, count });
     std::ranges::stable_sort(refusals, std::greater<> {}, &refusal_count::count);
--- a/tests/dispatch/crash_suspects_test.cpp
+++ b/tests/dispatch/crash_suspects_test.cpp
@@ -202,6 +202,7 @@
     {
         fleet_of_one fleet;
         std::vector<request_number> hot;
+        hot.reserve(80);
         for (int index = 0; index < 80; ++index)
             hot.push_back(fleet.ask(bad));
         for (auto const request : hot)
--- a/tests/dispatch/failing_request_test.cpp
+++ b/tests/dispatch/failing_request_test.cpp
@@ -24,8 +24,10 @@
     {
         constexpr std::size_t most_attempts = 2;
         driver fleet;
+        constexpr int endpoints = 8;
         std::vector<endpoint_entry> entries;
-        for (int index = 0; index < 8; ++index)
+        entries.reserve(endpoints);
+        for (int index = 0; index < endpoints; ++index)
             entries.push_back(driver::make_endpoint("p" + std::to_string(index), "plain", 1000));
         fleet.start(entries);
         std::size_t most_ejected = 0;
--- a/tests/soak/crash_promises.cpp
+++ b/tests/soak/crash_promises.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace shedhill::soak {
 
@@ -42,22 +43,23 @@
 std::vector<std::string> find_broken_crash_bounds(soak_record const& record)
 {
     harmful_by_id sent;
-    std::map<std::string, std::size_t> after;
+    std::set<std::string> targets;
     for (auto const& request : record.harmful) {
         sent.emplace(request.id, &request);
-        after.emplace(request.target, 0);
+        targets.insert(request.target);
     }
     std::vector<std::string> broken;
-    for (auto& [target, count] : after) {
+    for (auto const& target : targets) {
         auto const ends = seen_ends(record, sent, target);
         if (ends.size() < ends_to_know)
             continue;
         auto const from = ends[ends_to_know - 1] + in_touch_after;
-        count = static_cast<std::size_t>(std::ranges::count_if(record.arrivals, [&](replica_event const& arrival) {
-            auto const request = sent.find(arrival.id);
-            return request != sent.end() && request->second->target == target && arrival.at > from
-                && !had_trouble(record, request->second->router, arrival.at - in_touch_after, arrival.at);
-        }));
+        auto const count
+            = static_cast<std::size_t>(std::ranges::count_if(record.arrivals, [&](replica_event const& arrival) {
+                  auto const request = sent.find(arrival.id);
+                  return request != sent.end() && request->second->target == target && arrival.at > from
+                      && !had_trouble(record, request->second->router, arrival.at - in_touch_after, arrival.at);
+              }));
         if (count > most_after)
             broken.push_back(
                 target + " came to replicas " + std::to_string(count) + " times after the third had ended");
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace shedhill::soak {
 
@@ -93,10 +94,11 @@
     std::map<std::string, caller_request const*> asked;
     for (auto const& request : record.requests)
         asked.emplace(request.id, &request);
+    std::set<std::string> harmful;
+    for (auto const& request : record.harmful)
+        harmful.insert(request.id);
     for (auto const& [id, seen] : record.replicas) {
-        bool const is_harmful
-            = std::ranges::any_of(record.harmful, [&](harmful_request const& sent) { return sent.id == id; });
-        if (id.starts_with("probe-") || is_harmful)
+        if (id.starts_with("probe-") || harmful.contains(id))
             continue;
         auto const found = asked.find(id);
         if (found == asked.end()) {
