--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -240,7 +240,7 @@
         bool const may_clear = end == dispatch::attempt_end::complete && m_owner.suspects_requests();
         if (end == dispatch::attempt_end::broken || may_clear)
             ended.content = content_of(m_request);
-        m_owner.on_event(std::move(ended));
+        m_owner.on_event(ended);
     }
 
     static constexpr std::uint16_t first_status_not_good = 300;
