dispatch: A request that fails everywhere ejects no endpoint

What callers saw: one request that each endpoint answers with 500, 20 times a second beside 100 good ones, ejected 6 of 8 endpoints (8 behind three routers, 5 where it has one attempt, 8 where each body differs). Endpoints lost their cached prompts and the pool its capacity; beside an endpoint that really fails, the ejected innocents left the faulty one as one among equals, and good requests failed.

Cause: the end of each attempt was held against the endpoint at once and alone. Nothing compared it with what the same request does elsewhere. Evidence: in virtual time the ejections follow the failing request from endpoint to endpoint, at the third failure in a row or when the average passes 0.30, with each endpoint answering everything else.

Change: a failure that the request may have caused waits for the request's next attempt at another endpoint. A good answer there holds it against the endpoint, the same failure there against the request. Without a next attempt the request's identity (team and content, as for crashes) tells whether it has failed elsewhere since it was last answered; its next arrival avoids the endpoint that failed it, and so settles the question. Where each body differs and there is one attempt, an endpoint is ejected only if it fails clearly more often than requests of the same team fail at other endpoints. After three endpoints a request is not retried (fails_everywhere), and it probes no ejected endpoint. Connections that were refused say nothing about a request and count at once, as before.

The same fault elsewhere, fixed with it: silence, connections that break off, unreadable answers and rejections of one request by every endpoint; the average that a hot failing request moves; the fleet's retries spent on it. The product's own interface ejects nobody.

Why it works: what distinguishes a faulty endpoint from a faulty request is only the outcome of the same request elsewhere, so that is what is compared. Retries, and requests of teams with failures, are spread over equal endpoints, since one endpoint alone is no comparison.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -130,9 +130,25 @@
     choice.queueing_fraction = terms.queueing_fraction;
     choice.may_probe = request.retry != retry_mode::never && request.max_attempts > 1;
     choice.suspect = suspect_key_of(request);
+    use_for_comparison(request, choice, step);
     return m_board.choose(choice, step.now);
 }
 
+void dispatch_reducer::use_for_comparison(
+    active_request const& request, choice_request& choice, step_context const& step) const
+{
+    bool const is_of_failing_team
+        = !m_failing_teams.is_empty() && m_failing_teams.is_tracked(team_requests_of(request));
+    if (!request.tried_endpoints.empty() || is_of_failing_team)
+        choice.spread = step.draw;
+    if (m_failing.is_empty() || !request.content)
+        return;
+    auto const identity = identity_of(request);
+    choice.failed_at = m_failing.only_failed_at(identity);
+    // A request that fails everywhere does not show whether an ejected endpoint has recovered.
+    choice.may_probe &= !m_failing.is_known(identity);
+}
+
 team_account dispatch_reducer::account_of(active_request const& request, step_context const& step)
 {
     return { m_ledger.level(request.account, step.now), m_ledger.share(), m_ledger.even_level() };
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -55,7 +55,7 @@
             .add("endpoint", request.endpoint.value())
             .add("begun", request.has_answer_begun ? 1 : 0)
             .take() });
-    remove_request(left.request);
+    remove_request(left.request, step);
     serve_waiting_throttled(step);
 }
 
@@ -70,6 +70,7 @@
         step.effects.emplace_back(timer_event { timer_kind::first_event, request.pool, request.first_event_after });
     }
     request.has_answer_begun = true;
+    blame_endpoints(request, answer_stage::begun, step);
     step.effects.emplace_back(
         timer_event { timer_kind::attempt_first_event, request.pool, step.now - request.sent_at });
     auto* endpoint = m_board.find(request.instance);
@@ -110,7 +111,8 @@
         request.content = ended.content;
     if (ended.end == attempt_end::broken)
         record_broken_attempt(request, step);
-    end_attempt(request, &verdict, step);
+    attempt_outcome const outcome { ended.end, verdict };
+    end_attempt(request, &outcome, step);
     if (ended.end == attempt_end::wrong_endpoint)
         m_board.retire(name);
     if (ended.end != attempt_end::complete) {
@@ -143,7 +145,7 @@
             .add("objective_ms", request.objective.count())
             .add("took_ms", (step.now - request.arrived).count())
             .take() });
-    remove_request(ended.request);
+    remove_request(ended.request, step);
     serve_waiting_throttled(step);
 }
 
@@ -176,15 +178,18 @@
     auto& request = found->second;
     auto const reason = reason_against_retry(request, attempt_end::silent);
     if (reason != refusal_reason::none) {
-        // The attempt continues, because silence alone is no reason to end an answer. Its endpoint counts as failing,
-        // so that other requests go elsewhere.
+        // The attempt continues, because silence alone is no reason to end an answer. Unless the request is at fault,
+        // its endpoint counts as failing, so that other requests go elsewhere.
+        if (stalled.content)
+            request.content = stalled.content;
         if (auto* endpoint = m_board.find(request.instance))
-            endpoint->health.record(attempt_verdict::failed, step.now);
-        return;
+            record_verdict(request, *endpoint, { attempt_end::silent, attempt_verdict::failed }, step);
+        return settle_without_answer(request, step);
     }
     step.effects.emplace_back(cancel_attempt { stalled.request });
-    handle(
-        attempt_ended { stalled.request, stalled.attempt, attempt_end::silent, 0, 0, stalled.has_answer_begun }, step);
+    handle(attempt_ended { stalled.request, stalled.attempt, attempt_end::silent, 0, 0, stalled.has_answer_begun,
+               stalled.content },
+        step);
 }
 
 void dispatch_reducer::handle(endpoint_notice_received const& received, step_context& step)
@@ -210,28 +215,25 @@
     }
 }
 
-void dispatch_reducer::end_attempt(active_request& request, attempt_verdict const* verdict, step_context& step)
+void dispatch_reducer::end_attempt(active_request& request, attempt_outcome const* outcome, step_context& step)
 {
     request.state = phase::waiting;
     end_trial(request);
     auto* endpoint = m_board.find(request.instance);
     if (endpoint == nullptr)
         return;
-    bool const has_failed = verdict != nullptr && *verdict != attempt_verdict::good;
+    bool const has_failed = outcome != nullptr && outcome->verdict != attempt_verdict::good;
     m_board.record_end(
         *endpoint, request.run, has_failed ? endpoint_board::run_end::failed : endpoint_board::run_end::done, step.now);
     // A failure while this router is behind or its link is full does not show that the endpoint fails.
-    bool const is_own_overload = m_overload.is_behind() && verdict != nullptr && *verdict == attempt_verdict::failed;
+    bool const is_own_overload
+        = m_overload.is_behind() && outcome != nullptr && outcome->verdict == attempt_verdict::failed;
     // A requested back-off is not a failure of the endpoint.
-    if (verdict == nullptr || is_own_overload || request.has_requested_backoff)
+    if (outcome == nullptr || is_own_overload || request.has_requested_backoff)
         return endpoint->health.record_probe_end();
-    if (*verdict == attempt_verdict::good && request.form == answer_form::whole)
+    if (outcome->verdict == attempt_verdict::good && request.form == answer_form::whole)
         endpoint->announced.backoff.record_success(request.sent_at);
-    if (!endpoint->health.record(*verdict, step.now))
-        return;
-    step.effects.emplace_back(count_event { counter_kind::ejections, {} });
-    step.effects.emplace_back(log_line { severity::warning, "endpoint_ejected",
-        log_fields().add("endpoint", request.endpoint.value()).add("id", request.caller_id).take() });
+    record_verdict(request, *endpoint, *outcome, step);
 }
 
 void dispatch_reducer::settle_charge(active_request& request, step_context& step)
@@ -256,6 +258,9 @@
         return refusal_reason::answer_unknown;
     if (request.reached_endpoints + (end == attempt_end::not_sent ? 0 : 1) >= request.max_attempts)
         return refusal_reason::attempts_spent;
+    if (!is_proven_not_run && !request.has_answer_begun && request.content
+        && m_failing.is_failing_everywhere(identity_of(request)))
+        return refusal_reason::fails_everywhere;
     if (end == attempt_end::not_sent && request.failed_sends >= max_failed_sends)
         return refusal_reason::attempts_spent;
     return refusal_reason::none;
@@ -303,7 +308,7 @@
             .add("not_again", name_of(reason))
             .add("took_ms", (step.now - request.arrived).count())
             .take() });
-    remove_request(number);
+    remove_request(number, step);
 }
 
 void dispatch_reducer::end_failed(
@@ -320,7 +325,7 @@
                 .add("events", request.events_forwarded)
                 .add("after_ms", (step.now - request.arrived).count())
                 .take() });
-        return remove_request(number);
+        return remove_request(number, step);
     }
     refuse(number, request, request.may_have_run ? status_bad_gateway : status_unavailable, reason, step);
 }
@@ -361,7 +366,7 @@
             .take() });
     if (request.charged != 0 && !request.may_have_run)
         m_ledger.charge(request.account, step.now, -request.charged);
-    remove_request(number);
+    remove_request(number, step);
 }
 
 void dispatch_reducer::end_at_deadline(request_number number, active_request& request, step_context& step)
@@ -381,11 +386,12 @@
     refuse(number, request, request.may_have_run ? status_gateway_timeout : status_unavailable, reason, step);
 }
 
-void dispatch_reducer::remove_request(request_number number)
+void dispatch_reducer::remove_request(request_number number, step_context& step)
 {
     auto const found = m_requests.find(number);
     if (found == m_requests.end())
         return;
+    settle_without_answer(found->second, step);
     if (found->second.state == phase::waiting)
         std::erase(m_waiting, number);
     m_requests.erase(found);
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Handles the events that concern no single request: configuration, endpoint list, peers, time and drain. The events of
-// requests are in dispatch_admission.cpp, dispatch_outcomes.cpp and dispatch_suspects.cpp.
+// requests are in dispatch_admission.cpp, dispatch_outcomes.cpp, dispatch_failures.cpp and dispatch_suspects.cpp.
 #include "libraries/dispatch/dispatch_reducer.h"
 
 #include "libraries/dispatch/log_fields.h"
@@ -258,6 +258,9 @@
         update_overdue(step.now);
         m_board.update_rates(step.now);
         m_suspects.forget_old(step.now);
+        m_failing.forget_old(step.now);
+        m_failing_teams.forget_old(step.now);
+        settle_overdue_failures(step);
         log_ended_backoffs(step);
     }
     probe_broken_endpoints(step);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -15,6 +15,8 @@
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/route_table.h"
 #include "libraries/dispatch/suspects/crash_suspects.h"
+#include "libraries/dispatch/suspects/failing_requests.h"
+#include "libraries/dispatch/suspects/failing_teams.h"
 
 #include <list>
 #include <unordered_map>
@@ -61,9 +63,11 @@
     }
     [[nodiscard]] std::vector<held_endpoint> held_endpoints(instant now) const { return m_board.held_endpoints(now); }
 
-    // Whether any request is suspected. Only then does the reducer need the content hash of arriving requests.
-    [[nodiscard]] bool suspects_requests() const { return !m_suspects.is_empty(); }
+    // Whether any request is suspected of crashing endpoints or of failing everywhere. Only then does the reducer need
+    // the content hash of arriving and of answered requests.
+    [[nodiscard]] bool suspects_requests() const { return !m_suspects.is_empty() || !m_failing.is_empty(); }
     [[nodiscard]] crash_suspects const& suspects() const { return m_suspects; }
+    [[nodiscard]] failing_requests const& failing() const { return m_failing; }
 
     // Returns the report for the other routers, with the prompt parts sent since the last call.
     [[nodiscard]] peer_report take_own_report(report_scope scope, instant now);
@@ -80,6 +84,24 @@
 private:
     enum class phase { waiting, running };
 
+    // How far an attempt's answer came.
+    enum class answer_stage { none, begun, ended };
+
+    struct attempt_outcome {
+        attempt_end end { attempt_end::broken };
+        attempt_verdict verdict { attempt_verdict::failed };
+    };
+
+    // A failed attempt of which it is not known yet whether its endpoint or the request is at fault.
+    struct unsettled_failure {
+        endpoint_key instance;
+        attempt_verdict verdict { attempt_verdict::failed };
+        // Only an answer that comes further than this shows that the endpoint is at fault.
+        answer_stage stage { answer_stage::none };
+        // The time at which the failure is settled without the evidence of another attempt.
+        instant settled_by {};
+    };
+
     struct active_request {
         std::string caller_id;
         team_name team;
@@ -137,6 +159,8 @@
         bool is_trial { false };
         // The endpoint's failure is withheld. It becomes the answer if no other attempt follows.
         bool is_failure_withheld { false };
+        // Failures of earlier attempts that the next attempt settles.
+        std::vector<unsettled_failure> unsettled;
     };
 
     struct step_context {
@@ -180,6 +204,9 @@
     // Whether no endpoint can accept the request within its maximum wait.
     [[nodiscard]] bool cannot_be_served(active_request const& request, step_context const& step);
     [[nodiscard]] endpoint_choice choose(active_request const& request, step_context const& step);
+    // Lets a request that has failed, or whose team's requests have, go to other endpoints than before, so that its
+    // outcomes at several endpoints can be compared.
+    void use_for_comparison(active_request const& request, choice_request& choice, step_context const& step) const;
     [[nodiscard]] team_account account_of(active_request const& request, step_context const& step);
     [[nodiscard]] share_status share_status_of(active_request const& request, step_context const& step);
     [[nodiscard]] admission_terms terms_for(active_request const& request, step_context const& step);
@@ -190,9 +217,9 @@
     // Updates the concurrency limit of a plain service's endpoint by the end of an attempt.
     void record_plain_service_end(
         active_request const& request, attempt_end end, attempt_verdict verdict, step_context const& step);
-    // Removes the attempt's work from its endpoint and records its verdict there. The verdict is null if the end says
-    // nothing about the endpoint.
-    void end_attempt(active_request& request, attempt_verdict const* verdict, step_context& step);
+    // Removes the attempt's work from its endpoint and records its outcome. The outcome is null if the end says nothing
+    // about the endpoint.
+    void end_attempt(active_request& request, attempt_outcome const* outcome, step_context& step);
     // Replaces the expected cost that the team was charged by the cost of the tokens that were forwarded.
     void settle_charge(active_request& request, step_context& step);
     void retry_or_end(request_number number, active_request& request, attempt_end end, step_context& step);
@@ -207,7 +234,35 @@
     void refuse_unrouted(
         request_arrived const& arrived, std::uint16_t status, refusal_reason reason, step_context& step);
     void end_at_deadline(request_number number, active_request& request, step_context& step);
-    void remove_request(request_number number);
+    // Removes the request and settles its failures, since no other attempt follows.
+    void remove_request(request_number number, step_context& step);
+
+    // Whether a failure is the endpoint's or the request's.
+    void record_verdict(active_request& request, endpoint_state& endpoint, attempt_outcome outcome, step_context& step);
+    // Records the outcome for the endpoint's health, with the probability that the request fails elsewhere.
+    void record_outcome(active_request const& request, endpoint_state& endpoint, attempt_verdict verdict,
+        double expected_failure, step_context& step);
+    [[nodiscard]] static team_requests team_requests_of(active_request const& request);
+    [[nodiscard]] double expected_failure_of(active_request const& request, endpoint_key instance) const;
+    // Whether the request has failed in the same way at another endpoint, so that its failures are its own fault. Then
+    // its unsettled failures are settled, too.
+    [[nodiscard]] bool is_failure_explained(active_request& request, attempt_verdict verdict, step_context& step);
+    // Withdraws failures of the request that were held against endpoints before it failed elsewhere, too.
+    void withdraw_failures(active_request const& request);
+    void forget_failures(active_request const& request);
+    // Holds the unsettled failures whose attempts came less far than this against their endpoints.
+    void blame_endpoints(active_request& request, answer_stage reached, step_context& step);
+    void blame_endpoint(
+        active_request const& request, unsettled_failure const& failure, double expected_failure, step_context& step);
+    // Holds a failure against its endpoint that no other attempt has shown to be the endpoint's fault.
+    void blame_without_proof(active_request const& request, unsettled_failure const& failure, step_context& step);
+    // Settles failures that no other attempt of the same request can settle, by what is remembered of the request.
+    void settle_without_answer(active_request& request, step_context& step);
+    void settle_without_answer(active_request const& request, unsettled_failure const& failure, step_context& step);
+    void settle_overdue_failures(step_context& step);
+    // Records a failure that the request caused: it says nothing about the endpoint.
+    void record_request_fault(
+        active_request const& request, endpoint_key instance, attempt_verdict verdict, step_context& step);
 
     // Requests that may crash endpoints.
     [[nodiscard]] static request_identity identity_of(active_request const& request);
@@ -278,6 +333,10 @@
     instant m_waiting_served_at {};
     overload_guard m_overload;
     crash_suspects m_suspects;
+    failing_requests m_failing;
+    failing_teams m_failing_teams;
+    // The number of unsettled failures of all active requests.
+    std::size_t m_unsettled_failures { 0 };
     std::uint64_t m_choices { 0 };
     bool m_has_list { false };
     bool m_is_ready { false };
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -85,7 +85,19 @@
     std::string fields;
 };
 
-enum class counter_kind { requests, answers, failures, refusals, retries, ejections, notices, crashes, cancelled };
+enum class counter_kind {
+    requests,
+    answers,
+    failures,
+    refusals,
+    retries,
+    ejections,
+    notices,
+    crashes,
+    // Failures of attempts that were caused by their requests.
+    request_faults,
+    cancelled,
+};
 
 // Increments a counter of the metrics.
 struct count_event {
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -107,6 +107,12 @@
     request_cost const* cost { nullptr };
     // Endpoints that this request was already sent to.
     std::vector<endpoint_name> const* excluded { nullptr };
+    // The instance at which this request has failed before; other endpoints are preferred.
+    std::optional<endpoint_key> failed_at;
+    // A random number that distributes the request over endpoints that suit it almost equally; 0 for most requests.
+    // Requests that have failed or may fail are distributed, because only their outcomes at several endpoints show
+    // whether an endpoint is at fault.
+    std::uint64_t spread { 0 };
     // Regions in which the request may be served; null for any.
     region_bound const* regions { nullptr };
     // Time left of the objective.
--- a/libraries/dispatch/endpoints/endpoint_choice.cpp
+++ b/libraries/dispatch/endpoints/endpoint_choice.cpp
@@ -22,6 +22,8 @@
 // The maximum cost by which a suspected request prefers one endpoint to another. It far exceeds the differences between
 // endpoints' other costs.
 constexpr double suspect_spread_ms = 10000;
+// The cost of an endpoint that has failed the same request before, for the same reason.
+constexpr double failed_before_ms = 10000;
 
 std::uint64_t placement_key(request_cost const& cost)
 {
@@ -139,6 +141,11 @@
     if (request.suspect != 0)
         cost += suspect_spread_ms
             * hash_to_unit_interval(rendezvous_weight(request.suspect, endpoint.entry.name.value()));
+    if (request.failed_at == endpoint.key)
+        cost += failed_before_ms;
+    if (request.spread != 0)
+        cost += m_policy.retry_spread_ms
+            * hash_to_unit_interval(rendezvous_weight(request.spread, endpoint.entry.name.value()));
     if (placement != 0)
         cost += m_policy.placement_spread_ms * placement_share(placement, endpoint.entry.name);
     return cost;
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -24,7 +24,7 @@
     request_cost cost;
     // The time until the caller's deadline; empty if the caller set none.
     std::optional<milliseconds> time_left;
-    // The hash of the request; set while the dispatcher suspects any request of crashing endpoints.
+    // The hash of the request; set while the dispatcher suspects any request of crashing or failing endpoints.
     std::optional<content_hash> content {};
 };
 
@@ -49,7 +49,7 @@
     std::uint32_t events { 0 };
     // A part of an answer reached the caller, by this attempt or an earlier one.
     bool has_answer_begun { false };
-    // The hash of the request; set if the attempt broke off, or while any request is suspected.
+    // The hash of the request; set if the attempt failed, and while any request is suspected.
     std::optional<content_hash> content {};
 };
 
@@ -68,6 +68,8 @@
     request_number request {};
     attempt_number attempt {};
     bool has_answer_begun { false };
+    // The hash of the request.
+    std::optional<content_hash> content {};
 };
 
 // The result of a probe_endpoint effect.
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -65,6 +65,14 @@
     // A caller that found no free slot is told to retry after this fraction of its objective on average: early enough
     // to be served in time, and late enough that a slot may be free. 0 disables early retries.
     double early_return { 0.2 };
+    // Whether a failure is held against an endpoint only if the request does not fail at another endpoint, too; 0 holds
+    // each failure against the endpoint immediately.
+    double failure_attribution { 1 };
+    // Whether an endpoint is ejected only if requests of the same teams fail clearly less often at other endpoints; 0
+    // disables the comparison.
+    double failure_comparison { 1 };
+    // The weight, in milliseconds, that distributes retries, and requests of teams with failures, over the endpoints.
+    double retry_spread_ms { 50 };
     // The estimated time for which an engine caches a shared part that no request uses.
     milliseconds keeping_time { 12000 };
 };
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -190,6 +190,8 @@
     awaits_trial,
     // The request is quarantined because it is suspected of crashing endpoints.
     crashes_endpoints,
+    // The same request has failed at several endpoints and was answered by none, so another attempt is futile.
+    fails_everywhere,
     count,
 };
 
@@ -242,6 +244,8 @@
         return "awaits_trial";
     case refusal_reason::crashes_endpoints:
         return "crashes_endpoints";
+    case refusal_reason::fails_everywhere:
+        return "fails_everywhere";
     case refusal_reason::count:
         break;
     }
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -115,7 +115,8 @@
         if (m_has_stalled || now - m_last_progress_at < m_attempt.silence_limit)
             return;
         m_has_stalled = true;
-        m_owner.on_event(dispatch::attempt_stalled { m_number, m_attempt.attempt, m_is_head_sent });
+        m_owner.on_event(
+            dispatch::attempt_stalled { m_number, m_attempt.attempt, m_is_head_sent, content_of(m_request) });
     }
 
 private:
@@ -241,7 +242,7 @@
         dispatch::attempt_ended event { m_number, m_attempt.attempt, end, m_status, std::exchange(m_attempt_events, 0),
             m_is_head_sent };
         bool const may_clear = end == dispatch::attempt_end::complete && m_owner.suspects_requests();
-        if (end == dispatch::attempt_end::broken || may_clear)
+        if (end == dispatch::attempt_end::broken || end == dispatch::attempt_end::failed || may_clear)
             event.content = content_of(m_request);
         m_owner.on_event(event);
     }
--- a/services/shedhilld/counter_names.cpp
+++ b/services/shedhilld/counter_names.cpp
@@ -26,6 +26,8 @@
         return with_reason("shedhill_endpoint_notices_total");
     case dispatch::counter_kind::crashes:
         return "shedhill_request_crashes_total";
+    case dispatch::counter_kind::request_faults:
+        return "shedhill_request_faults_total";
     case dispatch::counter_kind::cancelled:
         break;
     }
--- a/services/shedhilld/policy_settings.cpp
+++ b/services/shedhilld/policy_settings.cpp
@@ -65,6 +65,14 @@
         "callers." },
     policy_setting { "memory-filled", &dispatch_policy::memory_filled, percent, 10000,
         "Percent of an engine's KV cache capacity up to which requests are sent there." },
+    policy_setting { "failure-attribution", &dispatch_policy::failure_attribution, unscaled, 1,
+        "1: a failure counts against an endpoint only if the request does not fail at another endpoint, too; 0: each "
+        "failure counts." },
+    policy_setting { "failure-comparison", &dispatch_policy::failure_comparison, unscaled, 1,
+        "1: an endpoint is ejected only if requests of the same teams fail clearly less often at other endpoints; 0: "
+        "whatever happens at other endpoints." },
+    policy_setting { "retry-spread-ms", &dispatch_policy::retry_spread_ms, unscaled, 10000,
+        "Spread of retries, and of requests of teams with failures, over the endpoints, in milliseconds." },
     policy_setting { "full-endpoint-ms", &dispatch_policy::full_endpoint_ms, unscaled, 10000,
         "Cost of a full endpoint above that of an empty one in a choice, in milliseconds." },
 };
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -87,8 +87,26 @@
 
     // Delivers a caller's request with the API key of a team and a prompt of this number of tokens.
     request_number ask(std::string path, std::string key = "red-key", token_count prompt = 100)
+    {
+        return deliver_request(std::move(path), std::move(key), prompt, std::nullopt);
+    }
+
+    // Delivers a request with this content, and ends its latest attempt, as the relay does where it hashes requests.
+    request_number ask_with_content(std::string path, content_hash content)
+    {
+        return deliver_request(std::move(path), "red-key", 100, content);
+    }
+    void end_with_content(request_number request, attempt_end how, std::uint16_t status, content_hash content)
+    {
+        deliver(attempt_ended { request, sent_for(request).back().attempt, how, status, 0, false, content });
+    }
+
+private:
+    request_number deliver_request(
+        std::string path, std::string key, token_count prompt, std::optional<content_hash> content)
     {
         request_arrived arrived;
+        arrived.content = content;
         arrived.request = request_number(++m_last_request);
         arrived.caller_id = "id-" + std::to_string(m_last_request);
         arrived.host = "host";
@@ -103,6 +121,7 @@
         return number;
     }
 
+public:
     // Ends the latest attempt of the request; `has_begun` tells whether its answer had begun.
     void end(request_number request, attempt_end how, std::uint16_t status = 0, bool has_begun = false)
     {
