dispatch: A request that crashes endpoints is tried by one failure domain at a time

What callers saw: on a site of 27 routers in three failure domains one request that crashes what runs it ended four to nine endpoints where three are allowed, and with each of them every stream that ran there.

Cause, from a play's log of all routers: the third and the fourth endpoint ran copies from two failure domains. The lease of one try at a time is reported to the routers of the own domain, whose delegate merged it but reported to other domains only changes of the crash count, or everything every 5 s. A copy that had left before its router knew of the last crash ended an endpoint without counting.

Change: the delegate reports a lease that has begun in its domain with the next report; the domains start the try that decides 250 ms apart, in an order that differs by request; and a crash counts if its attempt was sent 50 ms or more after the endpoint of the last counted crash had ended, whatever its router knew. Records carry the time since that crash, in the padding of their wire format, so that routers of both versions understand each other.

Why it keeps innocents: an event that takes several endpoints at once still counts once, since what ran there was sent before it.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -207,9 +207,11 @@
         remove_router_sources(report.domain, step);
     peer_state const state { step.now, report.subject, report.domain, report.routers, report.overloaded_routers,
         report.busy_fraction };
-    if (m_peers.insert_or_assign(report.source(), state).second)
+    if (m_peers.insert_or_assign(report.source(), state).second) {
+        update_domain_ranks();
         step.effects.emplace_back(log_line { severity::debug, "peer_regained",
             log_fields().add("peer", report.source().value()).add("teller", report.peer.value()).take() });
+    }
     auto const origin = origin_of(report);
     m_ledger.apply_report(report, origin, step.now);
     m_board.apply_report(report, origin, step.now);
@@ -222,6 +224,7 @@
 {
     if (m_peers.erase(lost.source) == 0)
         return;
+    update_domain_ranks();
     m_ledger.forget(lost.source);
     m_board.forget(lost.source);
     step.effects.emplace_back(
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -271,6 +271,8 @@
     [[nodiscard]] std::uint64_t suspect_key_of(active_request const& request) const;
     void begin_trial(active_request& request, step_context const& step);
     void end_trial(active_request& request);
+    // Tells the suspects which failure domains have routers, after the peers have changed.
+    void update_domain_ranks();
     void record_broken_attempt(active_request const& request, step_context const& step);
     void record_answer(active_request const& request, step_context& step);
     void apply_crash_records(peer_report const& report, step_context& step);
--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -4,6 +4,7 @@
 #include "libraries/dispatch/log_fields.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace shedhill::dispatch {
@@ -37,6 +38,16 @@
     request.is_trial = m_suspects.begin_trial(identity_of(request), step.now);
 }
 
+void dispatch_reducer::update_domain_ranks()
+{
+    std::set<failure_domain> others;
+    for (auto const& [source, peer] : m_peers) {
+        if (peer.domain != m_options.domain && !peer.domain.value().empty())
+            others.insert(peer.domain);
+    }
+    m_suspects.set_domains(m_options.domain, { others.begin(), others.end() });
+}
+
 void dispatch_reducer::end_trial(active_request& request)
 {
     if (std::exchange(request.is_trial, false))
@@ -50,7 +61,7 @@
     if (!request.content || endpoint == nullptr || endpoint->entry.is_draining || endpoint->announced.is_leaving)
         return;
     m_suspects.record_broken_attempt({ request.endpoint, request.instance, endpoint->entry.address },
-        { identity_of(request), request.stamp, step.now });
+        { identity_of(request), request.stamp, step.now, request.sent_at });
 }
 
 void dispatch_reducer::record_answer(active_request const& request, step_context& step)
--- a/libraries/dispatch/suspects/crash_evidence.h
+++ b/libraries/dispatch/suspects/crash_evidence.h
@@ -26,6 +26,7 @@
     // The stamp of the request when the attempt was sent.
     crash_stamp stamp;
     instant at {};
+    instant sent_at {};
 };
 
 // The endpoint instance at which attempts broke off.
--- a/libraries/dispatch/suspects/crash_record.h
+++ b/libraries/dispatch/suspects/crash_record.h
@@ -24,8 +24,8 @@
 struct crash_stamp {
     // Increases whenever the request is answered, which makes earlier counts invalid.
     std::uint16_t epoch { 0 };
-    // The number of successive crashes: each belongs to an attempt that was sent after the earlier ones were recorded.
-    // Endpoints that crash at the same time count once, whatever ran there.
+    // The number of successive crashes: each belongs to an attempt that was sent after the endpoint of the one before
+    // had ended. Endpoints that crash at the same time count once, whatever ran there.
     std::uint8_t crashes { 0 };
 
     auto operator<=>(crash_stamp const&) const = default;
@@ -42,6 +42,8 @@
     milliseconds trial_left { 0 };
     // The request was answered at least once while it was suspected.
     bool was_answered { false };
+    // The time since the endpoint of the last counted crash ended.
+    milliseconds since_crash { 0 };
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -2,6 +2,8 @@
 // Keeps one record for each suspected or recently cleared request.
 #include "libraries/dispatch/suspects/crash_suspects.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -26,6 +28,10 @@
 // Another request may have crashed endpoints that fail right after one another. This pause gives attempts that run
 // elsewhere time to be answered and so to clear the request.
 constexpr milliseconds pause_before_last_trial { 200 };
+// An attempt that was sent this long after the endpoint of a crash had ended was not lost in the same event.
+constexpr milliseconds min_gap_of_crashes { 50 };
+// A trial becomes known in other failure domains within this time, so the domains start trials that far apart.
+constexpr milliseconds trial_report_time { 250 };
 
 } // namespace
 
@@ -42,11 +48,28 @@
         return suspicion::none;
     bool const is_tried = now < std::max(entry.own_trial_until, entry.peer_trial_until);
     bool const has_just_broken
-        = crashes + 1 == crashes_to_quarantine && now < entry.broken_at + pause_before_last_trial;
+        = crashes + 1 == crashes_to_quarantine && now < entry.broken_at + pause_before_trial(request);
     return is_tried || has_just_broken || crashes >= crashes_to_quarantine ? suspicion::waits_for_trial
                                                                            : suspicion::none;
 }
 
+void crash_suspects::set_domains(failure_domain const& own, std::vector<failure_domain> others)
+{
+    m_own_domain = own;
+    m_other_domains = std::move(others);
+}
+
+milliseconds crash_suspects::pause_before_trial(request_identity const& request) const
+{
+    // Each request orders the failure domains differently, so that no domain has to wait for all of them.
+    auto const weight_of
+        = [&](failure_domain const& domain) { return rendezvous_weight(request.content.value(), domain.value()); };
+    auto const own = weight_of(m_own_domain);
+    auto const earlier
+        = std::ranges::count_if(m_other_domains, [&](failure_domain const& other) { return weight_of(other) > own; });
+    return pause_before_last_trial + earlier * trial_report_time;
+}
+
 milliseconds crash_suspects::quarantine_left(request_identity const& request, instant now) const
 {
     auto const found = m_records.find(request);
@@ -145,18 +168,33 @@
     probe_result result { resolved.endpoint, {} };
     for (auto const& broken : resolved.crashed) {
         auto& entry = record_of(broken.request, now);
-        crash_stamp const counted { broken.stamp.epoch, static_cast<std::uint8_t>(broken.stamp.crashes + 1) };
-        if (counted <= entry.stamp)
+        auto const counted = count_crash(entry, broken);
+        if (!counted)
             continue;
-        bool const is_short = entry.was_answered && counted.crashes >= crashes_to_quarantine;
-        change(entry, counted, now + (is_short ? short_quarantine : record_lifetime));
+        bool const is_short = entry.was_answered && counted->crashes >= crashes_to_quarantine;
+        change(entry, *counted, now + (is_short ? short_quarantine : record_lifetime));
+        entry.crashed_at = broken.at;
         entry.is_unreported_to_routers = true;
         entry.is_own = true;
-        result.crashes.push_back({ broken.request, counted.crashes, counted.crashes >= crashes_to_quarantine });
+        result.crashes.push_back({ broken.request, counted->crashes, counted->crashes >= crashes_to_quarantine });
     }
     return result;
 }
 
+std::optional<crash_stamp> crash_suspects::count_crash(record const& entry, broken_attempt const& broken)
+{
+    crash_stamp counted { broken.stamp.epoch, static_cast<std::uint8_t>(broken.stamp.crashes + 1) };
+    if (counted > entry.stamp)
+        return counted;
+    // The sender did not know of the last crash yet. If its endpoint had ended by then, this is another crash.
+    bool const is_later = broken.stamp.epoch == entry.stamp.epoch && entry.stamp.crashes > 0
+        && broken.sent_at >= entry.crashed_at + min_gap_of_crashes;
+    if (!is_later || entry.stamp.crashes >= crashes_to_quarantine)
+        return std::nullopt;
+    counted.crashes = static_cast<std::uint8_t>(entry.stamp.crashes + 1);
+    return counted;
+}
+
 bool crash_suspects::record_answer(request_identity const& request, instant now)
 {
     auto const found = m_records.find(request);
@@ -182,12 +220,17 @@
     if (is_newer) {
         change(entry, received.stamp, now + std::min(received.left, record_lifetime));
         entry.broken_at = now;
+        entry.crashed_at = now - received.since_crash;
         // The sender reports the record to the other routers of its failure domain itself. Other failure domains
         // receive it from the delegate of this one.
         entry.is_unreported_to_domains = origin == report_origin::own_domain;
     }
     entry.was_answered |= received.was_answered;
-    entry.peer_trial_until = std::max(entry.peer_trial_until, now + std::min(received.trial_left, trial_lifetime));
+    auto const trial_until = now + std::min(received.trial_left, trial_lifetime);
+    // The delegate of this failure domain reports a trial that has begun here to the others.
+    if (origin == report_origin::own_domain && trial_until > entry.peer_trial_until + trial_lifetime / 2)
+        entry.is_unreported_to_domains = true;
+    entry.peer_trial_until = std::max(entry.peer_trial_until, trial_until);
     return is_newer && entry.stamp.crashes >= crashes_to_quarantine;
 }
 
@@ -223,8 +266,8 @@
     // never appear to end.
     auto const trial_until = subject == report_subject::domain ? std::max(entry.own_trial_until, entry.peer_trial_until)
                                                                : entry.own_trial_until;
-    return { request, entry.stamp, entry.until - now, std::max(trial_until - now, milliseconds(0)),
-        entry.was_answered };
+    return { request, entry.stamp, entry.until - now, std::max(trial_until - now, milliseconds(0)), entry.was_answered,
+        now - entry.crashed_at };
 }
 
 std::vector<crash_record> crash_suspects::take_report_records(report_subject subject, report_scope scope, instant now)
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -11,6 +11,7 @@
 #include "libraries/dispatch/suspects/crash_evidence.h"
 #include "libraries/dispatch/suspects/crash_record.h"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,8 @@
 
 class crash_suspects {
 public:
+    // Sets the failure domain of this router and the others that have routers.
+    void set_domains(failure_domain const& own, std::vector<failure_domain> others);
     // Whether no request is suspected, so that the content of requests does not matter.
     [[nodiscard]] bool is_empty() const { return m_records.empty(); }
     [[nodiscard]] suspicion suspicion_of(request_identity const& request, instant now) const;
@@ -81,6 +84,9 @@
         instant until {};
         // The time at which an attempt last broke off, or another router last reported a newer record.
         instant broken_at {};
+        // The time at which the endpoint of the last counted crash ended; if another router reported it, this is at
+        // most the delay of the report too late.
+        instant crashed_at {};
         // The end of the trial of this router's attempt, and of another router's, for which other attempts wait.
         instant own_trial_until {};
         instant peer_trial_until {};
@@ -91,6 +97,10 @@
         bool is_unreported_to_domains { false };
     };
 
+    // Returns the count that a crash during this attempt leads to; nullopt if the crash proves nothing new.
+    [[nodiscard]] static std::optional<crash_stamp> count_crash(record const& entry, broken_attempt const& broken);
+    // Returns how long after a crash became known this router's failure domain waits for the trials of others.
+    [[nodiscard]] milliseconds pause_before_trial(request_identity const& request) const;
     record& record_of(request_identity const& request, instant now);
     void evict_one();
     [[nodiscard]] std::uint8_t presumed_crashes(request_identity const& request, record const& entry) const;
@@ -101,6 +111,8 @@
     // Invariant: contains at most max_records.
     std::unordered_map<request_identity, record> m_records;
     crash_evidence m_evidence;
+    failure_domain m_own_domain;
+    std::vector<failure_domain> m_other_domains;
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -62,13 +62,14 @@
 {
     return { record.request.team.value(), record.request.content.value(), saturate<std::uint32_t>(record.left.count()),
         saturate<std::uint16_t>(record.trial_left.count()), record.stamp.epoch, record.stamp.crashes,
-        record.was_answered };
+        record.was_answered, saturate<std::uint32_t>(record.since_crash.count()) };
 }
 
 dispatch::crash_record from_wire(fbs::Crash const& crash)
 {
     return { { team_key(crash.team()), content_hash(crash.content()) }, { crash.epoch(), crash.crashes() },
-        milliseconds(crash.left_ms()), milliseconds(crash.trial_ms()), crash.was_answered() };
+        milliseconds(crash.left_ms()), milliseconds(crash.trial_ms()), crash.was_answered(),
+        milliseconds(crash.since_crash_ms()) };
 }
 
 flatbuffers::Offset<fbs::State> encode(flatbuffers::FlatBufferBuilder& builder, state_message const& state)
--- a/tests/dispatch/crash_simulation.cpp
+++ b/tests/dispatch/crash_simulation.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds step_time { 10 };
 constexpr milliseconds report_interval { 30 };
+constexpr milliseconds domain_report_interval { 100 };
+constexpr milliseconds whole_domain_interval { 5000 };
 // Interval between the reports that contain everything; the others contain only changes.
 constexpr milliseconds whole_interval { 1000 };
 // Times after a crash at which the endpoint's row is removed and at which another instance of it starts.
@@ -41,6 +43,7 @@
 {
     auto router_options = dispatch_driver::options();
     router_options.vm = vm_name("router-" + std::to_string(index));
+    router_options.domain = failure_domain("domain-" + std::to_string(domain_of(index)));
     auto& started = m_routers[index];
     started.reducer = std::make_unique<dispatch_reducer>(router_options);
     ++started.incarnation;
@@ -209,11 +212,28 @@
     for (std::size_t from = 0; from < m_routers.size(); ++from) {
         if (m_now < m_routers[from].frozen_until)
             continue;
-        auto const report = m_routers[from].reducer->take_own_report(scope, m_now);
-        for (std::size_t to = 0; to < m_routers.size(); ++to) {
-            if (to != from)
-                enqueue(to, report, m_options.report_delay);
-        }
+        send_report(from, m_routers[from].reducer->take_own_report(scope, m_now), true);
+    }
+}
+
+void crash_simulation::exchange_domain_reports()
+{
+    auto const since_start = m_now.time_since_epoch();
+    if (m_options.domains == 1 || since_start % domain_report_interval != no_delay)
+        return;
+    auto const scope
+        = since_start % whole_domain_interval < domain_report_interval ? report_scope::whole : report_scope::changes;
+    for (std::size_t delegate = 0; delegate < m_options.domains; ++delegate) {
+        if (m_now >= m_routers[delegate].frozen_until)
+            send_report(delegate, m_routers[delegate].reducer->take_domain_report(scope, m_now), false);
+    }
+}
+
+void crash_simulation::send_report(std::size_t from, peer_report const& report, bool is_for_own_domain)
+{
+    for (std::size_t to = 0; to < m_routers.size(); ++to) {
+        if (to != from && (domain_of(to) == domain_of(from)) == is_for_own_domain)
+            enqueue(to, report, m_options.report_delay);
     }
 }
 
@@ -237,6 +257,7 @@
     if (has_changed)
         list_endpoints();
     exchange_reports();
+    exchange_domain_reports();
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
         auto& current = m_routers[index];
         if (m_now < current.frozen_until)
@@ -276,6 +297,12 @@
     return found == m_histories.end() ? 0 : found->second.crash_times.size();
 }
 
+std::size_t crash_simulation::quarantining_routers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_routers, [](router const& current) { return current.reducer->suspects().quarantined() > 0; }));
+}
+
 std::size_t crash_simulation::sent_after_third_crash(content_hash content, milliseconds later) const
 {
     constexpr std::size_t third = 2;
--- a/tests/dispatch/crash_simulation.h
+++ b/tests/dispatch/crash_simulation.h
@@ -16,6 +16,8 @@
 public:
     struct options {
         std::size_t routers { 3 };
+        // Number of failure domains of the routers, which take turns. The first router of each reports for its domain.
+        std::size_t domains { 1 };
         std::size_t endpoints { 8 };
         // Time from a router's report until the other routers receive it.
         milliseconds report_delay { 40 };
@@ -43,6 +45,8 @@
     [[nodiscard]] std::size_t refused(content_hash content) const;
     // Number of endpoints that crashed while they ran a request with this content.
     [[nodiscard]] std::size_t endpoints_lost_to(content_hash content) const;
+    // Number of routers that have quarantined a request.
+    [[nodiscard]] std::size_t quarantining_routers() const;
     // Number of requests with this content that reached an endpoint more than `later` after the third crash, from
     // routers that for three seconds had not been restarted, frozen or disconnected.
     [[nodiscard]] std::size_t sent_after_third_crash(content_hash content, milliseconds later) const;
@@ -93,6 +97,9 @@
     void advance();
     void finish_runs();
     void exchange_reports();
+    void exchange_domain_reports();
+    void send_report(std::size_t from, peer_report const& report, bool is_for_own_domain);
+    [[nodiscard]] std::size_t domain_of(std::size_t router) const { return router % m_options.domains; }
 
     options m_options;
     configuration m_configuration;
--- a/tests/peering/peer_message_test.cpp
+++ b/tests/peering/peer_message_test.cpp
@@ -34,7 +34,7 @@
         state.report.routers = 20;
         state.report.overloaded_routers = 2;
         state.report.crashes = { { { key_of(team_name("red")), content_hash(5) }, { 7, 2 }, milliseconds(90000),
-            milliseconds(300), true } };
+            milliseconds(300), true, milliseconds(450) } };
         auto const frame = encode_frame(state);
         CPPUNIT_ASSERT_EQUAL(frame.size(), *frame_size(frame));
         CPPUNIT_ASSERT(!frame_size(frame.substr(0, 3)));
@@ -79,7 +79,8 @@
     {
         return " " + std::to_string(record.request.team.value()) + " " + std::to_string(record.request.content.value())
             + " " + std::to_string(record.stamp.epoch) + " " + std::to_string(record.stamp.crashes) + " "
-            + std::to_string(record.left.count()) + " " + std::to_string(record.trial_left.count())
+            + std::to_string(record.left.count()) + " " + std::to_string(record.trial_left.count()) + " "
+            + std::to_string(record.since_crash.count())
             + (record.was_answered ? " answered" : "");
     }
 
