dispatch: Retries are spread by 15 ms

Requests of teams with failures are spread like retries, and where a plain service fails one request in twenty that is every team. At 50 ms the spread outweighs the load and the failure domain of endpoints.

--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -72,7 +72,7 @@
     // disables the comparison.
     double failure_comparison { 1 };
     // The weight, in milliseconds, that distributes retries, and requests of teams with failures, over the endpoints.
-    double retry_spread_ms { 50 };
+    double retry_spread_ms { 15 };
     // The estimated time for which an engine caches a shared part that no request uses.
     milliseconds keeping_time { 12000 };
 };
