--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -235,11 +235,8 @@
 json::object hosted_fleet::runs() const
 {
     json::object all;
-    for (auto const& replica : m_replicas) {
-        auto const counts = get_json(replica.address("http"), "/counts");
-        if (!counts)
-            continue;
-        for (auto const& [id, count] : counts->as_object()) {
+    for (std::size_t index = 0; index < m_replicas.size(); ++index) {
+        for (auto const& [id, count] : runs_of(index)) {
             auto& sum = all[id];
             sum = (sum.is_null() ? 0 : sum.as_int64()) + count.as_int64();
         }
@@ -247,6 +244,12 @@
     return all;
 }
 
+json::object hosted_fleet::runs_of(std::size_t replica) const
+{
+    auto const counts = get_json(m_replicas.at(replica).address("http"), "/counts");
+    return counts ? counts->as_object() : json::object();
+}
+
 result<net::http_response> hosted_fleet::send_request(
     std::size_t router, std::string const& target, std::string const& id, std::string const& key) const
 {
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -90,6 +90,8 @@
     void control_replica(std::size_t index, char const* mode) const;
     // Returns the number of runs at all replicas together by request id.
     [[nodiscard]] boost::json::object runs() const;
+    // Returns the number of runs at one replica by request id; empty if it does not answer.
+    [[nodiscard]] boost::json::object runs_of(std::size_t replica) const;
 
     [[nodiscard]] result<net::http_response> send_request(
         std::size_t router, std::string const& target, std::string const& id, std::string const& key = "key-1") const;
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -107,7 +107,9 @@
     }
     auto headers = common_headers(request);
     headers.push_back({ "Shedhill-Server-Signature", "signed-by-" + m_incarnation });
-    if (m_mode == "fail") {
+    if (request.target.find("/aborting/") != std::string::npos)
+        return exchange.abort_stream();
+    if (m_mode == "fail" || request.target.find("/failing/") != std::string::npos) {
         (void)exchange.respond({ 500, headers, "text/plain", "failed\n" });
         return;
     }
