--- a/libraries/dispatch/dispatch_failures.cpp
+++ b/libraries/dispatch/dispatch_failures.cpp
@@ -171,7 +171,8 @@
 {
     if (m_unsettled_failures == 0)
         return;
-    for (auto& [number, request] : m_requests) {
+    for (auto& entry : m_requests) {
+        auto& request = entry.second;
         std::erase_if(request.unsettled, [&](unsettled_failure const& failure) {
             if (step.now < failure.settled_by)
                 return false;
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace shedhill::dispatch {
@@ -32,6 +33,8 @@
 constexpr milliseconds min_gap_of_crashes { 50 };
 // A trial becomes known in other failure domains within this time, so the domains start trials that far apart.
 constexpr milliseconds trial_report_time { 250 };
+// Bounds the pause of the last failure domains, so that their requests can still be served within their deadlines.
+constexpr std::ptrdiff_t max_earlier_domains { 3 };
 
 } // namespace
 
@@ -67,7 +70,7 @@
     auto const own = weight_of(m_own_domain);
     auto const earlier
         = std::ranges::count_if(m_other_domains, [&](failure_domain const& other) { return weight_of(other) > own; });
-    return pause_before_last_trial + earlier * trial_report_time;
+    return pause_before_last_trial + std::min(earlier, max_earlier_domains) * trial_report_time;
 }
 
 milliseconds crash_suspects::quarantine_left(request_identity const& request, instant now) const
--- a/tests/peering/peer_message_test.cpp
+++ b/tests/peering/peer_message_test.cpp
@@ -80,8 +80,7 @@
         return " " + std::to_string(record.request.team.value()) + " " + std::to_string(record.request.content.value())
             + " " + std::to_string(record.stamp.epoch) + " " + std::to_string(record.stamp.crashes) + " "
             + std::to_string(record.left.count()) + " " + std::to_string(record.trial_left.count()) + " "
-            + std::to_string(record.since_crash.count())
-            + (record.was_answered ? " answered" : "");
+            + std::to_string(record.since_crash.count()) + (record.was_answered ? " answered" : "");
     }
 
     void peers_are_retried_with_back_off_and_removed()
