dispatch, tests: Removes accessors that nothing calls

Read again as a newcomer: failing(), size() and quarantining_routers() had no caller, and two comments were no sentences. No decision changes.

--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -67,7 +67,6 @@
     // the content hash of arriving and of answered requests.
     [[nodiscard]] bool suspects_requests() const { return !m_suspects.is_empty() || !m_failing.is_empty(); }
     [[nodiscard]] crash_suspects const& suspects() const { return m_suspects; }
-    [[nodiscard]] failing_requests const& failing() const { return m_failing; }
 
     // Returns the report for the other routers, with the prompt parts sent since the last call.
     [[nodiscard]] peer_report take_own_report(report_scope scope, instant now);
@@ -84,7 +83,7 @@
 private:
     enum class phase { waiting, running };
 
-    // How far an attempt's answer came.
+    // An answer stage tells how far the answer of an attempt came.
     enum class answer_stage { none, begun, ended };
 
     struct attempt_outcome {
--- a/libraries/dispatch/suspects/failing_requests.h
+++ b/libraries/dispatch/suspects/failing_requests.h
@@ -16,7 +16,6 @@
 public:
     // Whether no request is remembered, so that the content of requests does not matter.
     [[nodiscard]] bool is_empty() const { return m_records.empty(); }
-    [[nodiscard]] std::size_t size() const { return m_records.size(); }
 
     [[nodiscard]] bool is_known(request_identity const& request) const { return m_records.contains(request); }
     // Whether the request has failed at another instance than this one since it was last answered.
@@ -27,7 +26,7 @@
     // the instance is at fault.
     [[nodiscard]] std::optional<endpoint_key> only_failed_at(request_identity const& request) const;
 
-    // How a failure is to be held against the instance.
+    // A finding tells how a failure is to be held against the instance.
     enum class finding {
         // The instance may be at fault.
         counts,
--- a/tests/dispatch/crash_simulation.cpp
+++ b/tests/dispatch/crash_simulation.cpp
@@ -297,12 +297,6 @@
     return found == m_histories.end() ? 0 : found->second.crash_times.size();
 }
 
-std::size_t crash_simulation::quarantining_routers() const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_routers, [](router const& current) { return current.reducer->suspects().quarantined() > 0; }));
-}
-
 std::size_t crash_simulation::sent_after_third_crash(content_hash content, milliseconds later) const
 {
     constexpr std::size_t third = 2;
--- a/tests/dispatch/crash_simulation.h
+++ b/tests/dispatch/crash_simulation.h
@@ -45,8 +45,6 @@
     [[nodiscard]] std::size_t refused(content_hash content) const;
     // Number of endpoints that crashed while they ran a request with this content.
     [[nodiscard]] std::size_t endpoints_lost_to(content_hash content) const;
-    // Number of routers that have quarantined a request.
-    [[nodiscard]] std::size_t quarantining_routers() const;
     // Number of requests with this content that reached an endpoint more than `later` after the third crash, from
     // routers that for three seconds had not been restarted, frozen or disconnected.
     [[nodiscard]] std::size_t sent_after_third_crash(content_hash content, milliseconds later) const;
