--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -215,7 +215,7 @@
     auto const time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_cold_until.at(index) - std::chrono::steady_clock::now());
     json::object const entry { { "service", "plain" }, { "address", replica_address(index) },
-        { "zone", domain_of_replica(index) }, { "version", "v1" }, { "capacity", 40 }, { "state", state },
+        { "zone", domain_of_replica(index) }, { "version", version_of(index) }, { "capacity", 40 }, { "state", state },
         { "cold_remaining_ms", std::max<std::int64_t>(time_left.count(), 0) }, { "sequence", 1 } };
     control_store({ { "put",
         json::array { json::object {
@@ -261,6 +261,16 @@
     return net::fetch(m_routers.at(router).address("callers"), request, fetch_timeout);
 }
 
+result<net::http_response> hosted_fleet::resume_stream(std::size_t router, std::string const& target,
+    std::string const& id, std::string const& first_request, int last_event) const
+{
+    net::http_request request { "POST", target, {}, "a body" };
+    request.headers = { { "Host", "shop.example" }, { "Shedhill-Request-Id", id }, { "Shedhill-Deadline-Ms", "6000" },
+        { "Authorization", "Bearer key-1" }, { "Last-Event-Id", std::to_string(last_event) },
+        { "Resumes", first_request } };
+    return net::fetch(m_routers.at(router).address("callers"), request, fetch_timeout);
+}
+
 double hosted_fleet::metric(std::size_t router, std::string const& name) const
 {
     auto const answer
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -35,6 +35,8 @@
     int retry_slack { 500 };
     // Requests a second that a replica sustains while it is cold; 0 if replicas are never cold.
     int cold_per_second { 0 };
+    // Software versions of the replicas, which take turns.
+    std::vector<std::string> versions { "v1" };
     // Time that a replica is cold after a restart.
     std::chrono::milliseconds cold_time { 2000 };
 };
@@ -95,6 +97,14 @@
 
     [[nodiscard]] result<net::http_response> send_request(
         std::size_t router, std::string const& target, std::string const& id, std::string const& key = "key-1") const;
+    // Sends a request of a caller that resumes a stream after this event.
+    [[nodiscard]] result<net::http_response> resume_stream(std::size_t router, std::string const& target,
+        std::string const& id, std::string const& first_request, int last_event) const;
+    // Returns the software version that the replica's endpoint entry states.
+    [[nodiscard]] std::string const& version_of(std::size_t replica) const
+    {
+        return m_options.versions.at(replica % m_options.versions.size());
+    }
     // Returns the value of a metric: 0 if it is not exposed, -1 if the router does not answer.
     [[nodiscard]] double metric(std::size_t router, std::string const& name) const;
 
