dispatch: A broken answer goes on only at the version that began it

Callers saw: an answer whose first events came from one software version of an endpoint and whose rest came from another.

Cause: a retry after the first event chose among all endpoints of the pool. The choice knew what only the first attempt could see, the version, nowhere.

Change: an endpoint has the key of its software, a hash of pool and version, for each instance of its own. The first event binds the request to the key of the endpoint that brought it, by the same constraints as regions do, so that every way to an endpoint obeys it. A broken answer without an available endpoint of its version ends at once (no_matching_version) and takes nothing from the retry budget.

Why it works: the constraint stands at the gate of the choice, and only answer_began and the end of an attempt with events set it.

--- a/base/hash.cpp
+++ b/base/hash.cpp
@@ -25,6 +25,11 @@
     return endpoint_key(stable_hash(endpoint.value(), instance));
 }
 
+software_key key_of_software(pool_name const& pool, std::string_view version)
+{
+    return software_key(static_cast<std::uint32_t>(stable_hash(version, stable_hash(pool.value()))));
+}
+
 account_id account_of(team_name const& team, pool_name const& pool)
 {
     return account_id(stable_hash(team.value(), stable_hash(pool.value())));
--- a/base/hash.h
+++ b/base/hash.h
@@ -25,6 +25,9 @@
 // distinguish its instances.
 endpoint_key key_of(endpoint_name const& endpoint, std::uint64_t instance);
 
+// Identifies a version of the software of a pool's endpoints. Equal versions of two pools have different keys.
+software_key key_of_software(pool_name const& pool, std::string_view version);
+
 // Returns the account to which the service of a team in a pool is charged.
 account_id account_of(team_name const& team, pool_name const& pool);
 
--- a/base/identifiers.h
+++ b/base/identifiers.h
@@ -18,6 +18,8 @@
 // Stable hashes of names. Messages between routers carry them instead of the names.
 using team_key = strong_type<std::uint64_t, struct team_key_tag>;
 using endpoint_key = strong_type<std::uint64_t, struct endpoint_key_tag>;
+// A stable hash of a pool's name and of the version of the software that serves it.
+using software_key = strong_type<std::uint32_t, struct software_key_tag>;
 // The name of a virtual machine in the platform's VM list.
 using vm_name = strong_type<std::string, struct vm_name_tag>;
 // The model or plain service that a request addresses. Capacity is shared fairly among teams within each pool.
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -67,9 +67,9 @@
     request.pause_objective = route->pause_objective;
     request.priority = team != nullptr && team->priority ? *team->priority : route->priority;
     request.max_attempts = std::max(route->max_attempts, 1U);
-    request.regions.limit_to(route->allowed_regions);
+    request.constraints.regions.limit_to(route->allowed_regions);
     if (team != nullptr)
-        request.regions.limit_to(team->allowed_regions);
+        request.constraints.regions.limit_to(team->allowed_regions);
     request.content = arrived.content;
     request.resumption = arrived.resumption;
     request.is_engine = pool_declared != nullptr && pool_declared->is_engine();
@@ -123,7 +123,7 @@
     choice.pool = request.pool;
     choice.cost = &request.cost;
     choice.excluded = &request.tried_endpoints;
-    choice.regions = &request.regions;
+    choice.constraints = &request.constraints;
     choice.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
     choice.is_engine = request.is_engine;
     auto const terms = terms_for(request, step);
@@ -203,6 +203,7 @@
     request.sent_at = step.now;
     request.expected_ms = chosen.expected_ms;
     request.instance = endpoint.key;
+    request.software = endpoint.software;
     request.overdue_counted_until = {};
     request.has_requested_backoff = false;
     begin_trial(request, step);
@@ -323,12 +324,14 @@
     case suspicion::none:
         break;
     }
-    if (m_board.all_backed_off_for(request.pool, request.regions, step.now))
+    if (m_board.all_backed_off_for(request.pool, request.constraints, step.now))
         return refusal_reason::endpoints_resting;
-    if (m_board.has_endpoints(request.pool, request.regions))
+    if (m_board.has_endpoints(request.pool, request.constraints))
         return refusal_reason::no_place;
-    if (m_board.is_evacuated(request.pool, request.regions))
+    if (m_board.is_evacuated(request.pool, request.constraints))
         return refusal_reason::domains_evacuated;
+    if (m_board.has_endpoints(request.pool, { request.constraints.regions }))
+        return refusal_reason::no_matching_version;
     return m_board.has_endpoints(request.pool) ? refusal_reason::no_allowed_region : refusal_reason::no_endpoint;
 }
 
@@ -336,9 +339,9 @@
 {
     if (suspicion_of(request, step) == suspicion::quarantined)
         return true;
-    if (auto const backoff = m_board.all_backed_off_for(request.pool, request.regions, step.now))
+    if (auto const backoff = m_board.all_backed_off_for(request.pool, request.constraints, step.now))
         return step.now + *backoff > request.arrived + terms_for(request, step).max_wait;
-    return !m_board.has_endpoints(request.pool, request.regions);
+    return !m_board.has_endpoints(request.pool, request.constraints);
 }
 
 milliseconds dispatch_reducer::retry_delay_for(
@@ -346,7 +349,7 @@
 {
     refused_caller const refused { reason, request.objective, request.deadline - step.now, m_overload.is_overloaded(),
         m_options.policy.early_return,
-        m_board.all_backed_off_for(request.pool, request.regions, step.now).value_or(milliseconds(0)),
+        m_board.all_backed_off_for(request.pool, request.constraints, step.now).value_or(milliseconds(0)),
         m_suspects.quarantine_left(identity_of(request), step.now) };
     return retry_delay(refused, step.draw);
 }
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -69,7 +69,7 @@
         request.first_event_after = step.now - request.arrived;
         step.effects.emplace_back(timer_event { timer_kind::first_event, request.pool, request.first_event_after });
     }
-    request.has_answer_begun = true;
+    record_answer_begun(request);
     blame_endpoints(request, answer_stage::begun, step);
     step.effects.emplace_back(
         timer_event { timer_kind::attempt_first_event, request.pool, step.now - request.sent_at });
@@ -82,6 +82,14 @@
     serve_waiting_throttled(step);
 }
 
+void dispatch_reducer::record_answer_begun(active_request& request)
+{
+    if (std::exchange(request.has_answer_begun, true))
+        return;
+    if (request.form == answer_form::stream)
+        request.constraints.software = request.software;
+}
+
 void dispatch_reducer::record_first_event(active_request& request, endpoint_state& endpoint, step_context& step)
 {
     // A router that is behind receives events late, so the delay does not measure the engine. It must not reach the
@@ -101,7 +109,8 @@
     if (found == m_requests.end() || found->second.attempt != ended.attempt || found->second.state != phase::running)
         return;
     auto& request = found->second;
-    request.has_answer_begun |= ended.has_answer_begun;
+    if (ended.has_answer_begun)
+        record_answer_begun(request);
     request.events_forwarded += ended.events;
     auto const verdict = verdict_of(ended);
     if (!request.is_engine)
@@ -276,6 +285,10 @@
     request.may_have_run |= end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::failed;
     if (reason == refusal_reason::none && suspicion_of(request, step) == suspicion::quarantined)
         reason = refusal_reason::crashes_endpoints;
+    // Only a stream that has begun is bound to a version; without an endpoint of that version it ends now.
+    if (reason == refusal_reason::none && request.has_answer_begun
+        && !m_board.has_endpoints(request.pool, request.constraints))
+        reason = reason_for_no_endpoint(request, step);
     if (reason == refusal_reason::none && request.reached_endpoints > 0 && !m_retries.spend(request.pool, step.now))
         reason = refusal_reason::retry_budget_spent;
     if (reason != refusal_reason::none && end == attempt_end::failed)
@@ -288,7 +301,7 @@
     if (chosen.endpoint != nullptr && (chosen.is_in_time || is_urgent))
         return send(number, request, chosen, step);
     if (is_urgent)
-        return end_failed(number, request, refusal_reason::no_endpoint, step);
+        return end_failed(number, request, reason_for_no_endpoint(request, step), step);
     request.is_failure_withheld = end == attempt_end::failed;
     if (cannot_be_served(request, step))
         return end_wait(number, request, step);
@@ -353,7 +366,9 @@
             .add("places", occupied.slots)
             .add("scarce_percent", static_cast<int>(m_board.scarcity_of(request.pool) * percent))
             .add("rest_ms",
-                m_board.all_backed_off_for(request.pool, request.regions, step.now).value_or(milliseconds(0)).count())
+                m_board.all_backed_off_for(request.pool, request.constraints, step.now)
+                    .value_or(milliseconds(0))
+                    .count())
             .add("content", request.content.value_or(content_hash()).value())
             .add("crashes", m_suspects.crashes_of(identity_of(request)))
             .add("waiting", m_waiting.size())
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -115,7 +115,7 @@
         milliseconds pause_objective { 0 };
         std::uint32_t priority { 0 };
         std::uint32_t max_attempts { 1 };
-        region_bound regions;
+        endpoint_constraints constraints;
         bool is_engine { false };
         instant arrived {};
         // The caller's deadline or the route's time limit, whichever is first.
@@ -129,8 +129,10 @@
         std::uint32_t reached_endpoints { 0 };
         std::uint32_t failed_sends { 0 };
         std::vector<endpoint_name> tried_endpoints;
+        // The endpoint of the running or last attempt.
         endpoint_name endpoint;
         endpoint_key instance;
+        software_key software;
         instant sent_at {};
         double expected_ms { 0 };
         // The work of the running attempt at its endpoint.
@@ -292,6 +294,8 @@
     // Removes the reports of single routers of the failure domain, whose sums replace them.
     void remove_router_sources(failure_domain const& domain, step_context& step);
     void remove_silent_peers(step_context& step);
+    // Records that the caller has received a part of the answer, to which only the same software can add.
+    static void record_answer_begun(active_request& request);
     void record_first_event(active_request& request, endpoint_state& endpoint, step_context& step);
     // Records the delay of overdue first events, which shows that their engines are slow.
     void update_overdue(instant now);
--- a/libraries/dispatch/endpoints/endpoint_board.cpp
+++ b/libraries/dispatch/endpoints/endpoint_board.cpp
@@ -27,9 +27,10 @@
     return scope == report_scope::whole ? work.running > 0 || has_changed : has_changed;
 }
 
-bool has_any_in(std::vector<endpoint_state*> const& endpoints, region_bound const& regions)
+bool has_any(std::vector<endpoint_state*> const& endpoints, endpoint_constraints const& constraints)
 {
-    return std::ranges::any_of(endpoints, [&](endpoint_state const* state) { return regions.allows(state->region); });
+    return std::ranges::any_of(
+        endpoints, [&](endpoint_state const* state) { return constraints.allows(state->region, state->software); });
 }
 
 } // namespace
@@ -153,6 +154,8 @@
         // An endpoint that appears while this router is running has just started, whatever its first row says.
         if (is_new && m_has_list)
             state->cold.assume_cold(cold_pool_of(entry.pool).cold_time, now);
+        if (is_new || entry.version != state->entry.version || entry.pool != state->entry.pool)
+            state->software = key_of_software(entry.pool, entry.version);
         state->entry = entry;
         auto const region = m_regions.find(entry.domain);
         state->region = region == m_regions.end() ? region_name() : region->second;
@@ -226,10 +229,10 @@
     return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
-bool endpoint_board::has_endpoints(pool_name const& pool, region_bound const& regions) const
+bool endpoint_board::has_endpoints(pool_name const& pool, endpoint_constraints const& constraints) const
 {
     auto const found = m_available.find(pool);
-    return found != m_available.end() && has_any_in(found->second, regions);
+    return found != m_available.end() && has_any(found->second, constraints);
 }
 
 std::size_t endpoint_board::endpoints_in(failure_domain const& domain) const
@@ -238,10 +241,11 @@
         std::ranges::count_if(m_endpoints, [&](auto const& entry) { return entry.second->entry.domain == domain; }));
 }
 
-bool endpoint_board::is_evacuated(pool_name const& pool, region_bound const& regions) const
+bool endpoint_board::is_evacuated(pool_name const& pool, endpoint_constraints const& constraints) const
 {
     auto const found = m_evacuated_endpoints.find(pool);
-    return found != m_evacuated_endpoints.end() && has_any_in(found->second, regions) && !has_endpoints(pool, regions);
+    return found != m_evacuated_endpoints.end() && has_any(found->second, constraints)
+        && !has_endpoints(pool, constraints);
 }
 
 void endpoint_board::record_sample(endpoint_state& endpoint, prefill_sample const& sample, instant now)
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -9,6 +9,7 @@
 #include "libraries/dispatch/endpoints/cold_period.h"
 #include "libraries/dispatch/endpoints/cold_share.h"
 #include "libraries/dispatch/endpoints/endpoint_backoff.h"
+#include "libraries/dispatch/endpoints/endpoint_constraints.h"
 #include "libraries/dispatch/endpoints/endpoint_health.h"
 #include "libraries/dispatch/endpoints/endpoint_view.h"
 #include "libraries/dispatch/endpoints/prompt_cache_index.h"
@@ -17,7 +18,6 @@
 #include "libraries/dispatch/engines/unreported_work.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
-#include "libraries/dispatch/region_bound.h"
 
 #include <memory>
 #include <optional>
@@ -58,6 +58,7 @@
     region_name region;
     // Identifies the process instance behind this endpoint name.
     endpoint_key key;
+    software_key software;
     endpoint_health health;
     announced_state announced;
     cold_period cold;
@@ -113,8 +114,8 @@
     // Requests that have failed or may fail are distributed, because only their outcomes at several endpoints show
     // whether an endpoint is at fault.
     std::uint64_t spread { 0 };
-    // Regions in which the request may be served; null for any.
-    region_bound const* regions { nullptr };
+    // Null if any endpoint of the pool may serve the request.
+    endpoint_constraints const* constraints { nullptr };
     // Time left of the objective.
     double time_left_ms { 0 };
     // Fraction of an endpoint's slots that may be in use for this request to be admitted.
@@ -169,19 +170,19 @@
     notice_change apply_notice(endpoint_key instance, endpoint_notice const& notice, instant now);
     // Returns the endpoints whose back-off has ended since the last call.
     [[nodiscard]] std::vector<endpoint_name> take_ended_backoffs(instant now);
-    // Returns the time until the first of the pool's endpoints in these regions ends its back-off; nullopt if one of
-    // them is not backing off.
+    // Returns the time until the first of the pool's endpoints that satisfy the constraints ends its back-off; nullopt
+    // if one of them is not backing off.
     [[nodiscard]] std::optional<milliseconds> all_backed_off_for(
-        pool_name const& pool, region_bound const& regions, instant now) const;
+        pool_name const& pool, endpoint_constraints const& constraints, instant now) const;
     // Returns the endpoints that receive no new work or less than others, with one entry for each reason.
     [[nodiscard]] std::vector<held_endpoint> held_endpoints(instant now) const;
 
     [[nodiscard]] endpoint_state* find(endpoint_name const& name);
     [[nodiscard]] endpoint_state* find(endpoint_key key);
-    // Whether the pool has endpoints in these regions that may receive new requests.
-    [[nodiscard]] bool has_endpoints(pool_name const& pool, region_bound const& regions = {}) const;
-    // Whether the pool has endpoints in these regions, but all of them are in evacuated failure domains.
-    [[nodiscard]] bool is_evacuated(pool_name const& pool, region_bound const& regions = {}) const;
+    // Whether the pool has endpoints that satisfy the constraints and may receive new requests.
+    [[nodiscard]] bool has_endpoints(pool_name const& pool, endpoint_constraints const& constraints = {}) const;
+    // Whether the pool has endpoints that satisfy the constraints, but all of them are in evacuated failure domains.
+    [[nodiscard]] bool is_evacuated(pool_name const& pool, endpoint_constraints const& constraints = {}) const;
     [[nodiscard]] std::set<failure_domain> const& evacuated() const { return m_evacuated; }
     [[nodiscard]] std::size_t listed_endpoints() const { return m_by_name.size(); }
     // Returns the number of known endpoint instances in the failure domain.
--- a/libraries/dispatch/endpoints/endpoint_choice.cpp
+++ b/libraries/dispatch/endpoints/endpoint_choice.cpp
@@ -107,7 +107,7 @@
     for (auto* state : available->second) {
         if (std::ranges::find(*request.excluded, state->entry.name) != request.excluded->end())
             continue;
-        if (request.regions != nullptr && !request.regions->allows(state->region))
+        if (request.constraints != nullptr && !request.constraints->allows(state->region, state->software))
             continue;
         // This check precedes the rules on ejection, none of which may send a request to an endpoint that is backing
         // off.
@@ -187,7 +187,7 @@
     }
     // Several choices within a short time may use up the pool, so the scarcity is updated with each choice: admission
     // terms never use a value older than the last choice.
-    if (request.is_engine && (request.regions == nullptr || !request.regions->is_bound()))
+    if (request.is_engine && (request.constraints == nullptr || !request.constraints->is_bound()))
         m_scarcity[request.pool] = usage.scarcity();
     best.redundant_prefill = best.uncached_tokens - std::min(min_uncached_tokens, best.uncached_tokens);
     return best;
--- a/libraries/dispatch/endpoints/endpoint_notices.cpp
+++ b/libraries/dispatch/endpoints/endpoint_notices.cpp
@@ -55,7 +55,7 @@
 }
 
 std::optional<milliseconds> endpoint_board::all_backed_off_for(
-    pool_name const& pool, region_bound const& regions, instant now) const
+    pool_name const& pool, endpoint_constraints const& constraints, instant now) const
 {
     if (now >= m_last_backoff_end)
         return std::nullopt;
@@ -64,7 +64,7 @@
         return std::nullopt;
     std::optional<instant> earliest_end;
     for (auto const* state : found->second) {
-        if (!regions.allows(state->region))
+        if (!constraints.allows(state->region, state->software))
             continue;
         if (!state->announced.backoff.is_backing_off(now))
             return std::nullopt;
