dispatch, peering: A caller resumes its stream at the version that began it

Callers saw: a stream that broke off, mostly because its router was killed, and that they took up at another router went on at another software version.

Cause: nobody remembered which version began a stream once the request that brought its first event had ended. The next router forwarded Last-Event-Id and chose among all endpoints; Resumes was forwarded unread.

Change: a router records the version that began a stream and tells the routers that receive its own reports, 16 bytes a stream. A resumption is bound to the recorded version by the constraints of the choice. While only one version can have begun a stream, nothing is recorded or sent: each router keeps the history of listed versions for the lifetime of a stream, relies on it only while the store has confirmed its list within the staleness bound, and begins no stream at a new version before the bound is over everywhere. A router that has just started gets the history and the records from the others. A resumption of unknown version waits for the others' reports, 150 ms at most, and is refused with 503 unknown_version; it is refused at once if there are no others.

Why it works: a version is either known from the router that saw the first event, or is the only one that a router with a recent list can have used. A paused router, one with an old list and one that has just started know that they do not know.

--- a/base/hash.cpp
+++ b/base/hash.cpp
@@ -25,9 +25,16 @@
     return endpoint_key(stable_hash(endpoint.value(), instance));
 }
 
+pool_key key_of(pool_name const& pool) { return pool_key(stable_hash(pool.value())); }
+
+stream_key key_of_stream(team_key team, std::string_view first_request)
+{
+    return stream_key(stable_hash(first_request, team.value()));
+}
+
 software_key key_of_software(pool_name const& pool, std::string_view version)
 {
-    return software_key(static_cast<std::uint32_t>(stable_hash(version, stable_hash(pool.value()))));
+    return software_key(static_cast<std::uint32_t>(stable_hash(version, key_of(pool).value())));
 }
 
 account_id account_of(team_name const& team, pool_name const& pool)
--- a/base/hash.h
+++ b/base/hash.h
@@ -25,6 +25,9 @@
 // distinguish its instances.
 endpoint_key key_of(endpoint_name const& endpoint, std::uint64_t instance);
 
+pool_key key_of(pool_name const& pool);
+// Identifies a stream. Another team's request with the same id begins another stream.
+stream_key key_of_stream(team_key team, std::string_view first_request);
 // Identifies a version of the software of a pool's endpoints. Equal versions of two pools have different keys.
 software_key key_of_software(pool_name const& pool, std::string_view version);
 
--- a/base/identifiers.h
+++ b/base/identifiers.h
@@ -22,6 +22,10 @@
 using software_key = strong_type<std::uint32_t, struct software_key_tag>;
 // The name of a virtual machine in the platform's VM list.
 using vm_name = strong_type<std::string, struct vm_name_tag>;
+// A stable hash of the name of a pool.
+using pool_key = strong_type<std::uint64_t, struct pool_key_tag>;
+// A stable hash of a team and of the id of the caller's request that brought the first event of a stream.
+using stream_key = strong_type<std::uint64_t, struct stream_key_tag>;
 // The model or plain service that a request addresses. Capacity is shared fairly among teams within each pool.
 using pool_name = strong_type<std::string, struct pool_name_tag>;
 // The failure domain of a VM.
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -81,6 +81,9 @@
     m_retries.record_request(*pool, step.now);
     if (request.is_engine)
         m_ledger.record_requested(request.account, step.now, request.cost.weighted());
+    request.is_split = route->pools.size() > 1;
+    if (request.resumption && request.retry == retry_mode::resumable)
+        return admit_resumption(arrived.request, std::move(request), *route, step);
     admit(arrived.request, std::move(request), step);
 }
 
@@ -124,6 +127,8 @@
     choice.cost = &request.cost;
     choice.excluded = &request.tried_endpoints;
     choice.constraints = &request.constraints;
+    if (request.retry == retry_mode::resumable && !request.constraints.software && m_versions.is_settling(step.now))
+        choice.versions = &m_versions;
     choice.time_left_ms = static_cast<double>((request.arrived + request.objective - step.now).count());
     choice.is_engine = request.is_engine;
     auto const terms = terms_for(request, step);
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -69,7 +69,7 @@
         request.first_event_after = step.now - request.arrived;
         step.effects.emplace_back(timer_event { timer_kind::first_event, request.pool, request.first_event_after });
     }
-    record_answer_begun(request);
+    record_answer_begun(request, step.now);
     blame_endpoints(request, answer_stage::begun, step);
     step.effects.emplace_back(
         timer_event { timer_kind::attempt_first_event, request.pool, step.now - request.sent_at });
@@ -82,12 +82,12 @@
     serve_waiting_throttled(step);
 }
 
-void dispatch_reducer::record_answer_begun(active_request& request)
+void dispatch_reducer::record_answer_begun(active_request& request, instant now)
 {
-    if (std::exchange(request.has_answer_begun, true))
+    if (std::exchange(request.has_answer_begun, true) || request.form != answer_form::stream)
         return;
-    if (request.form == answer_form::stream)
-        request.constraints.software = request.software;
+    request.constraints.software = request.software;
+    record_stream(request, now);
 }
 
 void dispatch_reducer::record_first_event(active_request& request, endpoint_state& endpoint, step_context& step)
@@ -110,7 +110,7 @@
         return;
     auto& request = found->second;
     if (ended.has_answer_begun)
-        record_answer_begun(request);
+        record_answer_begun(request, step.now);
     request.events_forwarded += ended.events;
     auto const verdict = verdict_of(ended);
     if (!request.is_engine)
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -40,6 +40,7 @@
     , m_board(m_options.domain, m_options.policy, m_options.cold, m_options.vm, m_options.regions)
     , m_ledger(m_options.share_window)
     , m_retries(m_options.retries)
+    , m_versions(m_options.list_staleness_bound)
 {
 }
 
@@ -52,9 +53,13 @@
 
 void dispatch_reducer::handle(configuration_received const& received, step_context& step)
 {
+    auto const routes_before = m_routes.current().routes;
     if (m_routes.adopt(received.declared) == adoption::not_newer)
         return;
     auto const& current = m_routes.current();
+    update_stream_lifetime();
+    if (m_pool_changes.record(routes_before, current.routes, m_versions.stream_lifetime(), step.now))
+        record_running_streams(step.now);
     m_board.apply_pools(current.pools, current.limits.tokens_per_second);
     step.effects.emplace_back(log_line { severity::info, "configuration_in_force",
         log_fields()
@@ -93,6 +98,8 @@
 void dispatch_reducer::handle(endpoints_listed const& listed, step_context& step)
 {
     m_board.apply_list(listed.entries, step.now);
+    m_versions.apply_list(m_board.listed_versions(), step.now);
+    record_running_streams(step.now);
     m_has_list = true;
     step.effects.emplace_back(log_line { severity::debug, "endpoints_listed",
         log_fields()
@@ -201,6 +208,9 @@
 void dispatch_reducer::handle(peer_report const& report, step_context& step)
 {
     apply_crash_records(report, step);
+    apply_stream_records(report, step.now);
+    if (!m_awaited_versions.empty())
+        admit_awaited_resumptions(step);
     if (is_already_counted(report))
         return;
     if (report.subject == report_subject::domain)
@@ -253,6 +263,7 @@
 void dispatch_reducer::handle(tick const& ticked, step_context& step)
 {
     m_overload.record_tick({ ticked.lag, ticked.busy_fraction, ticked.link_fraction });
+    record_list_age(ticked.list_age, step.now);
     if (m_overload.update_overload_state(load_of_fleet(), step.now))
         update_ready(step);
     if (step.now - m_shares_updated_at >= shares_interval) {
@@ -267,6 +278,8 @@
         log_ended_backoffs(step);
     }
     probe_broken_endpoints(step);
+    if (!m_awaited_versions.empty())
+        admit_awaited_resumptions(step);
     if (!m_waiting.empty())
         serve_waiting(step);
     if (step.now - m_deadlines_checked_at >= deadline_interval) {
@@ -287,6 +300,8 @@
     if (step.now - m_parts_checked_at >= parts_interval) {
         m_parts_checked_at = step.now;
         m_board.forget_old_parts(step.now);
+        m_streams.forget_old(step.now);
+        m_pool_changes.forget_old(step.now);
     }
     stop_if_drained(step);
 }
@@ -343,6 +358,7 @@
     report.busy_fraction = m_overload.busy_fraction();
     report.parts = std::exchange(m_sent_parts, {});
     report.crashes = m_suspects.take_report_records(report_subject::router, scope, now);
+    report.streams = std::exchange(m_unreported_streams, {});
     return report;
 }
 
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -14,11 +14,15 @@
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/route_table.h"
+#include "libraries/dispatch/streams/pool_changes.h"
+#include "libraries/dispatch/streams/stream_directory.h"
+#include "libraries/dispatch/streams/version_history.h"
 #include "libraries/dispatch/suspects/crash_suspects.h"
 #include "libraries/dispatch/suspects/failing_requests.h"
 #include "libraries/dispatch/suspects/failing_teams.h"
 
 #include <list>
+#include <map>
 #include <unordered_map>
 
 namespace shedhill::dispatch {
@@ -34,6 +38,8 @@
     milliseconds share_window { 4000 };
     // The deadline of a request without one of its own, and the time limit of a route without one.
     milliseconds default_deadline { 15000 };
+    // The age up to which the list of endpoints is relied on, as the fleet's routers agree.
+    milliseconds list_staleness_bound { 2000 };
     dispatch_policy policy;
 };
 
@@ -79,6 +85,9 @@
         return m_suspects.own_quarantines(now);
     }
     [[nodiscard]] std::vector<cached_part> recent_parts(instant now) const { return m_board.recent_parts(now); }
+    // Adds to the report what a router that has just started needs to resume streams, with at most this many streams.
+    void add_stream_history(peer_report& report, std::size_t max_streams, instant now) const;
+    [[nodiscard]] std::size_t remembered_streams() const { return m_streams.size(); }
 
 private:
     enum class phase { waiting, running };
@@ -154,6 +163,10 @@
         bool has_requested_backoff { false };
         // Set if the caller resumes a stream.
         std::optional<stream_resumption> resumption;
+        // The route divides its requests among several pools.
+        bool is_split { false };
+        // The stream that the request begins or resumes is in the directory.
+        bool is_recorded { false };
         // Set at its arrival if any request was suspected then, and otherwise when one of its attempts breaks off.
         std::optional<content_hash> content;
         // The crash record of the request when the running attempt was sent.
@@ -267,6 +280,29 @@
     void record_request_fault(
         active_request const& request, endpoint_key instance, attempt_verdict verdict, step_context& step);
 
+    // Streams that callers resume.
+    [[nodiscard]] static stream_key stream_of(active_request const& request);
+    // Admits a request that resumes a stream, or refuses it at once if no router can know the stream's version.
+    // Otherwise the request awaits the next reports of the other routers.
+    void admit_resumption(request_number number, active_request request, route const& served_by, step_context& step);
+    // Admits the requests whose streams have become known, and refuses those that have waited too long.
+    void admit_awaited_resumptions(step_context& step);
+    // Binds the request to the version that began the stream, in whichever of the route's pools has it, and counts how
+    // the version is known. Returns the reason if the request is to be refused.
+    [[nodiscard]] refusal_reason bind_to_version(
+        active_request& request, route const& served_by, step_context& step) const;
+    // Returns the only version at which streams of the route can have begun, if this router can tell.
+    [[nodiscard]] std::optional<software_key> only_version_of(route const& served_by, instant now) const;
+    // Whether the list of endpoints is so recent that no other router can have begun a stream at a version that it
+    // lacks.
+    [[nodiscard]] bool has_recent_list(instant now) const;
+    // Records the request's stream, which has begun, unless every router can tell its version without a record.
+    void record_stream(active_request& request, instant now);
+    void record_running_streams(instant now);
+    void apply_stream_records(peer_report const& report, instant now);
+    void update_stream_lifetime();
+    void record_list_age(milliseconds age, instant now);
+
     // Requests that may crash endpoints.
     [[nodiscard]] static request_identity identity_of(active_request const& request);
     [[nodiscard]] suspicion suspicion_of(active_request const& request, step_context const& step) const;
@@ -295,7 +331,7 @@
     void remove_router_sources(failure_domain const& domain, step_context& step);
     void remove_silent_peers(step_context& step);
     // Records that the caller has received a part of the answer, to which only the same software can add.
-    static void record_answer_begun(active_request& request);
+    void record_answer_begun(active_request& request, instant now);
     void record_first_event(active_request& request, endpoint_state& endpoint, step_context& step);
     // Records the delay of overdue first events, which shows that their engines are slow.
     void update_overdue(instant now);
@@ -339,6 +375,21 @@
     instant m_rates_logged_at {};
     instant m_waiting_served_at {};
     overload_guard m_overload;
+    version_history m_versions;
+    pool_changes m_pool_changes;
+    stream_directory m_streams;
+    // A request that resumes a stream of unknown version, until another router reports the stream.
+    struct awaited_version {
+        route served_by;
+        instant until {};
+    };
+    std::map<request_number, awaited_version> m_awaited_versions;
+    // The streams recorded since the last report.
+    std::vector<stream_record> m_unreported_streams;
+    instant m_list_confirmed_at {};
+    instant m_ticked_at {};
+    // Until then, what the process reads may have arrived while it was paused.
+    instant m_paused_until {};
     crash_suspects m_suspects;
     failing_requests m_failing;
     failing_teams m_failing_teams;
--- /dev/null
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Handles requests that resume a stream: which software version began it, and which other routers need to know.
+#include "base/hash.h"
+#include "libraries/dispatch/dispatch_reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedhill::dispatch {
+
+namespace {
+
+// A stream and the caller's next request last up to the route's time limit each.
+constexpr std::int64_t stream_lifetime_limits = 2;
+// Ticks come every few milliseconds. After a longer pause the process may read what has arrived in the meantime.
+constexpr milliseconds max_tick_pause { 250 };
+// Within this time the reports arrive that routers sent at the latest when the caller returned: the longest interval
+// between two reports, and their way.
+constexpr milliseconds max_report_delay { 150 };
+constexpr std::uint16_t status_unavailable = 503;
+
+} // namespace
+
+stream_key dispatch_reducer::stream_of(active_request const& request)
+{
+    return key_of_stream(request.account, request.resumption ? request.resumption->first_request : request.caller_id);
+}
+
+void dispatch_reducer::admit_resumption(
+    request_number number, active_request request, route const& served_by, step_context& step)
+{
+    bool const is_known = m_streams.find(stream_of(request), step.now) || only_version_of(served_by, step.now);
+    if (!is_known && other_routers() > 0) {
+        m_awaited_versions.insert_or_assign(number, awaited_version { served_by, step.now + max_report_delay });
+        m_requests.insert_or_assign(number, std::move(request));
+        return;
+    }
+    auto const reason = bind_to_version(request, served_by, step);
+    if (reason == refusal_reason::none)
+        return admit(number, std::move(request), step);
+    auto& stored = m_requests.insert_or_assign(number, std::move(request)).first->second;
+    refuse(number, stored, status_unavailable, reason, step);
+}
+
+void dispatch_reducer::admit_awaited_resumptions(step_context& step)
+{
+    for (auto next = m_awaited_versions.begin(); next != m_awaited_versions.end();) {
+        auto const number = next->first;
+        auto const found = m_requests.find(number);
+        if (found == m_requests.end()) {
+            next = m_awaited_versions.erase(next);
+            continue;
+        }
+        auto& request = found->second;
+        if (!m_streams.find(stream_of(request), step.now) && step.now < next->second.until) {
+            ++next;
+            continue;
+        }
+        auto const served_by = std::move(next->second.served_by);
+        next = m_awaited_versions.erase(next);
+        auto const reason = bind_to_version(request, served_by, step);
+        if (reason == refusal_reason::none)
+            admit(number, std::move(request), step);
+        else
+            refuse(number, request, status_unavailable, reason, step);
+    }
+}
+
+refusal_reason dispatch_reducer::bind_to_version(
+    active_request& request, route const& served_by, step_context& step) const
+{
+    auto version = m_streams.find(stream_of(request), step.now);
+    std::string_view source = "recorded";
+    if (!version) {
+        version = only_version_of(served_by, step.now);
+        source = version ? "only_version" : "unknown";
+    }
+    step.effects.emplace_back(count_event { counter_kind::resumptions, source });
+    if (!version)
+        return refusal_reason::unknown_version;
+    request.constraints.software = version;
+    for (auto const& candidate : served_by.pools) {
+        if (!m_board.has_endpoints(candidate.pool, request.constraints))
+            continue;
+        request.pool = candidate.pool;
+        return refusal_reason::none;
+    }
+    return reason_for_no_endpoint(request, step);
+}
+
+std::optional<software_key> dispatch_reducer::only_version_of(route const& served_by, instant now) const
+{
+    if (!has_recent_list(now) || !m_versions.is_complete(now))
+        return std::nullopt;
+    std::vector<software_key> possible;
+    for (auto const& candidate : served_by.pools)
+        m_versions.append_possible(candidate.pool, possible, now);
+    for (auto const& former : m_pool_changes.former_pools_of(served_by, now))
+        m_versions.append_possible(former, possible, now);
+    if (possible.empty() || std::ranges::any_of(possible, [&](software_key key) { return key != possible.front(); }))
+        return std::nullopt;
+    return possible.front();
+}
+
+bool dispatch_reducer::has_recent_list(instant now) const
+{
+    return now - m_list_confirmed_at <= m_versions.staleness_bound() && now - m_ticked_at <= max_tick_pause
+        && now >= m_paused_until;
+}
+
+void dispatch_reducer::record_list_age(milliseconds age, instant now)
+{
+    if (m_ticked_at != instant {} && now - m_ticked_at > max_tick_pause)
+        m_paused_until = now + m_versions.staleness_bound();
+    m_ticked_at = now;
+    m_list_confirmed_at = now - age;
+}
+
+void dispatch_reducer::record_stream(active_request& request, instant now)
+{
+    if (request.retry != retry_mode::resumable || request.is_recorded || !request.constraints.software)
+        return;
+    bool const can_all_tell = !request.is_split && m_pool_changes.is_empty() && m_versions.is_complete(now)
+        && m_versions.has_one_version(request.pool);
+    if (can_all_tell)
+        return;
+    request.is_recorded = true;
+    auto const stream = stream_of(request);
+    auto const lifetime = m_versions.stream_lifetime();
+    if (m_streams.record(stream, *request.constraints.software, now + lifetime))
+        m_unreported_streams.push_back({ stream, *request.constraints.software, lifetime });
+}
+
+void dispatch_reducer::record_running_streams(instant now)
+{
+    for (auto& [number, request] : m_requests) {
+        if (request.has_answer_begun)
+            record_stream(request, now);
+    }
+}
+
+void dispatch_reducer::apply_stream_records(peer_report const& report, instant now)
+{
+    for (auto const& [stream, software, left] : report.streams)
+        m_streams.record(stream, software, now + left);
+    m_versions.merge(report.versions, report.versions_observed, now);
+}
+
+void dispatch_reducer::add_stream_history(peer_report& report, std::size_t max_streams, instant now) const
+{
+    report.streams = m_streams.newest(max_streams, now);
+    // A route that was moved to other pools makes the versions of its pools alone misleading.
+    if (!m_pool_changes.is_empty())
+        return;
+    report.versions = m_versions.sightings(now);
+    report.versions_observed = m_versions.observed(now);
+}
+
+void dispatch_reducer::update_stream_lifetime()
+{
+    auto longest = m_options.default_deadline;
+    for (auto const& declared : m_routes.current().routes) {
+        if (declared.retry == retry_mode::resumable)
+            longest = std::max(longest, declared.time_limit);
+    }
+    m_versions.set_stream_lifetime(longest * stream_lifetime_limits);
+}
+
+} // namespace shedhill::dispatch
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -96,13 +96,15 @@
     crashes,
     // Failures of attempts that were caused by their requests.
     request_faults,
+    // Requests that resume a stream, by how this router knows the version that began the stream.
+    resumptions,
     cancelled,
 };
 
 // Increments a counter of the metrics.
 struct count_event {
     counter_kind which { counter_kind::requests };
-    // The reason of a refusal, a failed attempt or a notice; empty for other counters.
+    // The reason of a refusal, a failed attempt, a notice or a resumption; empty for other counters.
     std::string_view reason;
 };
 
--- a/libraries/dispatch/endpoints/endpoint_board.cpp
+++ b/libraries/dispatch/endpoints/endpoint_board.cpp
@@ -175,6 +175,16 @@
     update_rate_priors();
 }
 
+std::vector<listed_software> endpoint_board::listed_versions() const
+{
+    std::vector<listed_software> versions;
+    for (auto const& [key, state] : m_endpoints) {
+        if (std::ranges::find(versions, state->software, &listed_software::software) == versions.end())
+            versions.push_back({ state->entry.pool, state->software });
+    }
+    return versions;
+}
+
 void endpoint_board::forget_name(endpoint_state const& state)
 {
     auto const found = m_by_name.find(state.entry.name);
--- a/libraries/dispatch/endpoints/endpoint_board.h
+++ b/libraries/dispatch/endpoints/endpoint_board.h
@@ -18,6 +18,7 @@
 #include "libraries/dispatch/engines/unreported_work.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/dispatch/policy.h"
+#include "libraries/dispatch/streams/version_history.h"
 
 #include <memory>
 #include <optional>
@@ -116,6 +117,9 @@
     std::uint64_t spread { 0 };
     // Null if any endpoint of the pool may serve the request.
     endpoint_constraints const* constraints { nullptr };
+    // Set if the request begins a stream that may be resumed, which does not begin at a version that this history
+    // excludes.
+    version_history const* versions { nullptr };
     // Time left of the objective.
     double time_left_ms { 0 };
     // Fraction of an endpoint's slots that may be in use for this request to be admitted.
@@ -184,6 +188,8 @@
     // Whether the pool has endpoints that satisfy the constraints, but all of them are in evacuated failure domains.
     [[nodiscard]] bool is_evacuated(pool_name const& pool, endpoint_constraints const& constraints = {}) const;
     [[nodiscard]] std::set<failure_domain> const& evacuated() const { return m_evacuated; }
+    // Returns the versions of the software of all endpoints, listed or with running attempts, each once.
+    [[nodiscard]] std::vector<listed_software> listed_versions() const;
     [[nodiscard]] std::size_t listed_endpoints() const { return m_by_name.size(); }
     // Returns the number of known endpoint instances in the failure domain.
     [[nodiscard]] std::size_t endpoints_in(failure_domain const& domain) const;
--- a/libraries/dispatch/endpoints/endpoint_choice.cpp
+++ b/libraries/dispatch/endpoints/endpoint_choice.cpp
@@ -109,6 +109,8 @@
             continue;
         if (request.constraints != nullptr && !request.constraints->allows(state->region, state->software))
             continue;
+        if (request.versions != nullptr && !request.versions->may_begin(state->entry.pool, state->software, now))
+            continue;
         // This check precedes the rules on ejection, none of which may send a request to an endpoint that is backing
         // off.
         if (!state->announced.backoff.may_send(now) || is_cold_limited(*state, now))
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "libraries/dispatch/engines/engine_work.h"
+#include "libraries/dispatch/streams/stream_directory.h"
+#include "libraries/dispatch/streams/version_history.h"
 #include "libraries/dispatch/suspects/crash_evidence.h"
 #include "libraries/dispatch/suspects/crash_record.h"
 #include "libraries/dispatch/types.h"
@@ -157,6 +159,11 @@
     std::uint32_t routers { 1 };
     // Records of requests that may crash endpoints.
     std::vector<crash_record> crashes {};
+    // Streams that began at the described routers, in pools of which several versions serve.
+    std::vector<stream_record> streams {};
+    // For a router that has just started: the versions of all pools, and the time for which the sender has seen them.
+    std::vector<version_sighting> versions {};
+    milliseconds versions_observed { 0 };
 
     [[nodiscard]] report_source source() const
     {
@@ -185,6 +192,8 @@
     double busy_fraction { 0 };
     // The fraction of the VM's link that was in use in that time, in the busier direction, from 0 to 1.
     double link_fraction { 0 };
+    // The time since the store confirmed the list of endpoints, to this router or to one that reported it.
+    milliseconds list_age { 0 };
 };
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
--- /dev/null
+++ b/libraries/dispatch/streams/pool_changes.h
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Remembers which pools a route's streams may have begun at before the configuration moved the route to others.
+#pragma once
+
+#include "libraries/dispatch/types.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace shedhill::dispatch {
+
+class pool_changes {
+public:
+    // Records the routes whose requests went to other pools before. `lifetime` is the time for which a stream may be
+    // resumed. Returns whether there are any.
+    bool record(std::vector<route> const& before, std::vector<route> const& after, milliseconds lifetime, instant now);
+    // Returns the pools that served the route's requests within the lifetime of a stream before a change.
+    [[nodiscard]] std::vector<pool_name> former_pools_of(route const& of, instant now) const;
+    [[nodiscard]] bool is_empty() const { return m_former.empty(); }
+    void forget_old(instant now);
+
+private:
+    struct former_pool {
+        pool_name pool;
+        instant until {};
+    };
+    static std::string key_of(route const& of) { return of.host + of.path_prefix; }
+    bool add(route const& changed, route const& earlier, instant until);
+
+    std::unordered_map<std::string, std::vector<former_pool>> m_former;
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/streams/stream_directory.h
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Remembers which software version began each stream, while a caller may resume the stream. Routers tell each other
+// what they record, because a caller's next request often arrives at another router, for example after the first one
+// has ended. A record is a hint of short life: if it is lost the resumption is refused.
+#pragma once
+
+#include "base/identifiers.h"
+#include "base/units.h"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace shedhill::dispatch {
+
+// One stream in a report to other routers.
+struct stream_record {
+    stream_key stream;
+    software_key software;
+    // The time for which the stream may still be resumed.
+    milliseconds left { 0 };
+};
+
+class stream_directory {
+public:
+    // The records of a router that begins 700 streams in a second which are remembered for 30 seconds each.
+    static constexpr std::size_t max_records = 21000;
+
+    // Records that the software began the stream. The first record of a stream stays: only one version begins it.
+    // Returns whether the record is new.
+    bool record(stream_key stream, software_key software, instant until);
+    [[nodiscard]] std::optional<software_key> find(stream_key stream, instant now) const;
+    void forget_old(instant now);
+
+    [[nodiscard]] std::size_t size() const { return m_streams.size(); }
+    // Returns the newest records, at most this many, for a router that has just started.
+    [[nodiscard]] std::vector<stream_record> newest(std::size_t max_count, instant now) const;
+
+private:
+    struct entry {
+        software_key software;
+        instant until {};
+    };
+
+    // Invariant: contains at most max_records, and the same streams as m_order.
+    std::unordered_map<stream_key, entry> m_streams;
+    // The streams in the order in which they were recorded.
+    std::deque<stream_key> m_order;
+};
+
+} // namespace shedhill::dispatch
--- /dev/null
+++ b/libraries/dispatch/streams/version_history.h
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Tracks which software versions of each pool may have begun a stream that a caller can still resume. While only one
+// may have, every router knows the version of every stream without any message.
+//
+// This needs an agreement between routers that may see the list of endpoints at different times. A router relies on the
+// history only if the store confirmed its list within the staleness bound, and a router begins streams at a new version
+// only once it has listed that version for longer than the bound. So when the first stream of a version begins, no
+// router still relies on a list without that version.
+#pragma once
+
+#include "base/identifiers.h"
+#include "base/units.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace shedhill::dispatch {
+
+// A version of a pool's software that at least one endpoint runs.
+struct listed_software {
+    pool_name pool;
+    software_key software;
+
+    bool operator==(listed_software const&) const = default;
+};
+
+// A version that another router lists, or has listed within the lifetime of a stream.
+struct version_sighting {
+    pool_key pool;
+    software_key software;
+    // The time since an endpoint of the version was last listed; 0 if one is.
+    milliseconds listed_ago { 0 };
+};
+
+class version_history {
+public:
+    // The time by which the first stream of a new version is later than the staleness bound, for the time that a
+    // confirmation of the list takes to arrive.
+    static constexpr milliseconds settling_margin { 500 };
+
+    // `staleness_bound` is the same at all routers of a fleet.
+    explicit version_history(milliseconds staleness_bound)
+        : m_staleness_bound(staleness_bound)
+    {
+    }
+
+    // Sets the time for which a caller may resume a stream after its begin.
+    void set_stream_lifetime(milliseconds lifetime) { m_lifetime = lifetime; }
+    [[nodiscard]] milliseconds stream_lifetime() const { return m_lifetime; }
+    [[nodiscard]] milliseconds staleness_bound() const { return m_staleness_bound; }
+
+    // Applies the versions of all endpoints that are listed now.
+    void apply_list(std::vector<listed_software> const& listed, instant now);
+    // Whether a stream may begin at this version: not while it is new beside other listed versions of its pool.
+    [[nodiscard]] bool may_begin(pool_name const& pool, software_key software, instant now) const;
+    // Whether any version is still new, so that may_begin() excludes it.
+    [[nodiscard]] bool is_settling(instant now) const { return now < m_settled_at; }
+    // Whether every known pool has had one version only within the lifetime of a stream.
+    [[nodiscard]] bool has_one_version_each() const { return m_has_one_version_each; }
+    [[nodiscard]] bool has_one_version(pool_name const& pool) const;
+    // Adds the versions of the pool at which streams that can still be resumed may have begun.
+    void append_possible(pool_name const& pool, std::vector<software_key>& possible, instant now) const;
+    // Whether the history reaches back for the lifetime of a stream, so that append_possible() omits no version.
+    [[nodiscard]] bool is_complete(instant now) const;
+
+    // Completes the history of a router that has just started by what another one observed for this time.
+    void merge(std::vector<version_sighting> const& sightings, milliseconds observed, instant now);
+    // Returns the history for a router that has just started. `observed()` tells how far back it reaches.
+    [[nodiscard]] std::vector<version_sighting> sightings(instant now) const;
+    [[nodiscard]] milliseconds observed(instant now) const;
+
+private:
+    struct version_record {
+        software_key software;
+        bool is_listed { false };
+        // The time of the last list that contained the version.
+        instant last_listed_at {};
+        // The times from which other routers may have begun streams at the version, and this router may.
+        instant possible_from {};
+        instant settled_at {};
+    };
+
+    static version_record* find(std::vector<version_record>& records, software_key software);
+    void forget_old(instant now);
+    void update_summary();
+
+    milliseconds m_staleness_bound;
+    milliseconds m_lifetime { 30000 };
+    std::unordered_map<pool_key, std::vector<version_record>> m_pools;
+    // The time since which the history contains all versions; empty before the first list.
+    std::optional<instant> m_observed_since;
+    // Derived from m_pools.
+    bool m_has_one_version_each { true };
+    instant m_settled_at {};
+};
+
+} // namespace shedhill::dispatch
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -178,6 +178,8 @@
     no_allowed_region,
     // No available endpoint runs the software version that began the stream.
     no_matching_version,
+    // The router cannot tell which software version began the stream that the caller resumes.
+    unknown_version,
     team_over_share,
     // No endpoint had free capacity, or could start the request in time, within the request's maximum wait.
     no_place,
@@ -227,6 +229,8 @@
         return "no_allowed_region";
     case refusal_reason::no_matching_version:
         return "no_matching_version";
+    case refusal_reason::unknown_version:
+        return "unknown_version";
     case refusal_reason::team_over_share:
         return "team_over_share";
     case refusal_reason::no_place:
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -38,6 +38,14 @@
     return static_cast<Field>(std::clamp(static_cast<double>(value), 0.0, max_value));
 }
 
+// Returns a null offset for an empty vector, which takes no bytes in the message.
+template <typename Struct>
+flatbuffers::Offset<flatbuffers::Vector<Struct const*>> create_unless_empty(
+    flatbuffers::FlatBufferBuilder& builder, std::vector<Struct> const& structs)
+{
+    return structs.empty() ? 0 : builder.CreateVectorOfStructs(structs);
+}
+
 // The unit of reported prefill tokens. Reports cover thousands of tokens each; with this unit, up to two million fit
 // into the two bytes of the field.
 constexpr double tokens_per_unit = 32;
@@ -72,6 +80,29 @@
         milliseconds(crash.since_crash_ms()) };
 }
 
+fbs::Stream to_wire(dispatch::stream_record const& record)
+{
+    return { record.stream.value(), record.software.value(), saturate<std::uint32_t>(record.left.count()) };
+}
+
+// Limits the received time, for which the receiver keeps the record.
+dispatch::stream_record from_wire(fbs::Stream const& stream)
+{
+    constexpr std::uint32_t max_left_ms = 10 * 60 * 1000;
+    return { stream_key(stream.stream()), software_key(stream.software()),
+        milliseconds(std::min(stream.left_ms(), max_left_ms)) };
+}
+
+fbs::Sighting to_wire(dispatch::version_sighting const& sighting)
+{
+    return { sighting.pool.value(), sighting.software.value(), saturate<std::uint32_t>(sighting.listed_ago.count()) };
+}
+
+dispatch::version_sighting from_wire(fbs::Sighting const& sighting)
+{
+    return { pool_key(sighting.pool()), software_key(sighting.software()), milliseconds(sighting.listed_ago_ms()) };
+}
+
 flatbuffers::Offset<fbs::State> encode(flatbuffers::FlatBufferBuilder& builder, state_message const& state)
 {
     std::vector<fbs::Work> work;
@@ -87,6 +118,12 @@
     std::vector<fbs::Crash> crashes;
     for (auto const& record : state.report.crashes)
         crashes.push_back(to_wire(record));
+    std::vector<fbs::Stream> streams;
+    for (auto const& record : state.report.streams)
+        streams.push_back(to_wire(record));
+    std::vector<fbs::Sighting> versions;
+    for (auto const& sighting : state.report.versions)
+        versions.push_back(to_wire(sighting));
     std::vector<flatbuffers::Offset<fbs::DocumentVersion>> documents;
     for (auto const& document : state.documents)
         documents.push_back(fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(document.kind),
@@ -105,7 +142,9 @@
         state.report.overloaded_routers > 0, static_cast<float>(state.report.busy_fraction), domain, state.weight,
         state.report.subject == dispatch::report_subject::domain, saturate<std::uint16_t>(state.report.routers),
         saturate<std::uint16_t>(state.report.overloaded_routers), state.number, state.is_forwarded,
-        builder.CreateVectorOfStructs(work), builder.CreateVectorOfStructs(crashes));
+        builder.CreateVectorOfStructs(work), builder.CreateVectorOfStructs(crashes),
+        create_unless_empty(builder, streams), create_unless_empty(builder, versions),
+        saturate<std::uint32_t>(state.report.versions_observed.count()));
 }
 
 result<state_message> decode(fbs::State const& state)
@@ -139,6 +178,15 @@
         for (auto const* crash : *state.crashes())
             decoded.report.crashes.push_back(from_wire(*crash));
     }
+    if (state.streams() != nullptr) {
+        for (auto const* stream : *state.streams())
+            decoded.report.streams.push_back(from_wire(*stream));
+    }
+    if (state.versions() != nullptr) {
+        for (auto const* sighting : *state.versions())
+            decoded.report.versions.push_back(from_wire(*sighting));
+    }
+    decoded.report.versions_observed = milliseconds(state.versions_observed_ms());
     if (state.documents() != nullptr) {
         for (auto const* document : *state.documents()) {
             auto const kind = TRY(kind_of(document->kind()));
--- a/services/shedhilld/counter_names.cpp
+++ b/services/shedhilld/counter_names.cpp
@@ -28,6 +28,8 @@
         return "shedhill_request_crashes_total";
     case dispatch::counter_kind::request_faults:
         return "shedhill_request_faults_total";
+    case dispatch::counter_kind::resumptions:
+        return with_reason("shedhill_stream_resumptions_total");
     case dispatch::counter_kind::cancelled:
         break;
     }
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -103,6 +103,8 @@
     [[nodiscard]] bool is_domain_delegate() const { return m_is_domain_delegate; }
 
 private:
+    // The streams that all routers together tell one that has just started: 256 kB.
+    static constexpr std::size_t max_greeting_streams = 16384;
     // How often a router sends a full report to the routers of its failure domain.
     static constexpr milliseconds full_report_interval { 1000 };
     // The same for the sums of a failure domain. It is longer, because full sums of 3,000 endpoints take 72 kB and a
@@ -173,6 +175,7 @@
         state.report.loads.clear();
         state.report.parts.clear();
         state.report.crashes.clear();
+        state.report.streams.clear();
         state.members = directory().members();
         send_members(state, now);
         send_to_new_peers(new_peers, std::move(state), now);
@@ -190,14 +193,15 @@
             m_peers.send_to(address, frame, relay::traffic_kind::own_state);
     }
 
-    // Sends a router that has just connected the list of routers, the recently placed parts of prompts, and the crash
-    // records.
+    // Sends a router that has just connected the list of routers, the recently placed parts of prompts, the crash
+    // records, and what it needs to resume streams.
     void send_to_new_peers(std::vector<std::string> const& new_peers, peering::state_message state, instant now)
     {
         if (new_peers.empty())
             return;
         state.report.parts = m_owner.reducer().recent_parts(now);
         state.report.crashes = m_owner.reducer().crash_records(now);
+        m_owner.reducer().add_stream_history(state.report, max_greeting_streams / directory().size(), now);
         auto const frame = peering::encode_frame(std::move(state));
         for (auto const& address : new_peers) {
             if (directory().receives_own_reports(address))
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -149,6 +149,7 @@
         options.retries = { settings.retry_ratio, settings.retry_window, settings.retry_slack, 1 };
         options.cold = { settings.cold_overage, settings.cold_slack };
         options.share_window = settings.share_window;
+        options.list_staleness_bound = settings.leaving_bound;
         options.policy = policy;
         return options;
     }
@@ -333,7 +334,8 @@
             signals.reload = 0;
             reload();
         }
-        reduce(dispatch::tick { lag, m_loop.take_busy_fraction(), m_loop.take_link_fraction() });
+        reduce(dispatch::tick {
+            lag, m_loop.take_busy_fraction(), m_loop.take_link_fraction(), m_fleet_view.endpoint_list_age() });
         m_log.flush();
         process_events();
         auto const draw = m_random();
--- a/services/shedhilld/router_gauges.cpp
+++ b/services/shedhilld/router_gauges.cpp
@@ -20,6 +20,7 @@
     registry.set("shedhill_other_routers", static_cast<double>(reducer.other_routers()));
     registry.set("shedhill_suspected_requests", static_cast<double>(reducer.suspects().suspects()));
     registry.set("shedhill_quarantined_requests", static_cast<double>(reducer.suspects().quarantined()));
+    registry.set("shedhill_remembered_streams", static_cast<double>(reducer.remembered_streams()));
     registry.set("shedhill_evacuated_domains", static_cast<double>(reducer.evacuated_domains()));
 }
 
--- a/tests/dispatch/stream_simulation.cpp
+++ b/tests/dispatch/stream_simulation.cpp
@@ -191,14 +191,43 @@
             entries.push_back(known.entry);
     }
     deliver(router, endpoints_listed { std::move(entries) });
+    connect(router);
 }
 
-void stream_simulation::cut_off(std::size_t router) { m_routers.at(router).is_cut_off = true; }
+void stream_simulation::connect(std::size_t router)
+{
+    for (std::size_t other = 0; other < m_routers.size(); ++other) {
+        if (other == router || !is_up(other) || m_routers[other].is_cut_off)
+            continue;
+        greet(other, router);
+        greet(router, other);
+    }
+}
+
+void stream_simulation::greet(std::size_t sender, std::size_t receiver)
+{
+    if (domain_of(sender) != domain_of(receiver))
+        return;
+    peer_report report;
+    report.peer = vm_name("router-" + std::to_string(sender));
+    report.domain = domain_of(sender);
+    report.scope = report_scope::changes;
+    m_routers[sender].reducer->add_stream_history(report, stream_directory::max_records, m_now);
+    m_routers[receiver].inbox.push_back({ m_now + m_options.delay, std::move(report) });
+}
+
+void stream_simulation::cut_off(std::size_t router)
+{
+    m_routers.at(router).is_cut_off = true;
+    m_routers.at(router).cut_off_at = m_now;
+    m_routers.at(router).inbox.clear();
+}
 
 void stream_simulation::end_cut(std::size_t router)
 {
     m_routers.at(router).is_cut_off = false;
     publish_list();
+    connect(router);
 }
 
 void stream_simulation::deliver(std::size_t router, event_body body)
@@ -358,7 +387,10 @@
         });
         for (auto& queued : due)
             deliver(index, std::move(queued.body));
-        deliver(index, tick {});
+        tick ticked;
+        if (receiver.is_cut_off)
+            ticked.list_age = m_now - receiver.cut_off_at;
+        deliver(index, ticked);
     }
     exchange_reports();
 }
--- a/tests/dispatch/stream_simulation.h
+++ b/tests/dispatch/stream_simulation.h
@@ -85,6 +85,7 @@
     struct router {
         std::unique_ptr<dispatch_reducer> reducer;
         bool is_cut_off { false };
+        instant cut_off_at {};
         instant reported_at {};
         std::vector<message> inbox;
     };
@@ -122,6 +123,9 @@
     void send_request(std::size_t stream, std::size_t router);
     void resume(std::size_t stream);
     void publish_list();
+    // Exchanges what connected routers tell each other first.
+    void connect(std::size_t router);
+    void greet(std::size_t sender, std::size_t receiver);
     void deliver(std::size_t router, event_body body);
     void carry_out(std::size_t router, effect_list const& effects);
     void start_run(std::size_t router, send_attempt const& attempt);
