dispatch: A resumption precedes requests that any endpoint can serve

Callers would see: during a roll-out under overload, streams that broke off are refused, because new streams crowd the few endpoints of their version, although other versions could serve the new ones.

Cause: a resumption bound to a version competed with new requests, which have the whole pool to choose from.

Each record permits four such resumptions at a router, so that nobody passes others with one stream again and again.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -6,6 +6,7 @@
 #include "libraries/dispatch/log_fields.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace shedhill::dispatch {
 
@@ -101,7 +102,7 @@
     if (cannot_be_served(stored, step))
         return refuse(number, stored, status_unavailable, reason_for_no_endpoint(stored, step), step);
     // While others wait, serve_waiting() decides the order by priority and by the teams' levels.
-    if (m_waiting.empty() && try_to_send(number, stored, step))
+    if ((m_waiting.empty() || stored.precedes_others) && try_to_send(number, stored, step))
         return;
     // Refuses immediately if the team's excess leaves it no slots, or if the team is ahead while many requests wait.
     if (terms_for(stored, step).max_load <= 0
@@ -162,7 +163,7 @@
 
 share_status dispatch_reducer::share_status_of(active_request const& request, step_context const& step)
 {
-    if (!request.is_engine || request.team.value().empty())
+    if (!request.is_engine || request.team.value().empty() || request.precedes_others)
         return share_status::within_share;
     return dispatch::share_status_of(account_of(request, step));
 }
@@ -277,6 +278,7 @@
     m_waiting_served_at = step.now;
     struct candidate {
         request_number number;
+        bool is_after_others;
         std::uint32_t priority;
         token_count level;
     };
@@ -284,9 +286,11 @@
     order.reserve(m_waiting.size());
     for (auto const number : m_waiting) {
         auto const& request = m_requests.at(number);
-        order.push_back({ number, request.priority, m_ledger.level(request.account, step.now) });
+        order.push_back(
+            { number, !request.precedes_others, request.priority, m_ledger.level(request.account, step.now) });
     }
-    std::ranges::stable_sort(order, {}, [](candidate const& entry) { return std::pair(entry.priority, entry.level); });
+    std::ranges::stable_sort(order, {},
+        [](candidate const& entry) { return std::tuple(entry.is_after_others, entry.priority, entry.level); });
     std::size_t failed_choices = 0;
     for (auto const& entry : order) {
         auto& request = m_requests.at(entry.number);
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -167,6 +167,9 @@
         bool is_split { false };
         // The stream that the request begins or resumes is in the directory.
         bool is_recorded { false };
+        // The request resumes a recorded stream. Its team was charged for the stream before, and only the endpoints of
+        // one version can serve it, so it precedes requests that any endpoint can serve.
+        bool precedes_others { false };
         // Set at its arrival if any request was suspected then, and otherwise when one of its attempts breaks off.
         std::optional<content_hash> content;
         // The crash record of the request when the running attempt was sent.
@@ -289,8 +292,7 @@
     void admit_awaited_resumptions(step_context& step);
     // Binds the request to the version that began the stream, in whichever of the route's pools has it, and counts how
     // the version is known. Returns the reason if the request is to be refused.
-    [[nodiscard]] refusal_reason bind_to_version(
-        active_request& request, route const& served_by, step_context& step) const;
+    [[nodiscard]] refusal_reason bind_to_version(active_request& request, route const& served_by, step_context& step);
     // Returns the only version at which streams of the route can have begun, if this router can tell.
     [[nodiscard]] std::optional<software_key> only_version_of(route const& served_by, instant now) const;
     // Whether the list of endpoints is so recent that no other router can have begun a stream at a version that it
--- a/libraries/dispatch/dispatch_streams.cpp
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -66,10 +66,10 @@
     }
 }
 
-refusal_reason dispatch_reducer::bind_to_version(
-    active_request& request, route const& served_by, step_context& step) const
+refusal_reason dispatch_reducer::bind_to_version(active_request& request, route const& served_by, step_context& step)
 {
     auto version = m_streams.find(stream_of(request), step.now);
+    request.precedes_others = m_streams.take_precedence(stream_of(request));
     std::string_view source = "recorded";
     if (!version) {
         version = only_version_of(served_by, step.now);
--- a/libraries/dispatch/streams/stream_directory.cpp
+++ b/libraries/dispatch/streams/stream_directory.cpp
@@ -8,7 +8,7 @@
 
 bool stream_directory::record(stream_key stream, software_key software, instant until)
 {
-    auto const [found, is_new] = m_streams.try_emplace(stream, entry { software, until });
+    auto const [found, is_new] = m_streams.try_emplace(stream, entry { software, until, 0 });
     if (!is_new) {
         found->second.until = std::max(found->second.until, until);
         return false;
@@ -29,6 +29,15 @@
     return found->second.software;
 }
 
+bool stream_directory::take_precedence(stream_key stream)
+{
+    auto const found = m_streams.find(stream);
+    if (found == m_streams.end() || found->second.precedences >= max_precedences)
+        return false;
+    ++found->second.precedences;
+    return true;
+}
+
 void stream_directory::forget_old(instant now)
 {
     // Records last about equally long, so those that have expired are at the front.
@@ -42,7 +51,7 @@
 {
     std::vector<stream_record> result;
     for (auto stream = m_order.rbegin(); stream != m_order.rend() && result.size() < max_count; ++stream) {
-        auto const& [software, until] = m_streams.at(*stream);
+        auto const& [software, until, precedences] = m_streams.at(*stream);
         if (now < until)
             result.push_back({ *stream, software, until - now });
     }
--- a/libraries/dispatch/streams/stream_directory.h
+++ b/libraries/dispatch/streams/stream_directory.h
@@ -26,11 +26,15 @@
 public:
     // The records of a router that begins 700 streams in a second which are remembered for 30 seconds each.
     static constexpr std::size_t max_records = 21000;
+    static constexpr std::uint8_t max_precedences = 4;
 
     // Records that the software began the stream. The first record of a stream stays: only one version begins it.
     // Returns whether the record is new.
     bool record(stream_key stream, software_key software, instant until);
     [[nodiscard]] std::optional<software_key> find(stream_key stream, instant now) const;
+    // Whether a resumption of the stream may precede other requests. Each record permits a few, so that nobody passes
+    // others again and again by resuming one stream.
+    [[nodiscard]] bool take_precedence(stream_key stream);
     void forget_old(instant now);
 
     [[nodiscard]] std::size_t size() const { return m_streams.size(); }
@@ -41,6 +45,7 @@
     struct entry {
         software_key software;
         instant until {};
+        std::uint8_t precedences { 0 };
     };
 
     // Invariant: contains at most max_records, and the same streams as m_order.
--- a/tests/dispatch/dispatch_driver.h
+++ b/tests/dispatch/dispatch_driver.h
@@ -151,6 +151,9 @@
         }
     }
 
+    // Advances the time without a tick, as for a process that is paused.
+    void pause(milliseconds time) { m_now += time; }
+
     [[nodiscard]] std::vector<send_attempt> sent_for(request_number request) const
     {
         std::vector<send_attempt> found;
--- a/tests/dispatch/stream_simulation.cpp
+++ b/tests/dispatch/stream_simulation.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-configuration stream_configuration()
+configuration stream_configuration(std::uint32_t slots)
 {
-    constexpr std::uint32_t slots = 64;
     auto result = dispatch_driver::usual_configuration();
     for (auto& pool : result.pools) {
         if (pool.is_engine())
@@ -53,7 +52,7 @@
 std::size_t stream_simulation::add_endpoint(std::string const& version)
 {
     endpoint added;
-    added.entry = dispatch_driver::make_endpoint("e" + std::to_string(m_endpoints.size()), "model", 64);
+    added.entry = dispatch_driver::make_endpoint("e" + std::to_string(m_endpoints.size()), "model", m_options.slots);
     added.entry.version = version;
     m_endpoints.push_back(std::move(added));
     publish_list();
@@ -184,7 +183,7 @@
     settings.retries = { 1, milliseconds(10000), 10000, static_cast<std::uint32_t>(m_options.routers) };
     started = {};
     started.reducer = std::make_unique<dispatch_reducer>(settings);
-    deliver(router, configuration_received { stream_configuration() });
+    deliver(router, configuration_received { stream_configuration(m_options.slots) });
     std::vector<endpoint_entry> entries;
     for (auto const& known : m_endpoints) {
         if (known.is_listed)
@@ -196,6 +195,8 @@
 
 void stream_simulation::connect(std::size_t router)
 {
+    if (!is_up(router) || m_routers[router].is_cut_off)
+        return;
     for (std::size_t other = 0; other < m_routers.size(); ++other) {
         if (other == router || !is_up(other) || m_routers[other].is_cut_off)
             continue;
@@ -218,6 +219,8 @@
 
 void stream_simulation::cut_off(std::size_t router)
 {
+    if (m_routers.at(router).is_cut_off)
+        return;
     m_routers.at(router).is_cut_off = true;
     m_routers.at(router).cut_off_at = m_now;
     m_routers.at(router).inbox.clear();
@@ -365,13 +368,25 @@
             if (receiver == sender || !other.reducer || other.is_cut_off)
                 continue;
             if (domain_of(sender) == domain_of(receiver))
-                other.inbox.push_back({ m_now + m_options.delay, own });
+                transmit(receiver, own);
             else if (sums)
-                other.inbox.push_back({ m_now + m_options.delay, *sums });
+                transmit(receiver, *sums);
         }
     }
 }
 
+void stream_simulation::transmit(std::size_t receiver, peer_report const& report)
+{
+    constexpr std::uint64_t percents = 100;
+    if (draw(percents) < m_options.lost_percent)
+        return;
+    auto& inbox = m_routers.at(receiver).inbox;
+    inbox.push_back({ m_now + m_options.delay, report });
+    // A copy that arrives late changes nothing.
+    if (draw(percents) < m_options.lost_percent)
+        inbox.push_back({ m_now + 4 * m_options.delay, report });
+}
+
 void stream_simulation::advance()
 {
     m_now += step;
--- a/tests/dispatch/stream_simulation.h
+++ b/tests/dispatch/stream_simulation.h
@@ -23,6 +23,10 @@
         milliseconds delay { 10 };
         // How often a caller resumes a stream that broke off.
         std::size_t resumptions { 3 };
+        // Of 100 reports, this many are lost, and as many arrive twice.
+        std::uint64_t lost_percent { 0 };
+        // Number of streams that an endpoint runs at once.
+        std::uint32_t slots { 64 };
         std::uint64_t seed { 1 };
     };
 
@@ -135,6 +139,7 @@
     void produce_events();
     void receive_event(run& running);
     void exchange_reports();
+    void transmit(std::size_t receiver, peer_report const& report);
     void advance();
 
     options m_options;
