tests, services: Soak callers resume streams, and its replicas roll between two software versions

Cause: the soak's replicas had one version, and its callers gave up a stream that broke off, so no run could show a stream of two versions.

The router handles what its exchanges have reported before an event from the store or another router, since decisions about attempts need it; this order was found by reading, no run has shown a fault of it.

A router that starts while two versions have equally many endpoints begins streams at both: the stricter rule refused all streams for 2.5 s after such a start (hosted_versions_test).

--- a/libraries/dispatch/streams/version_history.cpp
+++ b/libraries/dispatch/streams/version_history.cpp
@@ -27,7 +27,7 @@
         auto& records = m_pools[key_of(version.pool)];
         auto* record = find(records, version.software);
         if (record == nullptr) {
-            bool const is_new = m_observed_since ? may_be_beside_others(records, now) : is_no_majority(version, listed);
+            bool const is_new = m_observed_since ? may_be_beside_others(records, now) : is_minority(version, listed);
             record = &records.emplace_back();
             record->software = version.software;
             if (is_new)
@@ -49,10 +49,10 @@
     });
 }
 
-bool version_history::is_no_majority(listed_software const& version, std::vector<listed_software> const& listed)
+bool version_history::is_minority(listed_software const& version, std::vector<listed_software> const& listed)
 {
     return std::ranges::any_of(listed, [&](listed_software const& other) {
-        return other.pool == version.pool && other.software != version.software && other.endpoints >= version.endpoints;
+        return other.pool == version.pool && other.endpoints > version.endpoints;
     });
 }
 
--- a/libraries/dispatch/streams/version_history.h
+++ b/libraries/dispatch/streams/version_history.h
@@ -85,9 +85,8 @@
     [[nodiscard]] milliseconds settling_time() const { return m_staleness_bound + settling_margin; }
     // Whether endpoints of other versions may still serve, though they may be listed no more.
     [[nodiscard]] bool may_be_beside_others(std::vector<version_record> const& records, instant now) const;
-    // Whether another version of the pool has as many listed endpoints or more.
-    [[nodiscard]] static bool is_no_majority(
-        listed_software const& version, std::vector<listed_software> const& listed);
+    // Whether another version of the pool has more listed endpoints.
+    [[nodiscard]] static bool is_minority(listed_software const& version, std::vector<listed_software> const& listed);
     static version_record* find(std::vector<version_record>& records, software_key software);
     void forget_old(instant now);
     void update_summary();
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -101,8 +101,10 @@
 
     // The functions below are the host interface that fleet_view requires.
 
+    // Exchanges have reported what happened before this event, and a decision about their attempts needs it.
     void handle_event(dispatch::event_body event)
     {
+        process_events();
         reduce(std::move(event));
         process_events();
     }
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -45,6 +45,7 @@
     for (std::size_t index = 0; index < options.replicas; ++index) {
         started.m_incarnations.push_back("i-" + std::to_string(index));
         started.m_cold_until.emplace_back();
+        started.m_restarts.push_back(0);
         started.m_replicas.push_back(TRY(started.start_replica(index, replica_start::warm)));
         if (options.links == link_kind::through_proxies)
             started.m_replica_links.push_back(TRY(fault_proxy::open(started.m_replicas.back().address("http"))));
@@ -73,6 +74,8 @@
 {
     std::vector<std::string> arguments { "--kind=hosted-replica", "--incarnation=" + m_incarnations.at(index),
         "--work-ms=" + std::to_string(m_options.work_ms) };
+    if (m_options.versions.size() > 1)
+        arguments.push_back("--software=" + version_of(index));
     if (!m_options.log_folder.empty())
         arguments.push_back("--runs-file=" + runs_file(index).string());
     if (start == replica_start::cold && m_options.cold_per_second > 0) {
@@ -99,6 +102,7 @@
 {
     m_replicas.at(index).kill();
     m_incarnations.at(index) += "x";
+    ++m_restarts.at(index);
     m_replicas.at(index) = TRY(start_replica(index, replica_start::cold));
     if (m_options.cold_per_second > 0)
         m_cold_until.at(index) = std::chrono::steady_clock::now() + m_options.cold_time;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -42,6 +42,10 @@
     message.set("Shedhill-Request-Id", request.id);
     message.set("Shedhill-Deadline-Ms", deadline_ms);
     message.set(http::field::authorization, "Bearer key-1");
+    if (!request.first_request.empty()) {
+        message.set("Last-Event-Id", std::to_string(request.last_event));
+        message.set("Resumes", request.first_request);
+    }
     if (request.form != request_form::look)
         message.body() = "order of " + request.id;
     message.prepare_payload();
@@ -91,10 +95,18 @@
     caller_request request;
     request.id = m_name + "-" + std::to_string(++m_sent_requests);
     request.form = static_cast<request_form>(m_draw.next_below(request_forms));
+    if (auto const broken = std::exchange(m_broken_stream, std::nullopt)) {
+        request.form = request_form::stream;
+        request.first_request = broken->first_request.empty() ? broken->id : broken->first_request;
+        request.last_event = broken->last_event + broken->events();
+    }
     request.router = m_router;
     request.sent_at = soak_clock::now();
     exchange(request);
     request.ended_at = soak_clock::now();
+    bool const is_partial = request.end == caller_end::broken || request.end == caller_end::left;
+    if (request.form == request_form::stream && is_partial && request.last_event + request.events() > 0)
+        m_broken_stream = request;
     m_record.requests.push_back(std::move(request));
 }
 
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -9,6 +9,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
+#include <optional>
 
 namespace shedhill::soak {
 
@@ -22,7 +23,7 @@
 private:
     // Connects to a random router. Returns false if the router is not running or does not accept the connection.
     bool connect();
-    // Sends one request of a random form and records it.
+    // Sends one request of a random form, or one that resumes the last stream if that broke off, and records it.
     void send_request();
     // Sends the request, reads the answer and fills in its outcome.
     void exchange(caller_request& request);
@@ -32,6 +33,8 @@
     std::string m_name;
     random_generator m_draw;
     std::uint64_t m_sent_requests { 0 };
+    // The last request if it brought a part of a stream that can be resumed.
+    std::optional<caller_request> m_broken_stream;
     std::size_t m_router { 0 };
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
 };
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -48,6 +48,13 @@
     std::string answered_id;
     std::string signature;
     std::string body;
+    // Set if the request resumes a stream: the id of the request that brought its first event, and the last event that
+    // the caller has received.
+    std::string first_request;
+    int last_event { 0 };
+
+    // The number of whole events in the body of a stream.
+    [[nodiscard]] int events() const;
 };
 
 // The revision that a router had in force, observed in an answer on a route that only this revision has.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -48,6 +48,7 @@
     fleet.domains = options.domains;
     fleet.cold_per_second = cold_per_second;
     fleet.links = harness::link_kind::through_proxies;
+    fleet.versions = { "v1", "v2" };
     fleet.log_folder = options.log_folder;
     std::filesystem::create_directories(options.log_folder);
     return std::unique_ptr<soak_run>(new soak_run(options, TRY(harness::hosted_fleet::start(fleet))));
@@ -239,6 +240,8 @@
     for (auto const& request : record.requests) {
         auto const status = request.end == caller_end::whole ? " " + std::to_string(request.status) : std::string();
         ++run_result.outcome_counts[name_of(request.end) + status];
+        if (!request.first_request.empty())
+            ++run_result.outcome_counts[request.events() > 0 ? "resumed" : "not resumed" + status];
     }
     return run_result;
 }
