dispatch: A stream that is resumed in another failure domain goes on

Callers would see: where a failure domain is lost or its callers move, streams that they resume in another domain during a roll-out are refused.

Cause: in a fleet of more than twelve routers a router's own reports, and so its records of streams, reach its failure domain only.

Change: the report of a failure domain carries the newest records of its routers, 40 in an interval from all other domains together: 6 kB a second at a receiver, and only while several versions serve. Within the own domain all records are sent as before.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -17,8 +17,6 @@
 // Removing the sums of a failure domain too early would admit twice the entitled service. Its routers rarely end all at
 // once, and another of them reports within a second after the delegate has ended.
 constexpr milliseconds domain_silence_limit { 3000 };
-// A router that has not reported its failure domain for this long sends a whole report.
-constexpr milliseconds max_domain_report_gap { 1000 };
 // The use of a prompt part is not reported again within this time: routers consider a part cached for many seconds, and
 // the parts that most requests share would fill the messages.
 constexpr milliseconds part_report_interval { 1000 };
@@ -368,6 +366,7 @@
         scope = report_scope::whole;
         m_board.skip_domain_loads();
         m_domain_sent_parts.clear();
+        m_unreported_domain_streams.clear();
     }
     peer_report report;
     report.subject = report_subject::domain;
@@ -379,6 +378,7 @@
     report.observed_span = m_ledger.observed_span(now);
     report.parts = std::exchange(m_domain_sent_parts, {});
     report.crashes = m_suspects.take_report_records(report_subject::domain, scope, now);
+    report.streams = take_domain_streams();
     report.overloaded_routers = m_overload.is_overloaded() ? 1 : 0;
     auto busy = m_overload.is_overloaded() ? 0 : m_overload.busy_fraction();
     for (auto const& [source, state] : m_peers) {
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -188,6 +188,9 @@
         effect_list effects;
     };
 
+    // A router that has not reported its failure domain for this long sends a whole report.
+    static constexpr milliseconds max_domain_report_gap { 1000 };
+
     void handle(request_arrived const& arrived, step_context& step);
     void handle(caller_left const& left, step_context& step);
     void handle(answer_began const& began, step_context& step);
@@ -302,6 +305,10 @@
     void record_stream(active_request& request, instant now);
     void record_running_streams(instant now);
     void apply_stream_records(peer_report const& report, instant now);
+    // Keeps the record for the next report of the failure domain if this router makes these reports.
+    void report_to_domains(stream_record const& record, instant now);
+    // Returns the newest records for the report of the failure domain, as many as all domains may send.
+    [[nodiscard]] std::vector<stream_record> take_domain_streams();
     void update_stream_lifetime();
     void record_list_age(milliseconds age, instant now);
 
@@ -386,8 +393,9 @@
         instant until {};
     };
     std::map<request_number, awaited_version> m_awaited_versions;
-    // The streams recorded since the last report.
+    // The streams recorded since the last report of this router, and of its failure domain.
     std::vector<stream_record> m_unreported_streams;
+    std::vector<stream_record> m_unreported_domain_streams;
     instant m_list_confirmed_at {};
     instant m_ticked_at {};
     // Until then, what the process reads may have arrived while it was paused.
--- a/libraries/dispatch/dispatch_streams.cpp
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -4,6 +4,7 @@
 #include "libraries/dispatch/dispatch_reducer.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace shedhill::dispatch {
@@ -17,6 +18,9 @@
 // Within this time the reports arrive that routers sent at the latest when the caller returned: the longest interval
 // between two reports, and their way.
 constexpr milliseconds max_report_delay { 150 };
+// The records that a router receives from all other failure domains in one report interval of 100 ms: 6 kB a second,
+// while several versions serve. Streams beyond that are known in the failure domain where they began.
+constexpr std::size_t max_domain_streams = 40;
 constexpr std::uint16_t status_unavailable = 503;
 
 } // namespace
@@ -127,8 +131,30 @@
     request.is_recorded = true;
     auto const stream = stream_of(request);
     auto const lifetime = m_versions.stream_lifetime();
-    if (m_streams.record(stream, *request.constraints.software, now + lifetime))
-        m_unreported_streams.push_back({ stream, *request.constraints.software, lifetime });
+    if (!m_streams.record(stream, *request.constraints.software, now + lifetime))
+        return;
+    m_unreported_streams.push_back({ stream, *request.constraints.software, lifetime });
+    report_to_domains(m_unreported_streams.back(), now);
+}
+
+void dispatch_reducer::report_to_domains(stream_record const& record, instant now)
+{
+    if (now - m_domain_reported_at < max_domain_report_gap)
+        m_unreported_domain_streams.push_back(record);
+}
+
+std::vector<stream_record> dispatch_reducer::take_domain_streams()
+{
+    std::set<failure_domain> others;
+    for (auto const& [source, peer] : m_peers) {
+        if (peer.domain != m_options.domain)
+            others.insert(peer.domain);
+    }
+    auto streams = std::exchange(m_unreported_domain_streams, {});
+    auto const count = max_domain_streams / std::max<std::size_t>(others.size(), 1);
+    if (streams.size() > count)
+        streams.erase(streams.begin(), streams.end() - static_cast<std::ptrdiff_t>(count));
+    return streams;
 }
 
 void dispatch_reducer::record_running_streams(instant now)
@@ -141,8 +167,11 @@
 
 void dispatch_reducer::apply_stream_records(peer_report const& report, instant now)
 {
-    for (auto const& [stream, software, left] : report.streams)
-        m_streams.record(stream, software, now + left);
+    bool const is_own_domain = origin_of(report) == report_origin::own_domain;
+    for (auto const& record : report.streams) {
+        if (m_streams.record(record.stream, record.software, now + record.left) && is_own_domain)
+            report_to_domains(record, now);
+    }
     m_versions.merge(report.versions, report.versions_observed, now);
 }
 
--- a/tests/dispatch/stream_versions_test.cpp
+++ b/tests/dispatch/stream_versions_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_broken_answer_ends_if_no_endpoint_of_its_version_is_left);
     CPPUNIT_TEST(a_stream_resumed_by_its_caller_is_never_mixed);
     CPPUNIT_TEST(a_stream_whose_router_was_killed_is_never_mixed);
+    CPPUNIT_TEST(a_stream_resumed_in_another_failure_domain_goes_on);
     CPPUNIT_TEST(a_stream_of_unknown_version_is_refused_at_once);
     CPPUNIT_TEST(a_pool_with_one_version_resumes_every_stream);
     CPPUNIT_TEST(resumed_streams_go_on_while_new_ones_crowd_the_last_endpoints_of_their_version);
@@ -110,6 +111,21 @@
         check_that_streams_go_on(fleet);
     }
 
+    void a_stream_resumed_in_another_failure_domain_goes_on()
+    {
+        stream_simulation::options settings;
+        settings.routers = 6;
+        settings.domains = 3;
+        auto fleet = with_versions(two_versions(), settings);
+        for (std::size_t index = 0; index < 12; ++index) {
+            fleet.stream(streams_per_second, milliseconds(500));
+            fleet.disconnect_callers(0.2);
+        }
+        fleet.wait(milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.result().mixed);
+        check_that_streams_go_on(fleet);
+    }
+
     void a_stream_of_unknown_version_is_refused_at_once()
     {
         dispatch_driver fleet;
