--- a/libraries/diagnosis/request_trace.cpp
+++ b/libraries/diagnosis/request_trace.cpp
@@ -39,6 +39,12 @@
         return start + ": endpoints crashed during its last " + text_of(fields, "crashes")
             + " consecutive attempts; the events request_crashed_endpoint with content " + text_of(fields, "content")
             + " name them";
+    if (reason == "unknown_version")
+        return start + ": no router remembered in time which software version began the stream of request "
+            + text_of(fields, "resumes");
+    if (reason == "no_matching_version")
+        return start + ": no available endpoint of pool " + text_of(fields, "pool")
+            + " runs the software version that began the stream of request " + text_of(fields, "resumes");
     if (reason == "no_route" || reason == "unknown_key")
         return start + ": by configuration " + text_of(fields, "revision");
     return start + " after " + text_of(fields, "after_ms") + " ms";
--- a/tests/diagnosis/request_trace_test.cpp
+++ b/tests/diagnosis/request_trace_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(request_trace_test);
     CPPUNIT_TEST(a_refusal_for_the_teams_share_is_explained);
     CPPUNIT_TEST(a_refusal_of_a_quarantined_request_is_explained);
+    CPPUNIT_TEST(a_resumption_of_an_unknown_stream_is_explained);
     CPPUNIT_TEST(an_answer_broken_by_a_crash_is_explained);
     CPPUNIT_TEST(a_request_under_an_old_configuration_is_explained);
     CPPUNIT_TEST(a_refusal_while_all_endpoints_back_off_is_explained);
@@ -62,6 +63,27 @@
         CPPUNIT_ASSERT(cause_contains(trace, "2 of 8 slots were in use"));
     }
 
+    void a_resumption_of_an_unknown_stream_is_explained()
+    {
+        driver fleet;
+        auto first = driver::make_endpoint("e1", "model");
+        first.version = "v1";
+        auto second = driver::make_endpoint("e2", "model");
+        second.version = "v2";
+        fleet.start({ first, second });
+        dispatch::request_arrived arrived;
+        arrived.request = request_number(1);
+        arrived.caller_id = "id-b";
+        arrived.host = "host";
+        arrived.path = "/resumable/x";
+        arrived.key = "red-key";
+        arrived.resumption = dispatch::stream_resumption { "id-a" };
+        fleet.deliver(std::move(arrived));
+        CPPUNIT_ASSERT(cause_contains(trace_of(fleet, "id-b"),
+            "refused with 503 (unknown_version): no router remembered in time which software version began the stream "
+            "of request id-a"));
+    }
+
     void a_refusal_while_all_endpoints_back_off_is_explained()
     {
         driver fleet;
--- a/tests/peering/peer_message_test.cpp
+++ b/tests/peering/peer_message_test.cpp
@@ -12,9 +12,37 @@
 class peer_message_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(peer_message_test);
     CPPUNIT_TEST(peer_messages_round_trip);
+    CPPUNIT_TEST(records_of_streams_round_trip);
     CPPUNIT_TEST(peers_are_retried_with_back_off_and_removed);
     CPPUNIT_TEST_SUITE_END();
 
+    void records_of_streams_round_trip()
+    {
+        state_message state;
+        // A report of a pool with one version has neither field, as have those of routers of earlier versions.
+        auto const plain = encode_frame(state);
+        auto const read_plain = decode_body(std::string_view(plain).substr(frame_header_size));
+        CPPUNIT_ASSERT(std::get<state_message>(*read_plain).report.streams.empty());
+        CPPUNIT_ASSERT(std::get<state_message>(*read_plain).report.versions.empty());
+        auto const stream = key_of_stream(key_of(team_name("red")), "9c41");
+        auto const software = key_of_software(pool_name("model"), "v1");
+        state.report.streams = { { stream, software, milliseconds(30000) } };
+        state.report.versions = { { key_of(pool_name("model")), software, milliseconds(12), milliseconds(2500) } };
+        state.report.versions_observed = milliseconds(40000);
+        auto const frame = encode_frame(state);
+        CPPUNIT_ASSERT(plain.size() < frame.size());
+        auto const read = decode_body(std::string_view(frame).substr(frame_header_size));
+        auto const& report = std::get<state_message>(*read).report;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, report.streams.size());
+        CPPUNIT_ASSERT(report.streams.front().stream == stream && report.streams.front().software == software);
+        CPPUNIT_ASSERT(report.streams.front().left == milliseconds(30000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, report.versions.size());
+        CPPUNIT_ASSERT(report.versions.front().pool == key_of(pool_name("model")));
+        CPPUNIT_ASSERT(report.versions.front().listed_ago == milliseconds(12));
+        CPPUNIT_ASSERT(report.versions.front().settled_in == milliseconds(2500));
+        CPPUNIT_ASSERT(report.versions_observed == milliseconds(40000));
+    }
+
     void peer_messages_round_trip()
     {
         state_message state;
--- a/tests/soak/soak_record_test.cpp
+++ b/tests/soak/soak_record_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_false_not_run_status_is_found);
     CPPUNIT_TEST(another_requests_answer_is_found);
     CPPUNIT_TEST(a_stream_with_a_gap_is_found);
+    CPPUNIT_TEST(a_stream_of_two_versions_is_found_over_its_callers_requests);
     CPPUNIT_TEST(a_request_that_nobody_sent_is_found);
     CPPUNIT_TEST(a_changed_request_is_found);
     CPPUNIT_TEST(a_lost_request_is_found_unless_something_failed);
@@ -56,6 +57,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count_violations(make_order_record()));
     }
 
+    void a_stream_of_two_versions_is_found_over_its_callers_requests()
+    {
+        auto const event = [](int number, std::string const& data) {
+            return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
+        };
+        soak_record record;
+        auto first = make_served("a", request_form::stream, event(1, "a@v1") + "id: 2\ndata: a@v");
+        first.end = caller_end::left;
+        auto next = make_served("b", request_form::stream, {});
+        next.first_request = "a";
+        next.last_event = 1;
+        for (int number = 2; number <= 10; ++number)
+            next.body += event(number, "b@v1");
+        CPPUNIT_ASSERT_EQUAL(1, first.events());
+        for (auto const* id : { "a", "b" })
+            record.executions[id] = { 1, 1, "POST", target_of(request_form::stream) };
+        record.requests = { first, next };
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count_violations(record));
+        record.requests.back().body.replace(next.body.rfind("@v1"), 3, "@v2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, count_violations(record));
+    }
+
     // Returns a record of four orders of one router; the answer to the first one carries a notice of the replica, and
     // the others reach the replica at the given time.
     static soak_record make_notice_record(int later)
