--- a/tests/dispatch/stream_versions_test.cpp
+++ b/tests/dispatch/stream_versions_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_pool_with_one_version_resumes_every_stream);
     CPPUNIT_TEST(resumed_streams_go_on_while_new_ones_crowd_the_last_endpoints_of_their_version);
     CPPUNIT_TEST(a_router_with_an_old_list_continues_no_stream_of_a_newer_version);
+    CPPUNIT_TEST(a_router_that_starts_beside_a_cut_off_one_begins_no_stream_at_a_new_version);
     CPPUNIT_TEST(a_paused_router_does_not_take_its_list_for_recent);
     CPPUNIT_TEST(a_stream_of_a_version_that_is_gone_is_refused_at_once);
     CPPUNIT_TEST(a_stream_does_not_follow_its_route_to_another_pool);
@@ -160,6 +161,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.result().mixed);
     }
 
+    void a_router_that_starts_beside_a_cut_off_one_begins_no_stream_at_a_new_version()
+    {
+        stream_simulation::options settings;
+        settings.routers = 2;
+        auto fleet = with_versions({ "v1", "v1" }, settings);
+        fleet.stream(streams_per_second, milliseconds(35000));
+        fleet.cut_off(0);
+        fleet.add_endpoint("v2");
+        fleet.add_endpoint("v2");
+        fleet.kill_router(1);
+        fleet.start_router(1);
+        fleet.stream(streams_per_second, milliseconds(500));
+        fleet.disconnect_callers(1);
+        fleet.wait(milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.result().mixed);
+    }
+
     // Delivers a request of this team that resumes a stream, and returns its number.
     static request_number resume(dispatch_driver& fleet, std::string const& first_request, std::string const& key)
     {
