dispatch, peering, services: Routers store which software versions they know

Callers would see: after all routers were killed, every stream that they resume within 30 s is refused, though the pool has one version only; and four streams of two versions where a router starts beside a cut-off one while two versions have equally many endpoints (the known red test).

Cause: a router that has just started knew of the versions before it nothing but its first list.

Change: a router's row in the store, which holds its quarantines already, states the versions that it knows and whether streams may begin there. One that starts reads all rows: if each router states its versions, the history is complete at once, and a listed version is new unless a row has it as settled. Rows of earlier programs state none, and nothing is concluded from them. The row is written again when a version appears, is settled or is forgotten.

--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -87,6 +87,8 @@
     [[nodiscard]] std::vector<cached_part> recent_parts(instant now) const { return m_board.recent_parts(now); }
     // Adds to the report what a router that has just started needs to resume streams, with at most this many streams.
     void add_stream_history(peer_report& report, std::size_t max_streams, instant now) const;
+    // Returns the software versions that this router stores, so that they outlive its process.
+    [[nodiscard]] std::vector<stored_version> stored_versions(instant now) const { return m_versions.stored(now); }
     [[nodiscard]] std::size_t remembered_streams() const { return m_streams.size(); }
 
 private:
@@ -199,6 +201,7 @@
     void handle(endpoint_notice_received const& received, step_context& step);
     void handle(endpoint_probed const& probed, step_context& step);
     void handle(quarantines_loaded const& loaded, step_context& step);
+    void handle(versions_restored const& restored, step_context& step);
     void handle(configuration_received const& received, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
--- a/libraries/dispatch/dispatch_streams.cpp
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -2,6 +2,7 @@
 // Handles requests that resume a stream: which software version began it, and which other routers need to know.
 #include "base/hash.h"
 #include "libraries/dispatch/dispatch_reducer.h"
+#include "libraries/dispatch/log_fields.h"
 
 #include <algorithm>
 #include <set>
@@ -25,6 +26,16 @@
 
 } // namespace
 
+void dispatch_reducer::handle(versions_restored const& restored, step_context& step)
+{
+    m_versions.restore(restored.history, step.now);
+    step.effects.emplace_back(log_line { severity::debug, "versions_restored",
+        log_fields()
+            .add("versions", restored.history.versions.size())
+            .add("complete", restored.history.is_complete ? 1 : 0)
+            .take() });
+}
+
 stream_key dispatch_reducer::stream_of(active_request const& request)
 {
     return key_of_stream(request.account, request.resumption ? request.resumption->first_request : request.caller_id);
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -87,6 +87,11 @@
     std::vector<crash_record> records;
 };
 
+// The router read what all routers had stored about software versions before it started.
+struct versions_restored {
+    stored_history history;
+};
+
 // The router received a configuration from the store or from another router.
 struct configuration_received {
     configuration declared;
@@ -197,8 +202,8 @@
 };
 
 using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
-    endpoint_notice_received, endpoint_probed, quarantines_loaded, configuration_received, domains_evacuated,
-    endpoints_listed, routers_listed, peer_report, peer_lost, drain_requested, tick>;
+    endpoint_notice_received, endpoint_probed, quarantines_loaded, versions_restored, configuration_received,
+    domains_evacuated, endpoints_listed, routers_listed, peer_report, peer_lost, drain_requested, tick>;
 
 struct event {
     instant now {};
--- a/libraries/dispatch/streams/version_history.cpp
+++ b/libraries/dispatch/streams/version_history.cpp
@@ -35,10 +35,56 @@
         }
         record->is_listed = true;
     }
-    if (!m_observed_since)
+    if (!m_observed_since) {
         m_observed_since = now;
+        m_first_listed_at = now;
+    }
     forget_old(now);
     update_summary();
+    if (auto const history = std::exchange(m_unapplied_history, std::nullopt))
+        restore(*history, now);
+}
+
+void version_history::restore(stored_history const& stored, instant now)
+{
+    if (!m_observed_since) {
+        m_unapplied_history = stored;
+        return;
+    }
+    if (!stored.is_complete || is_complete(now))
+        return;
+    for (auto& [pool, records] : m_pools) {
+        bool const is_known
+            = std::ranges::any_of(stored.versions, [&](auto const& entry) { return entry.pool == pool; });
+        if (!is_known)
+            continue;
+        for (auto& record : records) {
+            bool const is_settled = std::ranges::find(stored.versions, stored_version { pool, record.software, true })
+                != stored.versions.end();
+            record.settled_at = is_settled ? now : m_first_listed_at + settling_time();
+        }
+    }
+    for (auto const& [pool, software, is_settled] : stored.versions) {
+        auto& records = m_pools[pool];
+        if (find(records, software) != nullptr)
+            continue;
+        auto& record = records.emplace_back();
+        record.software = software;
+        record.last_listed_at = now;
+    }
+    m_observed_since = now - m_lifetime;
+    update_summary();
+}
+
+std::vector<stored_version> version_history::stored(instant now) const
+{
+    std::vector<stored_version> result;
+    for (auto const& [pool, records] : m_pools) {
+        for (auto const& record : records)
+            result.push_back({ pool, record.software, now >= record.settled_at });
+    }
+    std::ranges::sort(result);
+    return result;
 }
 
 bool version_history::may_be_beside_others(std::vector<version_record> const& records, instant now) const
--- a/libraries/dispatch/streams/version_history.h
+++ b/libraries/dispatch/streams/version_history.h
@@ -11,6 +11,7 @@
 #include "base/identifiers.h"
 #include "base/units.h"
 
+#include <compare>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,23 @@
     milliseconds settled_in { 0 };
 };
 
+// A version of a pool, as routers store it so that it outlives their processes.
+struct stored_version {
+    pool_key pool;
+    software_key software;
+    // Streams may begin at the version, as the router that stored it concluded.
+    bool is_settled { true };
+
+    auto operator<=>(stored_version const&) const = default;
+};
+
+// What all routers had stored when this one started.
+struct stored_history {
+    std::vector<stored_version> versions;
+    // Every router that has a row in the store states its versions there.
+    bool is_complete { false };
+};
+
 class version_history {
 public:
     // The time by which the first stream of a new version is later than the staleness bound, for the time that a
@@ -68,6 +86,11 @@
 
     // Completes the history of a router that has just started by what another one observed for this time.
     void merge(std::vector<version_sighting> const& sightings, milliseconds observed, instant now);
+    // Completes the history of this router, which has just started, by what all routers stored. A listed version of a
+    // known pool is new unless one of them stored it as settled.
+    void restore(stored_history const& stored, instant now);
+    // Returns the versions that this router is to store, in their order.
+    [[nodiscard]] std::vector<stored_version> stored(instant now) const;
     // Returns the history for a router that has just started. `observed()` tells how far back it reaches.
     [[nodiscard]] std::vector<version_sighting> sightings(instant now) const;
     [[nodiscard]] milliseconds observed(instant now) const;
@@ -96,6 +119,9 @@
     std::unordered_map<pool_key, std::vector<version_record>> m_pools;
     // The time since which the history contains all versions; empty before the first list.
     std::optional<instant> m_observed_since;
+    instant m_first_listed_at {};
+    // What the routers had stored, until the first list arrives.
+    std::optional<stored_history> m_unapplied_history;
     // Derived from m_pools.
     bool m_has_one_version_each { true };
     instant m_settled_at {};
--- a/libraries/peering/router_row.cpp
+++ b/libraries/peering/router_row.cpp
@@ -41,6 +41,22 @@
     return record;
 }
 
+constexpr char versions_sign = 'V';
+
+// Parses the line of software versions without its sign. Returns false if it is not valid.
+bool parse_versions(std::string_view line, std::vector<dispatch::stored_version>& versions)
+{
+    while (!line.empty()) {
+        auto const pool = take_number<std::uint64_t>(line);
+        auto const software = take_number<std::uint32_t>(line);
+        auto const settled = take_number<std::uint8_t>(line);
+        if (!pool || !software || !settled)
+            return false;
+        versions.push_back({ pool_key(*pool), software_key(*software), *settled != 0 });
+    }
+    return true;
+}
+
 } // namespace
 
 std::string to_text(router_row const& row)
@@ -50,6 +66,13 @@
         text += '\n' + std::to_string(record.request.team.value()) + ' '
             + std::to_string(record.request.content.value()) + ' ' + std::to_string(record.stamp.epoch) + ' '
             + std::to_string(record.stamp.crashes) + ' ' + (record.was_answered ? '1' : '0');
+    if (!row.states_versions)
+        return text;
+    text += '\n';
+    text += versions_sign;
+    for (auto const& [pool, software, is_settled] : row.versions)
+        text
+            += ' ' + std::to_string(pool.value()) + ' ' + std::to_string(software.value()) + (is_settled ? " 1" : " 0");
     return text;
 }
 
@@ -61,7 +84,10 @@
     while (!text.empty()) {
         text.remove_prefix(1);
         auto const end = std::min(text.find('\n'), text.size());
-        if (auto const record = parse_record(text.substr(0, end)))
+        auto const line = text.substr(0, end);
+        if (line.starts_with(versions_sign))
+            row.states_versions = parse_versions(line.substr(1), row.versions);
+        else if (auto const record = parse_record(line))
             row.quarantined.push_back(*record);
         text.remove_prefix(end);
     }
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -68,6 +68,9 @@
               [this] { m_host.count("shedhill_store_write_failures_total"); },
               [this](std::vector<dispatch::crash_record> records) {
                   m_host.handle_event(dispatch::quarantines_loaded { std::move(records) });
+              },
+              [this](dispatch::stored_history history) {
+                  m_host.handle_event(dispatch::versions_restored { std::move(history) });
               })
     {
         static_assert(fleet_view_host<Host>);
@@ -100,6 +103,7 @@
             m_host.handle_event(dispatch::endpoints_listed { m_roster.entries() });
         if (!m_settings.peer_address.empty() && m_reports.tick(now, draw)) {
             m_routers.set_quarantined(m_host.reducer().own_quarantines(now));
+            m_routers.set_versions(m_host.reducer().stored_versions(now));
             m_routers.maintain_rows(m_is_watching_store, now);
             update_router_list();
         }
--- a/services/shedhilld/routers_table.h
+++ b/services/shedhilld/routers_table.h
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Maintains the table of routers at the store, which holds the address and the quarantined requests of each router. A
+// Maintains the table of routers at the store, which holds the address, the quarantined requests and the known software
+// versions of each router. A
 // router writes its own row if it is missing or out of date, and removes the rows of routers that have been unreachable
 // for a long time.
 #pragma once
@@ -25,15 +26,18 @@
     using failed_function = std::function<void()>;
     // Called once with the quarantined requests that an earlier instance of this router stored in its row.
     using quarantined_function = std::function<void(std::vector<dispatch::crash_record> records)>;
+    // Called once with the software versions that all routers had stored in their rows.
+    using versions_function = std::function<void(dispatch::stored_history history)>;
 
     routers_table(relay::event_loop& loop, relay::deployment_settings const& settings,
         peering::peer_directory& directory, dispatch::store_watchers& watchers, failed_function on_failed,
-        quarantined_function on_quarantined)
+        quarantined_function on_quarantined, versions_function on_versions)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_on_failed(std::move(on_failed))
         , m_on_quarantined(std::move(on_quarantined))
+        , m_on_versions(std::move(on_versions))
         , m_rows(loop, settings.store_address, relay::table_name::routers, watchers, [this] { apply_rows(); })
         , m_writer(loop, settings.store_address,
               [this](unsigned status, std::string const&) { handle_write_result(status); })
@@ -60,6 +64,8 @@
 
     // Sets the quarantined requests that this router's row is to hold.
     void set_quarantined(std::vector<dispatch::crash_record> records) { m_quarantined = std::move(records); }
+    // Sets the software versions that this router's row is to hold.
+    void set_versions(std::vector<dispatch::stored_version> versions) { m_versions = std::move(versions); }
     // Returns how many quarantined requests the store has confirmed in this router's row.
     [[nodiscard]] std::size_t stored_quarantines() const { return m_stored_quarantines; }
 
@@ -75,13 +81,19 @@
     void apply_rows()
     {
         std::map<std::string, peering::fleet_member> members;
+        dispatch::stored_history history;
+        history.is_complete = true;
         for (auto const& [key, row] : m_rows.watcher().rows()) {
             auto parsed = peering::parse_router_row(row.value);
             members.emplace(key, std::move(parsed.member));
+            history.is_complete &= parsed.states_versions;
+            history.versions.insert(history.versions.end(), parsed.versions.begin(), parsed.versions.end());
             if (key == m_settings.vm.value() && !std::exchange(m_has_read_own_row, true) && !parsed.quarantined.empty())
                 m_on_quarantined(std::move(parsed.quarantined));
         }
         m_directory.apply_table(members);
+        if (!std::exchange(m_has_read_versions, true))
+            m_on_versions(std::move(history));
     }
 
     [[nodiscard]] bool is_own_row_outdated()
@@ -101,7 +113,7 @@
 
     [[nodiscard]] std::string own_row_text() const
     {
-        return peering::to_text(peering::router_row { m_directory.self(), m_quarantined });
+        return peering::to_text(peering::router_row { m_directory.self(), m_quarantined, m_versions, true });
     }
 
     void write_own_row(instant now)
@@ -145,11 +157,14 @@
     peering::peer_directory& m_directory;
     failed_function m_on_failed;
     quarantined_function m_on_quarantined;
+    versions_function m_on_versions;
     relay::table_session<TableBinding> m_rows;
     relay::buffered_call m_writer;
     bool m_is_leaving { false };
     bool m_has_read_own_row { false };
+    bool m_has_read_versions { false };
     std::vector<dispatch::crash_record> m_quarantined;
+    std::vector<dispatch::stored_version> m_versions;
     // The text of this router's row: in the write under way, and in the last write that the store confirmed to this
     // process.
     std::optional<std::string> m_text_in_flight;
--- a/tests/dispatch/stream_simulation.cpp
+++ b/tests/dispatch/stream_simulation.cpp
@@ -190,9 +190,31 @@
             entries.push_back(known.entry);
     }
     deliver(router, endpoints_listed { std::move(entries) });
+    deliver(router, versions_restored { stored_history() });
     connect(router);
 }
 
+stored_history stream_simulation::stored_history() const
+{
+    dispatch::stored_history history;
+    history.is_complete = true;
+    for (auto const& row : m_rows)
+        history.versions.insert(history.versions.end(), row.begin(), row.end());
+    return history;
+}
+
+void stream_simulation::write_rows()
+{
+    m_rows.resize(m_routers.size());
+    for (std::size_t index = 0; index < m_routers.size(); ++index) {
+        auto& writer = m_routers[index];
+        if (!writer.reducer || writer.is_cut_off || m_now - writer.wrote_row_at < row_interval)
+            continue;
+        writer.wrote_row_at = m_now;
+        m_rows[index] = writer.reducer->stored_versions(m_now);
+    }
+}
+
 void stream_simulation::connect(std::size_t router)
 {
     if (!is_up(router) || m_routers[router].is_cut_off)
@@ -408,6 +430,7 @@
         deliver(index, ticked);
     }
     exchange_reports();
+    write_rows();
 }
 
 void stream_simulation::wait(milliseconds time)
--- a/tests/dispatch/stream_simulation.h
+++ b/tests/dispatch/stream_simulation.h
@@ -91,6 +91,7 @@
         bool is_cut_off { false };
         instant cut_off_at {};
         instant reported_at {};
+        instant wrote_row_at {};
         std::vector<message> inbox;
     };
     // A caller's stream over all of its requests.
@@ -119,6 +120,7 @@
 
     static constexpr milliseconds step { 10 };
     static constexpr milliseconds report_interval { 50 };
+    static constexpr milliseconds row_interval { 1500 };
     static constexpr milliseconds first_event_time { 20 };
     static constexpr milliseconds event_interval { 40 };
     static constexpr std::size_t events_per_stream { 30 };
@@ -127,6 +129,9 @@
     void send_request(std::size_t stream, std::size_t router);
     void resume(std::size_t stream);
     void publish_list();
+    // What the routers' rows in the store hold, and their periodic writes.
+    [[nodiscard]] dispatch::stored_history stored_history() const;
+    void write_rows();
     // Exchanges what connected routers tell each other first.
     void connect(std::size_t router);
     void greet(std::size_t sender, std::size_t receiver);
@@ -148,6 +153,8 @@
     std::uint64_t m_last_request { 0 };
     std::vector<endpoint> m_endpoints;
     std::vector<router> m_routers;
+    // The software versions in each router's row of the store.
+    std::vector<std::vector<stored_version>> m_rows;
     std::vector<caller_stream> m_streams;
     std::vector<run> m_runs;
     outcome m_outcome;
--- a/tests/dispatch/stream_versions_test.cpp
+++ b/tests/dispatch/stream_versions_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Tests that a stream goes on only at the software version that began it, within one answer and over the requests of a
 // caller, and that streams still go on where endpoints of their version serve.
+#include "base/hash.h"
 #include "tests/dispatch/dispatch_driver.h"
 #include "tests/dispatch/stream_simulation.h"
 
@@ -20,6 +21,7 @@
     CPPUNIT_TEST(resumed_streams_go_on_while_new_ones_crowd_the_last_endpoints_of_their_version);
     CPPUNIT_TEST(a_router_with_an_old_list_continues_no_stream_of_a_newer_version);
     CPPUNIT_TEST(a_router_that_starts_beside_a_cut_off_one_begins_no_stream_at_a_new_version);
+    CPPUNIT_TEST(a_router_that_has_just_started_knows_the_versions_that_all_had_stored);
     CPPUNIT_TEST(a_paused_router_does_not_take_its_list_for_recent);
     CPPUNIT_TEST(a_stream_of_a_version_that_is_gone_is_refused_at_once);
     CPPUNIT_TEST(a_stream_does_not_follow_its_route_to_another_pool);
@@ -194,6 +196,26 @@
         return request_number(last_number);
     }
 
+    // Whether a router that has just started continues a stream that it does not know.
+    static bool continues_unknown_stream(stored_history const& stored)
+    {
+        dispatch_driver fleet;
+        fleet.start({ with_version("e1", "v1") });
+        fleet.deliver(versions_restored { stored });
+        return !fleet.refusal_of(resume(fleet, "id-a", "red-key"));
+    }
+
+    void a_router_that_has_just_started_knows_the_versions_that_all_had_stored()
+    {
+        auto const pool = key_of(pool_name("model"));
+        stored_version const first { pool, key_of_software(pool_name("model"), "v1"), true };
+        stored_version const other { pool, key_of_software(pool_name("model"), "v0"), true };
+        CPPUNIT_ASSERT(continues_unknown_stream({ { first, first }, true }));
+        CPPUNIT_ASSERT(!continues_unknown_stream({ { first, other }, true }));
+        // A router of an earlier version, which states none, may have begun streams at any.
+        CPPUNIT_ASSERT(!continues_unknown_stream({ { first }, false }));
+    }
+
     static constexpr milliseconds after_stream_lifetime { 31000 };
 
     void a_paused_router_does_not_take_its_list_for_recent()
--- a/tests/peering/router_row_test.cpp
+++ b/tests/peering/router_row_test.cpp
@@ -9,6 +9,7 @@
 class router_row_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(router_row_test);
     CPPUNIT_TEST(a_row_round_trips_through_its_text);
+    CPPUNIT_TEST(software_versions_round_trip);
     CPPUNIT_TEST(invalid_lines_are_skipped);
     CPPUNIT_TEST(any_text_is_parsed_safely);
     CPPUNIT_TEST_SUITE_END();
@@ -33,6 +34,21 @@
         }
     }
 
+    void software_versions_round_trip()
+    {
+        router_row row { { "10.0.0.1:7", failure_domain("north"), 190 } };
+        CPPUNIT_ASSERT(!parse_router_row(to_text(row)).states_versions);
+        row.states_versions = true;
+        CPPUNIT_ASSERT(parse_router_row(to_text(row)).states_versions);
+        row.versions = { { pool_key(~std::uint64_t { 0 }), software_key(7), true },
+            { pool_key(1), software_key(~std::uint32_t { 0 }), false } };
+        auto const parsed = parse_router_row(to_text(row));
+        CPPUNIT_ASSERT(parsed.states_versions && parsed.versions == row.versions);
+        CPPUNIT_ASSERT(parsed.member == row.member);
+        // A line that was cut off states nothing.
+        CPPUNIT_ASSERT(!parse_router_row("10.0.0.1:7 190 north\nV 1 2").states_versions);
+    }
+
     void invalid_lines_are_skipped()
     {
         auto const row = parse_router_row("10.0.0.1:7 190 north\n1 2 3\n\n1 2 0 3 0\n1 2 99999 3 0\nnoise");
