--- a/libraries/dispatch/streams/version_history.cpp
+++ b/libraries/dispatch/streams/version_history.cpp
@@ -54,13 +54,11 @@
     if (!stored.is_complete || is_complete(now))
         return;
     for (auto& [pool, records] : m_pools) {
-        bool const is_known
-            = std::ranges::any_of(stored.versions, [&](auto const& entry) { return entry.pool == pool; });
-        if (!is_known)
+        if (std::ranges::find(stored.versions, pool, &stored_version::pool) == stored.versions.end())
             continue;
         for (auto& record : records) {
-            bool const is_settled = std::ranges::find(stored.versions, stored_version { pool, record.software, true })
-                != stored.versions.end();
+            stored_version const settled { pool, record.software, true };
+            bool const is_settled = std::ranges::find(stored.versions, settled) != stored.versions.end();
             record.settled_at = is_settled ? now : m_first_listed_at + settling_time();
         }
     }
