dispatch, services: Stored versions outlive a start without a list

Cause: a router that writes its row before it has the list of endpoints would replace the versions that it had stored by none; if it ended again before its list arrived, they would be lost. Found by reading, no run has shown it.

Change: until the first list arrives, the row repeats what all rows stated. Equal versions of several rows count once, so that the row stays short.

Measured: stored_versions_are_kept_until_the_first_list_arrives fails without the change; stream_versions_test and hosted_versions_test pass.

--- a/libraries/dispatch/streams/version_history.cpp
+++ b/libraries/dispatch/streams/version_history.cpp
@@ -76,6 +76,9 @@
 
 std::vector<stored_version> version_history::stored(instant now) const
 {
+    // Until the first list arrives, what was stored stays stored.
+    if (m_unapplied_history)
+        return m_unapplied_history->versions;
     std::vector<stored_version> result;
     for (auto const& [pool, records] : m_pools) {
         for (auto const& record : records)
--- a/services/shedhilld/routers_table.h
+++ b/services/shedhilld/routers_table.h
@@ -10,6 +10,7 @@
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/store_session.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -92,8 +93,13 @@
                 m_on_quarantined(std::move(parsed.quarantined));
         }
         m_directory.apply_table(members);
-        if (!std::exchange(m_has_read_versions, true))
-            m_on_versions(std::move(history));
+        if (std::exchange(m_has_read_versions, true))
+            return;
+        // Most routers store the same versions.
+        std::ranges::sort(history.versions);
+        auto const repeated = std::ranges::unique(history.versions);
+        history.versions.erase(repeated.begin(), repeated.end());
+        m_on_versions(std::move(history));
     }
 
     [[nodiscard]] bool is_own_row_outdated()
--- a/tests/dispatch/version_history_test.cpp
+++ b/tests/dispatch/version_history_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(equal_versions_of_two_pools_are_different_software);
     CPPUNIT_TEST(a_router_that_has_just_started_learns_the_history_from_another);
     CPPUNIT_TEST(the_first_list_settles_the_version_of_most_endpoints);
+    CPPUNIT_TEST(stored_versions_are_kept_until_the_first_list_arrives);
     CPPUNIT_TEST(a_flood_of_streams_takes_bounded_memory);
     CPPUNIT_TEST(one_stream_passes_others_a_few_times_only);
     CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,17 @@
         CPPUNIT_ASSERT(history.may_begin(pool(), software("v2"), at(400)));
     }
 
+    void stored_versions_are_kept_until_the_first_list_arrives()
+    {
+        stored_version const first { key_of(pool()), software("v1"), true };
+        auto history = make_history();
+        history.restore({ { first }, true }, at(0));
+        CPPUNIT_ASSERT(history.stored(at(0)) == std::vector { first });
+        history.apply_list({ listed("v2") }, at(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, history.stored(at(100)).size());
+        CPPUNIT_ASSERT(history.is_complete(at(100)));
+    }
+
     void a_flood_of_streams_takes_bounded_memory()
     {
         stream_directory streams;
