--- a/services/shedhilld/routers_table.h
+++ b/services/shedhilld/routers_table.h
@@ -97,8 +97,7 @@
             return;
         // Most routers store the same versions.
         std::ranges::sort(history.versions);
-        auto const repeated = std::ranges::unique(history.versions);
-        history.versions.erase(repeated.begin(), repeated.end());
+        history.versions.erase(std::unique(history.versions.begin(), history.versions.end()), history.versions.end());
         m_on_versions(std::move(history));
     }
 
