dispatch, diagnosis: The log names the resumed request by the code's term

Cause: the field 'resumes' of the lines 'sent' and 'refused' repeated a name of the platform outside its folder, and eight comments began like fragments.

Change: the field is resumed_request, as OPERATIONS shows; the comments are whole sentences. No decision changes.

--- a/libraries/diagnosis/request_trace.cpp
+++ b/libraries/diagnosis/request_trace.cpp
@@ -41,10 +41,10 @@
             + " name them";
     if (reason == "unknown_version")
         return start + ": no router remembered in time which software version began the stream of request "
-            + text_of(fields, "resumes");
+            + text_of(fields, "resumed_request");
     if (reason == "no_matching_version")
         return start + ": no available endpoint of pool " + text_of(fields, "pool")
-            + " runs the software version that began the stream of request " + text_of(fields, "resumes");
+            + " runs the software version that began the stream of request " + text_of(fields, "resumed_request");
     if (reason == "no_route" || reason == "unknown_key")
         return start + ": by configuration " + text_of(fields, "revision");
     return start + " after " + text_of(fields, "after_ms") + " ms";
--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -239,7 +239,7 @@
     log_fields fields;
     fields.add("id", request.caller_id).add("attempt", request.attempt.value());
     if (request.resumption)
-        fields.add("resumes", shorten(request.resumption->first_request));
+        fields.add("resumed_request", shorten(request.resumption->first_request));
     if (request.has_answer_begun)
         fields.add("resumes_after_events", request.events_forwarded);
     step.effects.emplace_back(log_line { severity::debug, "sent",
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -355,7 +355,7 @@
     log_fields fields;
     fields.add("id", request.caller_id);
     if (request.resumption)
-        fields.add("resumes", shorten(request.resumption->first_request));
+        fields.add("resumed_request", shorten(request.resumption->first_request));
     step.effects.emplace_back(log_line { severity::warning, "refused",
         fields.add("status", status)
             .add("reason", name_of(reason))
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -401,7 +401,7 @@
     std::vector<stream_record> m_unreported_domain_streams;
     instant m_list_confirmed_at {};
     instant m_ticked_at {};
-    // Until then, what the process reads may have arrived while it was paused.
+    // The end of the time in which the process may read what arrived while it was paused.
     instant m_paused_until {};
     crash_suspects m_suspects;
     failing_requests m_failing;
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -166,7 +166,8 @@
     std::vector<crash_record> crashes {};
     // Streams that began at the described routers, in pools of which several versions serve.
     std::vector<stream_record> streams {};
-    // For a router that has just started: the versions of all pools, and the time for which the sender has seen them.
+    // The versions of all pools and the time for which the sender has seen them; set for a router that has just
+    // started.
     std::vector<version_sighting> versions {};
     milliseconds versions_observed { 0 };
 
--- a/libraries/dispatch/streams/version_history.cpp
+++ b/libraries/dispatch/streams/version_history.cpp
@@ -76,7 +76,7 @@
 
 std::vector<stored_version> version_history::stored(instant now) const
 {
-    // Until the first list arrives, what was stored stays stored.
+    // The row keeps what was stored until the first list arrives.
     if (m_unapplied_history)
         return m_unapplied_history->versions;
     std::vector<stored_version> result;
--- a/libraries/dispatch/streams/version_history.h
+++ b/libraries/dispatch/streams/version_history.h
@@ -45,7 +45,7 @@
     auto operator<=>(stored_version const&) const = default;
 };
 
-// What all routers had stored when this one started.
+// The versions that all routers had stored when this one started.
 struct stored_history {
     std::vector<stored_version> versions;
     // Every router that has a row in the store states its versions there.
@@ -120,7 +120,7 @@
     // The time since which the history contains all versions; empty before the first list.
     std::optional<instant> m_observed_since;
     instant m_first_listed_at {};
-    // What the routers had stored, until the first list arrives.
+    // The stored history; set only until the first list arrives.
     std::optional<stored_history> m_unapplied_history;
     // Derived from m_pools.
     bool m_has_one_version_each { true };
--- a/tests/dispatch/stream_simulation.h
+++ b/tests/dispatch/stream_simulation.h
@@ -21,16 +21,16 @@
         std::size_t domains { 1 };
         // Time from a router's report, or a change of the endpoint list, until the routers receive it.
         milliseconds delay { 10 };
-        // How often a caller resumes a stream that broke off.
+        // The number of times that a caller resumes a stream that broke off.
         std::size_t resumptions { 3 };
-        // Of 100 reports, this many are lost, and as many arrive twice.
+        // The number of reports in 100 that are lost, and of those that arrive twice.
         std::uint64_t lost_percent { 0 };
         // Number of streams that an endpoint runs at once.
         std::uint32_t slots { 64 };
         std::uint64_t seed { 1 };
     };
 
-    // What became of the streams.
+    // Counts the streams by what became of them.
     struct outcome {
         // Streams of which the callers received the first event, and those that hold events of two versions.
         std::size_t begun { 0 };
