dispatch, relay, diagnosis: Logs how an answer was framed and what ended it

Callers received broken-off streams as whole answers.

The lines answered and attempt_failed name the framing, what ended the answer and those bytes; shedhill_answer_stops_total counts ends by kind; shedhill explain-request prints them. No decision changes. Unit tests pass, one added for the trace.

--- a/libraries/diagnosis/request_trace.cpp
+++ b/libraries/diagnosis/request_trace.cpp
@@ -50,11 +50,21 @@
     return start + " after " + text_of(fields, "after_ms") + " ms";
 }
 
+// Returns how the answer ended, if the line tells it.
+std::string summary_of_ending(json::object const& fields)
+{
+    auto const framing = text_of(fields, "framing");
+    if (framing.empty() || framing == "none")
+        return {};
+    return ", framed by " + framing + ", ended by " + text_of(fields, "ended_by") + " with "
+        + text_of(fields, "partial_bytes") + " bytes of an incomplete event";
+}
+
 std::string summary_of_failure(json::object const& fields)
 {
     return "attempt " + text_of(fields, "attempt") + " at endpoint " + text_of(fields, "endpoint") + " ended as "
         + text_of(fields, "end") + " after " + text_of(fields, "after_ms") + " ms and " + text_of(fields, "events")
-        + " events";
+        + " events" + summary_of_ending(fields);
 }
 
 } // namespace
@@ -102,7 +112,8 @@
     for (std::size_t index = 0; index < m_lines.size(); ++index) {
         auto const& [time, vm, event, fields] = m_lines[index];
         if (event == "answered")
-            found = { "answered with " + text_of(fields, "status") + " by endpoint " + text_of(fields, "endpoint"),
+            found = { "answered with " + text_of(fields, "status") + " by endpoint " + text_of(fields, "endpoint")
+                    + summary_of_ending(fields),
                 index };
         else if (event == "failure_passed_on")
             found = { "endpoint " + text_of(fields, "endpoint") + " answered with a failure of its own; not retried ("
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -35,6 +35,12 @@
     return attempt_verdict::failed;
 }
 
+std::string_view stop_label(answer_ending const& ending)
+{
+    bool const is_unmarked = ending.framing == answer_framing::connection && ending.stop == answer_stop::closed;
+    return is_unmarked ? "closed_without_framing" : name_of(ending.stop);
+}
+
 } // namespace
 
 void dispatch_reducer::handle(caller_left const& left, step_context& step)
@@ -112,6 +118,8 @@
     if (ended.has_answer_begun)
         record_answer_begun(request, step.now);
     request.events_forwarded += ended.events;
+    if (ended.ending.framing != answer_framing::none)
+        step.effects.emplace_back(count_event { counter_kind::answer_stops, stop_label(ended.ending) });
     auto const verdict = verdict_of(ended);
     if (!request.is_engine)
         record_plain_service_end(request, ended.end, verdict, step);
@@ -135,6 +143,9 @@
                 .add("events", request.events_forwarded)
                 .add("after_ms", (step.now - request.sent_at).count())
                 .add("content", ended.content.value_or(content_hash()).value())
+                .add("framing", name_of(ended.ending.framing))
+                .add("ended_by", name_of(ended.ending.stop))
+                .add("partial_bytes", ended.ending.partial_bytes)
                 .take() });
         retry_or_end(ended.request, request, ended.end, step);
         return serve_waiting_throttled(step);
@@ -153,6 +164,9 @@
             .add("expected_ms", static_cast<std::int64_t>(request.expected_ms))
             .add("objective_ms", request.objective.count())
             .add("took_ms", (step.now - request.arrived).count())
+            .add("framing", name_of(ended.ending.framing))
+            .add("ended_by", name_of(ended.ending.stop))
+            .add("partial_bytes", ended.ending.partial_bytes)
             .take() });
     remove_request(ended.request, step);
     serve_waiting_throttled(step);
--- a/libraries/dispatch/effects.h
+++ b/libraries/dispatch/effects.h
@@ -89,6 +89,8 @@
     requests,
     answers,
     failures,
+    // Ends of answers, by what ended them.
+    answer_stops,
     refusals,
     retries,
     ejections,
@@ -104,7 +106,8 @@
 // Increments a counter of the metrics.
 struct count_event {
     counter_kind which { counter_kind::requests };
-    // The reason of a refusal, a failed attempt, a notice or a resumption; empty for other counters.
+    // The reason of a refusal, a failed attempt, a notice, a resumption or the end of an answer; empty for other
+    // counters.
     std::string_view reason;
 };
 
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -2,6 +2,7 @@
 // The events of the dispatcher. They are its only input.
 #pragma once
 
+#include "libraries/dispatch/answer_ending.h"
 #include "libraries/dispatch/engines/engine_work.h"
 #include "libraries/dispatch/streams/stream_directory.h"
 #include "libraries/dispatch/streams/version_history.h"
@@ -55,6 +56,7 @@
     bool has_answer_begun { false };
     // The hash of the request; set if the attempt failed, and while any request is suspected.
     std::optional<content_hash> content {};
+    answer_ending ending {};
 };
 
 // The head of an answer contained a notice about its endpoint. This event precedes the end of the attempt.
--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -39,7 +39,7 @@
     if (m_phase == phase::idle) {
         m_phase = phase::calling;
         if (!m_socket.flush())
-            end_call(call_end::broken);
+            break_call(dispatch::answer_stop::reset);
         return;
     }
     m_phase = phase::connecting;
@@ -61,6 +61,8 @@
     m_parser->header_limit(max_header_bytes);
     m_has_head = false;
     m_is_skipping = false;
+    m_framing = dispatch::answer_framing::none;
+    m_stop = dispatch::answer_stop::none;
 }
 
 void call_connection::abandon()
@@ -78,11 +80,11 @@
             return end_call(call_end::not_sent);
         m_phase = phase::calling;
         if (!m_socket.flush())
-            end_call(call_end::broken);
+            break_call(dispatch::answer_stop::reset);
         return;
     }
     if (ready.is_writable && !m_socket.flush())
-        return end_call(call_end::broken);
+        return break_call(dispatch::answer_stop::reset);
     if (!ready.is_readable && !ready.is_closed)
         return;
     auto const [bytes, end] = m_socket.read();
@@ -124,7 +126,7 @@
     boost::system::error_code failure;
     auto const used = m_parser->put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
     if (failure && failure != http::error::need_more) {
-        end_call(call_end::broken);
+        break_call(dispatch::answer_stop::invalid);
         return used;
     }
     if (!m_has_head && m_parser->is_header_done()) {
@@ -148,6 +150,7 @@
 void call_connection::handle_head()
 {
     m_has_head = true;
+    m_framing = framing_of_head();
     switch (m_listener->on_head(m_parser->get().base())) {
     case head_decision::accept:
         break;
@@ -156,7 +159,7 @@
         break;
     case head_decision::reject:
         if (m_listener != nullptr)
-            end_call(call_end::broken);
+            break_call(dispatch::answer_stop::invalid);
         break;
     }
 }
@@ -165,7 +168,7 @@
 {
     if (m_is_skipping) {
         if (!is_reusable())
-            return end_call(call_end::broken);
+            return break_call(dispatch::answer_stop::invalid);
         return begin_answer();
     }
     auto const reuse_for = reuse_time(field_of(m_parser->get().base(), "Keep-Alive"));
@@ -176,6 +179,8 @@
         m_socket.close();
     m_idle_since = m_loop.now();
     m_reusable_until = m_idle_since + reuse_for;
+    if (m_stop == dispatch::answer_stop::none)
+        m_stop = dispatch::answer_stop::framing;
     auto* const listener = std::exchange(m_listener, nullptr);
     listener->on_call_end(call_end::complete);
 }
@@ -186,12 +191,27 @@
 
 void call_connection::handle_end_of_input(read_end end)
 {
+    auto const stop = end == read_end::closed ? dispatch::answer_stop::closed : dispatch::answer_stop::reset;
     if (end == read_end::closed && m_has_head && !m_is_skipping) {
+        m_stop = stop;
         boost::system::error_code failure;
         m_parser->put_eof(failure);
         if (!failure && m_parser->is_done())
             return finish_answer(trailing_bytes::none);
     }
+    break_call(stop);
+}
+
+dispatch::answer_framing call_connection::framing_of_head() const
+{
+    if (m_parser->chunked())
+        return dispatch::answer_framing::chunks;
+    return m_parser->need_eof() ? dispatch::answer_framing::connection : dispatch::answer_framing::length;
+}
+
+void call_connection::break_call(dispatch::answer_stop stop)
+{
+    m_stop = stop;
     end_call(call_end::broken);
 }
 
--- a/libraries/relay/call_connection.h
+++ b/libraries/relay/call_connection.h
@@ -3,6 +3,7 @@
 // whether a failed call was sent at all, and can skip answers that belong to an earlier call.
 #pragma once
 
+#include "libraries/dispatch/answer_ending.h"
 #include "libraries/relay/http_message.h"
 #include "libraries/relay/socket.h"
 
@@ -57,6 +58,8 @@
     // When the connection became idle, and until when the server is expected to keep it open.
     [[nodiscard]] instant idle_since() const { return m_idle_since; }
     [[nodiscard]] instant reusable_until() const { return m_reusable_until; }
+    // How the last call's answer was framed and what ended it; an answer that is still being received has not stopped.
+    [[nodiscard]] dispatch::answer_ending ending() const { return { m_framing, m_stop }; }
 
 private:
     enum class phase { unconnected, connecting, idle, calling };
@@ -70,7 +73,10 @@
     void handle_head();
     void finish_answer(trailing_bytes trailing);
     void end_call(call_end end);
+    // Ends the call as broken.
+    void break_call(dispatch::answer_stop stop);
     void begin_answer();
+    [[nodiscard]] dispatch::answer_framing framing_of_head() const;
     [[nodiscard]] bool is_reusable() const;
 
     event_loop& m_loop;
@@ -80,6 +86,8 @@
     std::optional<http::response_parser<streamed_body>> m_parser;
     bool m_has_head { false };
     bool m_is_skipping { false };
+    dispatch::answer_framing m_framing { dispatch::answer_framing::none };
+    dispatch::answer_stop m_stop { dispatch::answer_stop::none };
     // Counts the calls, which shows whether the listener has started another call during a callback.
     std::uint64_t m_call_number { 0 };
     // Received bytes of the answer that the parser cannot consume yet.
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -54,6 +54,8 @@
         m_attempt = std::move(attempt);
         m_connection = std::move(connection);
         m_attempt_events = 0;
+        m_ending = {};
+        m_is_stream = false;
         m_body.clear();
         m_buffered.set(m_request.body().size());
         m_stream.drop_partial();
@@ -166,6 +168,7 @@
             return;
         if (m_stream.has_gap()) {
             drop_attempt();
+            m_ending.stop = dispatch::answer_stop::invalid;
             return end_attempt(dispatch::attempt_end::broken);
         }
         bool const is_first = m_attempt_events == 0;
@@ -181,6 +184,9 @@
 
     void on_call_end(call_end end) override
     {
+        m_ending = m_connection->ending();
+        if (m_is_stream)
+            m_ending.partial_bytes = static_cast<std::uint32_t>(m_stream.partial().size());
         if (end == call_end::not_sent)
             return end_attempt(dispatch::attempt_end::not_sent);
         if (end == call_end::broken)
@@ -241,6 +247,7 @@
         m_connection.reset();
         dispatch::attempt_ended event { m_number, m_attempt.attempt, end, m_status, std::exchange(m_attempt_events, 0),
             m_is_head_sent };
+        event.ending = m_ending;
         bool const may_clear = end == dispatch::attempt_end::complete && m_owner.suspects_requests();
         if (end == dispatch::attempt_end::broken || end == dispatch::attempt_end::failed || may_clear)
             event.content = content_of(m_request);
@@ -266,6 +273,7 @@
     answer_head m_answer_head;
     bool m_is_stream { false };
     std::uint32_t m_attempt_events { 0 };
+    dispatch::answer_ending m_ending;
     event_stream m_stream;
     std::string m_whole_events;
     // The body of an answer that is not a stream, withheld until it is complete.
--- a/services/shedhilld/counter_names.cpp
+++ b/services/shedhilld/counter_names.cpp
@@ -16,6 +16,8 @@
         return "shedhill_answers_total";
     case dispatch::counter_kind::failures:
         return "shedhill_failures_passed_on_total";
+    case dispatch::counter_kind::answer_stops:
+        return with_reason("shedhill_answer_stops_total");
     case dispatch::counter_kind::refusals:
         return with_reason("shedhill_refusals_total");
     case dispatch::counter_kind::retries:
--- a/tests/diagnosis/request_trace_test.cpp
+++ b/tests/diagnosis/request_trace_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_refusal_of_a_quarantined_request_is_explained);
     CPPUNIT_TEST(a_resumption_of_an_unknown_stream_is_explained);
     CPPUNIT_TEST(an_answer_broken_by_a_crash_is_explained);
+    CPPUNIT_TEST(the_end_of_a_broken_answer_is_explained);
     CPPUNIT_TEST(a_request_under_an_old_configuration_is_explained);
     CPPUNIT_TEST(a_refusal_while_all_endpoints_back_off_is_explained);
     CPPUNIT_TEST(lines_of_many_processes_are_sorted_by_time);
@@ -134,6 +135,19 @@
         CPPUNIT_ASSERT(cause_contains(trace, "5 events; broken off (answer_broken)"));
     }
 
+    void the_end_of_a_broken_answer_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "model") });
+        auto const request = fleet.ask("/once/");
+        fleet.begin(request);
+        dispatch::attempt_ended ended { request, attempt_number(1), dispatch::attempt_end::broken, 200, 5, true };
+        ended.ending = { dispatch::answer_framing::connection, dispatch::answer_stop::closed, 17 };
+        fleet.deliver(ended);
+        CPPUNIT_ASSERT(cause_contains(trace_of(fleet, "id-1"),
+            "5 events, framed by connection, ended by closed with 17 bytes of an incomplete event"));
+    }
+
     void a_request_under_an_old_configuration_is_explained()
     {
         driver fleet;
