--- a/libraries/net/http.h
+++ b/libraries/net/http.h
@@ -37,6 +37,9 @@
     std::string body;
 };
 
+// How a streamed answer marks its end: by a last chunk, or only by the end of its connection.
+enum class stream_framing { chunks, connection };
+
 // A request received by a server, and the functions to answer it. Not more than one fiber uses an exchange.
 class http_exchange {
 public:
@@ -45,10 +48,9 @@
     [[nodiscard]] virtual http_request const& request() const = 0;
     virtual result<void> respond(http_response const& response) = 0;
 
-    // A streamed answer uses the chunked transfer encoding. An aborted answer ends without its last chunk, so that the
-    // caller detects that it is incomplete.
-    virtual result<void> start_stream(
-        std::uint16_t status, std::string const& content_type, std::vector<http_header> const& headers)
+    // An aborted answer in chunks ends without its last chunk, so that the caller detects that it is incomplete.
+    virtual result<void> start_stream(std::uint16_t status, std::string const& content_type,
+        std::vector<http_header> const& headers, stream_framing framing = stream_framing::chunks)
         = 0;
     virtual result<void> write_chunk(std::string_view data) = 0;
     virtual result<void> end_stream() = 0;
--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -55,15 +55,17 @@
         return check_outcome(outcome, "write answer");
     }
 
-    result<void> start_stream(
-        std::uint16_t status, std::string const& content_type, std::vector<http_header> const& headers) override
+    result<void> start_stream(std::uint16_t status, std::string const& content_type,
+        std::vector<http_header> const& headers, stream_framing framing) override
     {
         m_has_answered = true;
+        m_framing = framing;
+        m_keep_alive = m_keep_alive && framing == stream_framing::chunks;
         http::response<http::empty_body> message;
         message.result(status);
         message.version(11);
         message.keep_alive(m_keep_alive);
-        message.chunked(true);
+        message.chunked(framing == stream_framing::chunks);
         if (!content_type.empty())
             message.set(http::field::content_type, content_type);
         for (auto const& [name, value] : headers)
@@ -81,7 +83,10 @@
             return {};
         m_stream.expires_after(m_limits.write_timeout);
         auto const outcome = await_io([&](auto handler) {
-            asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), std::move(handler));
+            if (m_framing == stream_framing::chunks)
+                asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), std::move(handler));
+            else
+                asio::async_write(m_stream, asio::buffer(data), std::move(handler));
         });
         return check_outcome(outcome, "write answer");
     }
@@ -89,6 +94,8 @@
     result<void> end_stream() override
     {
         m_disconnect_handler.reset();
+        if (m_framing == stream_framing::connection)
+            return {};
         m_stream.expires_after(m_limits.write_timeout);
         auto const outcome
             = await_io([&](auto handler) { asio::async_write(m_stream, http::make_chunk_last(), std::move(handler)); });
@@ -134,6 +141,7 @@
     http_request m_request;
     bool m_keep_alive;
     bool m_has_answered { false };
+    stream_framing m_framing { stream_framing::chunks };
     // Null while the connection is not watched; a completion handler that runs late finds its weak pointer expired.
     std::shared_ptr<std::function<void()>> m_disconnect_handler;
 };
--- a/tests/processes/hosted_crash_test.cpp
+++ b/tests/processes/hosted_crash_test.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST_SUITE(hosted_crash_test);
     CPPUNIT_TEST(a_repeated_resumable_request_ends_three_replicas_at_most);
     CPPUNIT_TEST(a_request_that_may_not_be_repeated_ends_three_replicas_at_most);
+    CPPUNIT_TEST(a_crash_that_closes_a_stream_inside_an_event_is_not_an_answer);
+    CPPUNIT_TEST(a_crash_that_closes_a_stream_between_events_is_not_an_answer);
     CPPUNIT_TEST(routers_of_other_failure_domains_receive_a_quarantine);
     CPPUNIT_TEST(a_quarantine_outlives_the_loss_of_all_routers);
     CPPUNIT_TEST_SUITE_END();
@@ -115,6 +117,8 @@
 
     void a_repeated_resumable_request_ends_three_replicas_at_most() { check_repeats_of("/stream/crash/a"); }
     void a_request_that_may_not_be_repeated_ends_three_replicas_at_most() { check_repeats_of("/order/crash/a"); }
+    void a_crash_that_closes_a_stream_inside_an_event_is_not_an_answer() { check_repeats_of("/stream/crash/inside/a"); }
+    void a_crash_that_closes_a_stream_between_events_is_not_an_answer() { check_repeats_of("/stream/crash/between/a"); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(hosted_crash_test);
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -15,6 +15,12 @@
 // The back-off that a replica asks for.
 constexpr char const* backoff_seconds = "2";
 
+net::stream_framing framing_of(net::http_request const& request)
+{
+    bool const is_unframed = request.target.find("/unframed/") != std::string::npos;
+    return is_unframed ? net::stream_framing::connection : net::stream_framing::chunks;
+}
+
 bool rejects_requests(std::string const& mode) { return mode == "busy" || mode == "rest" || mode == "rest_once"; }
 
 } // namespace
@@ -101,7 +107,7 @@
     ++m_runs[id];
     record_event("ran", request);
     if (request.target.find("/crash/") != std::string::npos)
-        crash(request);
+        crash(exchange);
     if (m_mode == "mute") {
         boost::this_fiber::sleep_for(mute_time);
         return exchange.abort_stream();
@@ -119,18 +125,38 @@
     boost::this_fiber::sleep_for(m_interval);
     if (m_mode == "cut")
         return exchange.abort_stream();
-    (void)exchange.respond({ 200, headers, "text/plain",
-        "team=" + request.header("Shedhill-Tenant") + " key=" + request.header("Authorization")
-            + " body=" + request.body });
+    auto const body = "team=" + request.header("Shedhill-Tenant") + " key=" + request.header("Authorization")
+        + " body=" + request.body;
+    if (framing_of(request) == net::stream_framing::chunks) {
+        (void)exchange.respond({ 200, headers, "text/plain", body });
+        return;
+    }
+    if (exchange.start_stream(200, "text/plain", headers, net::stream_framing::connection))
+        (void)exchange.write_chunk(body);
 }
 
-void hosted_replica::crash(net::http_request const& request)
+void hosted_replica::crash(net::http_exchange& exchange)
 {
     boost::this_fiber::sleep_for(m_interval);
-    record_event("crashed", request);
+    begin_unframed_stream(exchange);
+    record_event("crashed", exchange.request());
     std::_Exit(EXIT_FAILURE);
 }
 
+void hosted_replica::begin_unframed_stream(net::http_exchange& exchange)
+{
+    auto const& request = exchange.request();
+    bool const is_inside = request.target.find("/inside/") != std::string::npos;
+    if (!is_inside && request.target.find("/between/") == std::string::npos)
+        return;
+    auto headers = common_headers(request);
+    headers.push_back({ "Shedhill-Server-Signature", "signed-by-" + m_incarnation });
+    auto const last = request.header("Last-Event-Id");
+    auto const number = std::to_string(last.empty() ? 1 : std::stoi(last) + 1);
+    (void)exchange.start_stream(200, "text/event-stream", headers, net::stream_framing::connection);
+    (void)exchange.write_chunk("id: " + number + "\ndata: piece\n\n" + (is_inside ? "id: " : ""));
+}
+
 void hosted_replica::count_while_cold(net::http_request const& request)
 {
     constexpr std::chrono::seconds span { 1 };
@@ -152,7 +178,7 @@
     if (is_own && !m_software.empty())
         event_data += "@" + m_software;
     auto const first = last.empty() ? 1 : std::stoi(last) + 1;
-    if (!exchange.start_stream(200, "text/event-stream", headers))
+    if (!exchange.start_stream(200, "text/event-stream", headers, framing_of(exchange.request())))
         return;
     for (int number = first; number <= events_per_stream; ++number) {
         boost::this_fiber::sleep_for(m_interval);
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -29,7 +29,9 @@
     // Serves POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail" | "rest" | "rest_once" | "leaving"} and GET
     // /counts (the number of runs by request id). Any other path is a request: under /stream/ ten events are streamed,
     // a path with /own/ puts the request's id into each event, followed by "@" and the version of the software if one
-    // is set; one with /crash/ ends the process soon after the run has started, one with /failing/ is answered with
+    // is set; one with /crash/ ends the process soon after the run has started (with
+    // /inside/ or /between/ after it has sent a stream's first event without framing, inside the second event or before
+    // it), one with /unframed/ is answered with neither a length nor chunks, one with /failing/ is answered with
     // status 500, and one with /aborting/ breaks off. In the mode "busy" the replica rejects all requests as not
     // executed, in "cut" it aborts the connection before the answer is complete, in "mute" it does so after 20 seconds
     // without sending anything, and in "fail" it answers with status 500. In the mode "rest" the replica rejects all
@@ -46,7 +48,9 @@
     // Writes a line of the runs file: event, request id, method, target, incarnation, and time (steady clock, ms).
     void record_event(char const* event, net::http_request const& request);
     // Ends the process, which breaks all its connections and closes its port.
-    [[noreturn]] void crash(net::http_request const& request);
+    [[noreturn]] void crash(net::http_exchange& exchange);
+    // Sends the start of a stream that only the end of its connection marks.
+    void begin_unframed_stream(net::http_exchange& exchange);
     void stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
 
     static constexpr int events_per_stream = 10;
