relay: A stream that ends inside an event is broken off under every framing

What callers saw: a stream that its endpoint broke off came to its end as a whole answer, with status 200, the endpoint's signature and a last chunk, and events were missing (ORDER).

Cause: each part of the exchange judged the end of an answer by itself. An answer with neither a length nor chunks ends with its connection, so call_connection took a FIN for its end, and finish_answer() forwarded what was left of an event and wrote the last chunk after it. The end also counted as an answer: it was not resumed, and it cleared the request of the suspicion of crashing endpoints.

Change: judge_attempt() decides from the connection's end, the framing and the body how an attempt ended; retries, suspicion, health and the caller's answer follow from it. A stream that ends inside an event, or without framing before its first event, is broken: it is resumed where the route allows it, and is cut visibly otherwise. call_connection tells a marked end from a closed connection.

--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -143,7 +143,7 @@
         content.clear();
     }
     if (m_parser->is_done())
-        finish_answer(bytes.size() > used ? trailing_bytes::some : trailing_bytes::none);
+        finish_answer(call_end::complete, bytes.size() > used ? trailing_bytes::some : trailing_bytes::none);
     return used;
 }
 
@@ -164,7 +164,7 @@
     }
 }
 
-void call_connection::finish_answer(trailing_bytes trailing)
+void call_connection::finish_answer(call_end end, trailing_bytes trailing)
 {
     if (m_is_skipping) {
         if (!is_reusable())
@@ -182,7 +182,7 @@
     if (m_stop == dispatch::answer_stop::none)
         m_stop = dispatch::answer_stop::framing;
     auto* const listener = std::exchange(m_listener, nullptr);
-    listener->on_call_end(call_end::complete);
+    listener->on_call_end(end);
 }
 
 // NOTE: A server may answer before it has read the whole call. The unsent rest of the body must then not be sent as
@@ -197,7 +197,7 @@
         boost::system::error_code failure;
         m_parser->put_eof(failure);
         if (!failure && m_parser->is_done())
-            return finish_answer(trailing_bytes::none);
+            return finish_answer(call_end::closed, trailing_bytes::none);
     }
     break_call(stop);
 }
--- a/libraries/relay/call_connection.h
+++ b/libraries/relay/call_connection.h
@@ -16,6 +16,10 @@
     // No byte of the call was written.
     not_sent,
     complete,
+    // The answer has neither a length nor chunks, and the server closed the connection in an orderly way. HTTP takes
+    // such
+    // an answer for complete, but a server that ends in the middle of it closes its connections too.
+    closed,
     broken,
 };
 
@@ -71,7 +75,7 @@
     std::size_t parse_some(std::string_view bytes);
     void handle_end_of_input(read_end end);
     void handle_head();
-    void finish_answer(trailing_bytes trailing);
+    void finish_answer(call_end end, trailing_bytes trailing);
     void end_call(call_end end);
     // Ends the call as broken.
     void break_call(dispatch::answer_stop stop);
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -5,6 +5,7 @@
 
 #include "libraries/dispatch/effects.h"
 #include "libraries/dispatch/events.h"
+#include "libraries/relay/attempt_judgement.h"
 #include "libraries/relay/call_connection.h"
 #include "libraries/relay/event_stream.h"
 #include "libraries/relay/protocol.h"
@@ -187,20 +188,21 @@
         m_ending = m_connection->ending();
         if (m_is_stream)
             m_ending.partial_bytes = static_cast<std::uint32_t>(m_stream.partial().size());
-        if (end == call_end::not_sent)
-            return end_attempt(dispatch::attempt_end::not_sent);
-        if (end == call_end::broken)
-            return end_attempt(dispatch::attempt_end::broken);
         auto connection = std::exchange(m_connection, nullptr);
         if (connection->is_idle())
             m_owner.on_connection_free(m_attempt, std::move(connection));
-        if (m_kind == answer_kind::not_run)
-            return end_attempt(dispatch::attempt_end::not_run);
-        if (m_kind == answer_kind::wrong_endpoint)
-            return end_attempt(dispatch::attempt_end::wrong_endpoint);
+        auto const judged = judge_attempt(evidence_of(end));
+        if (judged != dispatch::attempt_end::complete)
+            return end_attempt(judged);
         finish_answer();
     }
 
+    [[nodiscard]] answer_evidence evidence_of(call_end end) const
+    {
+        bool const has_events = m_is_head_sent || !field_of(m_request, "Last-Event-Id").empty();
+        return { end, m_kind, m_status, m_is_stream, m_stream.is_inside_event(), !has_events };
+    }
+
     void forward_whole_answer()
     {
         append_head("Content-Length", std::to_string(m_body.size()));
@@ -210,8 +212,6 @@
 
     void finish_answer()
     {
-        if (!m_is_stream && m_status >= first_server_error)
-            return end_attempt(dispatch::attempt_end::failed);
         if (m_is_stream) {
             if (!m_is_head_sent) {
                 m_is_head_sent = true;
@@ -255,7 +255,6 @@
     }
 
     static constexpr std::uint16_t first_status_not_success = 300;
-    static constexpr std::uint16_t first_server_error = 500;
 
     event_loop& m_loop;
     exchange_owner& m_owner;
--- a/libraries/relay/store_session.cpp
+++ b/libraries/relay/store_session.cpp
@@ -42,7 +42,9 @@
 {
     m_is_calling = false;
     auto const body = std::exchange(m_body, {});
-    m_done(end == call_end::complete ? m_status : 0, body);
+    // A JSON document that is cut off is not valid, so an answer without a length needs no other proof.
+    bool const has_answer = end == call_end::complete || end == call_end::closed;
+    m_done(has_answer ? m_status : 0, body);
 }
 
 } // namespace shedhill::relay
