relay: Answers without framing reach callers without framing

What callers saw: an answer with neither a length nor chunks, which its endpoint ended between two events or in the middle of a plain body, came to them with a last chunk or with a length that matched the part that had arrived.

Cause: the router gave every answer a framing of its own. A closed connection is all that such an endpoint says of the end, and a server that dies says the same; the router turned it into a promise.

Change: such an answer is forwarded as it came: neither length nor chunks, and the connection ends it. Until it is whole, the caller's connection is set to end with a reset, also if the router's process ends first, so no other end looks like the answer's. Where the caller's answer has begun in chunks already, an unmarked end proves nothing: the stream is resumed at another endpoint or cut visibly.

--- a/libraries/relay/attempt_judgement.cpp
+++ b/libraries/relay/attempt_judgement.cpp
@@ -9,10 +9,13 @@
 constexpr std::uint16_t first_server_error = 500;
 
 // A stream that ends inside an event has been broken off, whatever its framing says. Without framing, a stream that
-// ends before its first event is more likely broken off than empty.
+// ends before its first event is more likely broken off than empty, and no such end proves that the caller's last chunk
+// may be written.
 bool is_stream_broken_off(answer_evidence const& answer)
 {
-    return answer.is_inside_event || (answer.end == call_end::closed && answer.is_without_events);
+    if (answer.is_inside_event)
+        return true;
+    return answer.end == call_end::closed && (answer.is_without_events || answer.is_forwarded_in_chunks);
 }
 
 } // namespace
--- a/libraries/relay/attempt_judgement.h
+++ b/libraries/relay/attempt_judgement.h
@@ -19,6 +19,8 @@
     bool is_inside_event { false };
     // Whether the caller received no event and has none from an earlier request that it resumes.
     bool is_without_events { false };
+    // Whether the caller's answer has begun in chunks, so that its last chunk will mark the answer as whole.
+    bool is_forwarded_in_chunks { false };
 };
 
 [[nodiscard]] dispatch::attempt_end judge_attempt(answer_evidence const& answer);
--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -126,8 +126,17 @@
     m_last_activity = m_loop.now();
     if (!m_socket.flush() || m_socket.unwritten_size() > max_unwritten_bytes)
         return disconnect();
-    if (m_closes_after_answer && !m_is_answering && !m_socket.has_unwritten())
-        disconnect();
+    if (!m_closes_after_answer || m_is_answering || m_socket.has_unwritten())
+        return;
+    if (!m_is_aborted)
+        m_socket.set_reset_on_close(false);
+    disconnect();
+}
+
+void caller_connection::begin_unframed_answer()
+{
+    m_closes_after_answer = true;
+    m_socket.set_reset_on_close(true);
 }
 
 void caller_connection::finish_answer()
@@ -142,6 +151,7 @@
 void caller_connection::abort_answer()
 {
     m_is_answering = false;
+    m_is_aborted = true;
     // The bytes written so far still reach the caller. The close without an end of the answer shows it is incomplete.
     m_closes_after_answer = true;
     schedule_flush();
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -49,9 +49,13 @@
 
     // Returns the buffer for bytes of an answer, which is written at the end of the loop's round.
     std::string& out();
+    // Begins an answer with neither a length nor chunks, whose end is the end of the connection. Until it is complete,
+    // the connection ends with a reset, whatever ends it.
+    void begin_unframed_answer();
     // Completes the answer: reads the next request, or closes the connection if that was requested.
     void finish_answer();
-    // Ends an incomplete answer by closing the connection, which shows the caller that its end is missing.
+    // Ends an incomplete answer by closing the connection, which shows the caller that its end is missing. The
+    // connection of an unframed answer is reset.
     void abort_answer();
     // Closes at once, unless an answer is in progress.
     void close_idle();
@@ -83,6 +87,7 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     bool m_is_answering { false };
     bool m_closes_after_answer { false };
+    bool m_is_aborted { false };
     bool m_is_flush_scheduled { false };
     bool m_is_parsing { false };
     bool m_is_closed { false };
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -133,6 +133,7 @@
         if (m_kind == answer_kind::invalid)
             return head_decision::reject;
         m_last_progress_at = m_loop.now();
+        m_framing = m_connection->ending().framing;
         m_answer_head = head;
         m_is_stream = m_kind == answer_kind::answer && m_status < first_status_not_success
             && field_of(head, "Content-Type").starts_with("text/event-stream");
@@ -174,11 +175,8 @@
         }
         bool const is_first = m_attempt_events == 0;
         m_attempt_events += events;
-        if (!m_is_head_sent) {
-            m_is_head_sent = true;
-            append_head("Transfer-Encoding", "chunked");
-        }
-        append_chunk(m_caller->out(), m_whole_events);
+        begin_stream();
+        forward_events(m_whole_events);
         if (is_first)
             m_owner.on_event(dispatch::answer_began { m_number, m_attempt.attempt });
     }
@@ -200,12 +198,46 @@
     [[nodiscard]] answer_evidence evidence_of(call_end end) const
     {
         bool const has_events = m_is_head_sent || !field_of(m_request, "Last-Event-Id").empty();
-        return { end, m_kind, m_status, m_is_stream, m_stream.is_inside_event(), !has_events };
+        return { end, m_kind, m_status, m_is_stream, m_stream.is_inside_event(), !has_events,
+            m_is_head_sent && !m_is_unframed };
+    }
+
+    // An answer whose end its endpoint has not marked is forwarded in the same way: its caller learns that the
+    // connection ended it, and nothing claims that it is whole.
+    void begin_unframed_answer()
+    {
+        m_is_unframed = true;
+        m_caller->begin_unframed_answer();
+    }
+
+    void begin_stream()
+    {
+        if (std::exchange(m_is_head_sent, true))
+            return;
+        if (m_framing == dispatch::answer_framing::connection)
+            begin_unframed_answer();
+        append_head();
+        if (!m_is_unframed)
+            append_field(m_caller->out(), "Transfer-Encoding", "chunked");
+        m_caller->out() += "\r\n";
+    }
+
+    void forward_events(std::string_view events)
+    {
+        if (m_is_unframed)
+            m_caller->out() += events;
+        else if (!events.empty())
+            append_chunk(m_caller->out(), events);
     }
 
     void forward_whole_answer()
     {
-        append_head("Content-Length", std::to_string(m_body.size()));
+        if (m_framing == dispatch::answer_framing::connection)
+            begin_unframed_answer();
+        append_head();
+        if (!m_is_unframed)
+            append_field(m_caller->out(), "Content-Length", std::to_string(m_body.size()));
+        m_caller->out() += "\r\n";
         m_caller->out() += m_body;
         m_caller->finish_answer();
     }
@@ -213,13 +245,10 @@
     void finish_answer()
     {
         if (m_is_stream) {
-            if (!m_is_head_sent) {
-                m_is_head_sent = true;
-                append_head("Transfer-Encoding", "chunked");
-            }
-            if (!m_stream.partial().empty())
-                append_chunk(m_caller->out(), m_stream.partial());
-            append_last_chunk(m_caller->out());
+            begin_stream();
+            forward_events(m_stream.partial());
+            if (!m_is_unframed)
+                append_last_chunk(m_caller->out());
             m_caller->finish_answer();
         } else {
             forward_whole_answer();
@@ -228,7 +257,8 @@
         m_owner.on_exchange_finished(m_number);
     }
 
-    void append_head(std::string_view framing_name, std::string_view framing)
+    // Appends the status line and the fields that do not concern the framing.
+    void append_head()
     {
         auto& out = m_caller->out();
         append_status_line(out, m_status, to_view(m_answer_head.reason()));
@@ -236,10 +266,8 @@
             if (!is_hop_by_hop(field))
                 append_field(out, to_view(field.name_string()), to_view(field.value()));
         }
-        append_field(out, framing_name, framing);
         if (m_caller->closes_after_answer())
             append_field(out, "Connection", "close");
-        out += "\r\n";
     }
 
     void end_attempt(dispatch::attempt_end end)
@@ -271,6 +299,8 @@
     std::uint16_t m_status { 0 };
     answer_head m_answer_head;
     bool m_is_stream { false };
+    // How the endpoint marks the end of the answer that m_answer_head begins.
+    dispatch::answer_framing m_framing { dispatch::answer_framing::none };
     std::uint32_t m_attempt_events { 0 };
     dispatch::answer_ending m_ending;
     event_stream m_stream;
@@ -281,6 +311,8 @@
     buffered_bytes m_buffered;
     // Whether the answer's head was sent to the caller. Invariant: once true, no head is written again.
     bool m_is_head_sent { false };
+    // Whether the answer to the caller has neither a length nor chunks.
+    bool m_is_unframed { false };
 };
 
 } // namespace shedhill::relay
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -179,10 +179,16 @@
 {
     if (!is_open())
         return;
-    set_option(m_descriptor, SOL_SOCKET, SO_LINGER, linger { 1, 0 });
+    set_reset_on_close(true);
     close();
 }
 
+void socket::set_reset_on_close(bool is_reset)
+{
+    if (is_open())
+        set_option(m_descriptor, SOL_SOCKET, SO_LINGER, linger { is_reset ? 1 : 0, 0 });
+}
+
 result<void> listener_socket::open(std::string const& address)
 {
     auto target = to_system_address(address);
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -73,6 +73,8 @@
     void close();
     // Closes with a reset, which the peer cannot mistake for the end of an answer.
     void reset();
+    // Determines whether the connection ends with a reset, also if this process ends first.
+    void set_reset_on_close(bool is_reset);
 
 private:
     void update_interest();
--- a/tests/processes/hosted_test.cpp
+++ b/tests/processes/hosted_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(each_kind_of_request_is_served);
     CPPUNIT_TEST(a_broken_stream_is_resumed_at_another_replica);
     CPPUNIT_TEST(a_stream_that_cannot_be_resumed_does_not_look_whole);
+    CPPUNIT_TEST(an_unframed_answer_is_served_whole);
+    CPPUNIT_TEST(the_end_of_a_router_does_not_complete_an_unframed_stream);
     CPPUNIT_TEST(an_order_runs_once_whatever_happens);
     CPPUNIT_TEST(a_request_that_one_replica_rejected_is_served_by_another);
     CPPUNIT_TEST(a_changed_configuration_is_in_force_at_every_router);
@@ -106,6 +108,31 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, fleet.runs().at("id-1").as_int64());
     }
 
+    void an_unframed_answer_is_served_whole()
+    {
+        auto fleet = start_fleet(1, 1);
+        auto const stream = fleet.send_request(0, "/stream/unframed/a", "id-1");
+        CPPUNIT_ASSERT(stream.has_value());
+        CPPUNIT_ASSERT_EQUAL(whole_stream(), stream->body);
+        auto const order = fleet.send_request(0, "/order/unframed/a", "id-2");
+        CPPUNIT_ASSERT(order.has_value());
+        CPPUNIT_ASSERT(order->body.ends_with("body=a body"));
+    }
+
+    void the_end_of_a_router_does_not_complete_an_unframed_stream()
+    {
+        auto fleet = start_fleet(1, 1, 100);
+        bool has_answer = true;
+        fiber_group callers;
+        callers.start([&] { has_answer = fleet.send_request(0, "/stream/unframed/a", "id-1").has_value(); });
+        CPPUNIT_ASSERT(wait_until([&] { return fleet.metric(0, "shedhill_active_requests") > 0; }));
+        // The router forwards a few of the ten events first.
+        pause(300);
+        fleet.router(0).kill();
+        callers.join();
+        CPPUNIT_ASSERT(!has_answer);
+    }
+
     void an_order_runs_once_whatever_happens()
     {
         auto fleet = start_fleet(1, 2);
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_request_whose_caller_has_left_is_not_started);
     CPPUNIT_TEST(an_answer_reaches_a_caller_that_is_released);
     CPPUNIT_TEST(a_broken_answer_does_not_look_whole);
+    CPPUNIT_TEST(an_unframed_answer_ends_in_an_orderly_way_only_if_it_is_whole);
     CPPUNIT_TEST(only_whole_events_are_forwarded);
     CPPUNIT_TEST(repeated_events_are_omitted);
     CPPUNIT_TEST(a_missing_event_is_detected);
@@ -45,6 +46,7 @@
         void close() { m_socket.close(); }
         std::string received;
         bool is_closed { false };
+        bool is_reset { false };
 
     private:
         void on_ready(readiness) override
@@ -58,6 +60,7 @@
             received += bytes;
             if (end != read_end::drained) {
                 is_closed = true;
+                is_reset = end == read_end::failed;
                 m_socket.close();
             }
         }
@@ -227,6 +230,32 @@
         CPPUNIT_ASSERT(caller.received.ends_with("2\r\nab\r\n"));
     }
 
+    // The connection ends as by the end of the process if its object is destroyed in the middle of the answer.
+    void an_unframed_answer_ends_in_an_orderly_way_only_if_it_is_whole()
+    {
+        enum class answer_end { finished, aborted, destroyed };
+        for (auto const end : { answer_end::finished, answer_end::aborted, answer_end::destroyed }) {
+            server served(m_loop);
+            served.answers_immediately = false;
+            client caller(m_loop, served.address());
+            caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+            run_until([&] { return !served.requests.empty(); });
+            served.connection->begin_unframed_answer();
+            served.connection->out() += "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab";
+            run_until([&] { return caller.received.ends_with("ab"); });
+            CPPUNIT_ASSERT(!caller.is_closed);
+            if (end == answer_end::finished)
+                served.connection->finish_answer();
+            else if (end == answer_end::aborted)
+                served.connection->abort_answer();
+            else
+                served.connection.reset();
+            run_until([&] { return caller.is_closed; });
+            CPPUNIT_ASSERT(caller.is_closed);
+            CPPUNIT_ASSERT(caller.is_reset == (end != answer_end::finished));
+        }
+    }
+
     void only_whole_events_are_forwarded()
     {
         event_stream stream;
