dispatch, relay: A closed connection clears no suspect before its endpoint is seen alive

What callers saw: a request that ends its endpoint in the middle of an unframed stream, between two events, was served again and again, and took another endpoint each time with all that ran there.

Cause: the end of the attempt counted as an answer, which clears a request of the suspicion of crashing endpoints. The same close is what a process leaves when it dies.

Change: the relay reports such an end as closed, apart from complete. The caller has its answer; the evidence against the request stays open until a probe of the endpoint's port decides: refused counts as a crash, accepted twice clears the suspect. A request that was not suspected gets no record meanwhile, and its copies do not wait. An attempt there that outlives the close saves the probe, as it does for attempts that break off. Closed answers take half of the evidence table at most.

Three tests without a network are new.

--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -22,6 +22,7 @@
 {
     switch (ended.end) {
     case attempt_end::complete:
+    case attempt_end::closed:
         return ended.status >= first_server_error ? attempt_verdict::failed : attempt_verdict::good;
     case attempt_end::not_run:
     case attempt_end::wrong_endpoint:
@@ -128,11 +129,13 @@
         request.content = ended.content;
     if (ended.end == attempt_end::broken)
         record_broken_attempt(request, step);
+    if (ended.end == attempt_end::closed)
+        record_closed_attempt(request, step);
     attempt_outcome const outcome { ended.end, verdict };
     end_attempt(request, &outcome, step);
     if (ended.end == attempt_end::wrong_endpoint)
         m_board.retire(name);
-    if (ended.end != attempt_end::complete) {
+    if (!is_answer(ended.end)) {
         step.effects.emplace_back(log_line { severity::warning, "attempt_failed",
             log_fields()
                 .add("id", request.caller_id)
@@ -150,7 +153,8 @@
         retry_or_end(ended.request, request, ended.end, step);
         return serve_waiting_throttled(step);
     }
-    record_answer(request, step);
+    if (ended.end == attempt_end::complete)
+        record_answer(request, step);
     settle_charge(request, step);
     step.effects.emplace_back(count_event { counter_kind::answers, {} });
     step.effects.emplace_back(timer_event { timer_kind::answer, request.pool, step.now - request.arrived });
@@ -184,7 +188,7 @@
         return;
     if (end == attempt_end::not_run)
         return endpoint->answer_time.record_rejection(step.now);
-    if (end != attempt_end::complete)
+    if (!is_answer(end))
         return;
     auto const took = static_cast<double>((step.now - request.sent_at).count());
     auto const sustainable = static_cast<double>(request.objective.count()) * m_options.policy.bearable_answer;
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -324,7 +324,12 @@
     void end_trial(active_request& request);
     // Tells the suspects which failure domains have routers, after the peers have changed.
     void update_domain_ranks();
+    // Returns the endpoint whose port shows whether the attempt ended because it crashed; empty if nothing can be
+    // inferred from its port.
+    [[nodiscard]] std::optional<broken_endpoint> endpoint_to_probe(active_request const& request);
     void record_broken_attempt(active_request const& request, step_context const& step);
+    // Records an attempt whose answer was forwarded, but may have ended because its endpoint crashed.
+    void record_closed_attempt(active_request const& request, step_context const& step);
     void record_answer(active_request const& request, step_context& step);
     void apply_crash_records(peer_report const& report, step_context& step);
     void probe_broken_endpoints(step_context& step);
--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -54,14 +54,26 @@
         m_suspects.end_trial(identity_of(request));
 }
 
-void dispatch_reducer::record_broken_attempt(active_request const& request, step_context const& step)
+std::optional<broken_endpoint> dispatch_reducer::endpoint_to_probe(active_request const& request)
 {
     auto const* const endpoint = m_board.find(request.instance);
     // An endpoint that drains or leaves may abort unfinished requests without a crash.
     if (!request.content || endpoint == nullptr || endpoint->entry.is_draining || endpoint->announced.is_leaving)
-        return;
-    m_suspects.record_broken_attempt({ request.endpoint, request.instance, endpoint->entry.address },
-        { identity_of(request), request.stamp, step.now, request.sent_at });
+        return std::nullopt;
+    return broken_endpoint { request.endpoint, request.instance, endpoint->entry.address };
+}
+
+void dispatch_reducer::record_broken_attempt(active_request const& request, step_context const& step)
+{
+    if (auto const endpoint = endpoint_to_probe(request))
+        m_suspects.record_broken_attempt(*endpoint, { identity_of(request), request.stamp, step.now, request.sent_at });
+}
+
+void dispatch_reducer::record_closed_attempt(active_request const& request, step_context const& step)
+{
+    if (auto const endpoint = endpoint_to_probe(request))
+        m_suspects.record_closed_attempt(
+            *endpoint, { identity_of(request), request.stamp, step.now, request.sent_at, true });
 }
 
 void dispatch_reducer::record_answer(active_request const& request, step_context& step)
@@ -93,6 +105,9 @@
 void dispatch_reducer::handle(endpoint_probed const& probed, step_context& step)
 {
     auto const resolved = m_suspects.apply_probe(probed.instance, probed.outcome, step.now);
+    for (auto const& cleared : resolved.cleared)
+        step.effects.emplace_back(log_line { severity::debug, "suspect_cleared",
+            log_fields().add("endpoint", resolved.endpoint.value()).add("content", cleared.content.value()).take() });
     for (auto const& crash : resolved.crashes) {
         step.effects.emplace_back(count_event { counter_kind::crashes, {} });
         step.effects.emplace_back(log_line { severity::debug, "request_crashed_endpoint",
--- a/libraries/dispatch/suspects/crash_evidence.cpp
+++ b/libraries/dispatch/suspects/crash_evidence.cpp
@@ -11,6 +11,8 @@
 
 // Bounds the number of stored attempts. Further broken attempts raise no suspicion against their requests.
 constexpr std::size_t max_attempts = 512;
+// Closed answers leave the other half to attempts that broke off.
+constexpr std::size_t max_attempts_with_closed_answers = max_attempts / 2;
 // An ending process may close its connections shortly before its listening port.
 constexpr milliseconds first_probe_after { 10 };
 constexpr milliseconds next_probe_after { 100 };
@@ -23,7 +25,7 @@
 
 void crash_evidence::add(broken_endpoint const& endpoint, broken_attempt const& broken)
 {
-    if (m_attempt_count >= max_attempts)
+    if (m_attempt_count >= (broken.is_closed_answer ? max_attempts_with_closed_answers : max_attempts))
         return;
     ++m_attempt_count;
     auto& evidence = m_endpoints[endpoint.instance];
@@ -39,7 +41,8 @@
     std::uint8_t most = 0;
     for (auto const& [instance, evidence] : m_endpoints) {
         for (auto const& broken : evidence.broken) {
-            if (broken.request == request && broken.stamp.epoch == epoch)
+            bool const is_presumed_whole = broken.is_closed_answer && broken.stamp.crashes == 0;
+            if (!is_presumed_whole && broken.request == request && broken.stamp.epoch == epoch)
                 most = std::max(most, static_cast<std::uint8_t>(broken.stamp.crashes + 1));
         }
     }
@@ -88,9 +91,14 @@
     ++count;
     bool const is_resolved = evidence.accepted >= accepted_to_clear || evidence.unanswered >= max_unanswered;
     if (is_resolved) {
+        bool const is_alive = outcome == probe_outcome::accepted;
         // The next probe resolves attempts that broke off after this probe was sent.
-        m_attempt_count
-            -= std::erase_if(evidence.broken, [&](auto const& broken) { return broken.at <= evidence.probed_at; });
+        m_attempt_count -= std::erase_if(evidence.broken, [&](auto const& broken) {
+            bool const is_decided = broken.at <= evidence.probed_at;
+            if (is_decided && is_alive && broken.is_closed_answer)
+                resolved.answered.push_back(broken);
+            return is_decided;
+        });
         evidence.accepted = 0;
         evidence.unanswered = 0;
     }
--- a/libraries/dispatch/suspects/crash_evidence.h
+++ b/libraries/dispatch/suspects/crash_evidence.h
@@ -20,13 +20,15 @@
     no_answer,
 };
 
-// An attempt that broke off.
+// An attempt that broke off, or that may have.
 struct broken_attempt {
     request_identity request;
     // The stamp of the request when the attempt was sent.
     crash_stamp stamp;
     instant at {};
     instant sent_at {};
+    // The answer was forwarded until the endpoint closed its connection. If the endpoint still listens, it was whole.
+    bool is_closed_answer { false };
 };
 
 // The endpoint instance at which attempts broke off.
@@ -42,7 +44,7 @@
     [[nodiscard]] bool is_empty() const { return m_endpoints.empty(); }
 
     // Returns the number of crashes of the request under the assumption that every endpoint at which it broke off has
-    // crashed.
+    // crashed. Closed answers of requests that were not suspected are presumed to be whole.
     [[nodiscard]] std::uint8_t presumed_crashes(request_identity const& request, std::uint16_t epoch) const;
     // Removes the evidence about a request that was answered or has no record any more.
     void forget(request_identity const& request);
@@ -59,8 +61,10 @@
         endpoint_name endpoint;
         // The attempts that broke off because the endpoint crashed.
         std::vector<broken_attempt> crashed;
+        // The attempts whose closed answers were whole.
+        std::vector<broken_attempt> answered;
     };
-    // Returns the attempts whose endpoint crashed according to the result of its probe.
+    // Returns the attempts that the result of a probe decides.
     resolution resolve(endpoint_key instance, probe_outcome outcome, instant now);
 
 private:
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -136,6 +136,13 @@
         m_evidence.add(endpoint, broken);
 }
 
+void crash_suspects::record_closed_attempt(broken_endpoint const& endpoint, broken_attempt const& closed)
+{
+    if (m_records.contains(closed.request))
+        return record_broken_attempt(endpoint, closed);
+    m_evidence.add(endpoint, closed);
+}
+
 crash_suspects::record& crash_suspects::record_of(request_identity const& request, instant now)
 {
     auto const found = m_records.find(request);
@@ -168,7 +175,11 @@
 crash_suspects::probe_result crash_suspects::apply_probe(endpoint_key instance, probe_outcome outcome, instant now)
 {
     auto const resolved = m_evidence.resolve(instance, outcome, now);
-    probe_result result { resolved.endpoint, {} };
+    probe_result result { resolved.endpoint, {}, {} };
+    for (auto const& closed : resolved.answered) {
+        if (record_answer(closed.request, now))
+            result.cleared.push_back(closed.request);
+    }
     for (auto const& broken : resolved.crashed) {
         auto& entry = record_of(broken.request, now);
         auto const counted = count_crash(entry, broken);
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -45,6 +45,9 @@
     void end_trial(request_identity const& request);
 
     void record_broken_attempt(broken_endpoint const& endpoint, broken_attempt const& broken);
+    // Records an attempt whose answer was forwarded but has no marked end. The request gets no record before a probe
+    // shows that the endpoint crashed.
+    void record_closed_attempt(broken_endpoint const& endpoint, broken_attempt const& closed);
     [[nodiscard]] std::vector<crash_evidence::due_probe> take_due_probes(instant now)
     {
         return m_evidence.take_due(now);
@@ -58,6 +61,8 @@
         endpoint_name endpoint;
         // The requests whose crash count increased.
         std::vector<crash> crashes;
+        // The suspected requests whose answers turned out to be whole.
+        std::vector<request_identity> cleared;
     };
     probe_result apply_probe(endpoint_key instance, probe_outcome outcome, instant now);
     // Clears an answered request. Returns whether it was suspected.
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -279,6 +279,10 @@
     wrong_endpoint,
     // The whole answer was received and forwarded.
     complete,
+    // An answer with neither a length nor chunks was received and forwarded until its connection was closed. A server
+    // that
+    // ends in the middle of an answer closes its connections too, so this does not prove that the request was answered.
+    closed,
     // The endpoint ran the request and answered completely that it failed. The router withholds this answer.
     failed,
     // The connection ended, or the endpoint sent invalid data, before or within the answer.
@@ -298,6 +302,8 @@
         return "wrong_endpoint";
     case attempt_end::complete:
         return "complete";
+    case attempt_end::closed:
+        return "closed";
     case attempt_end::failed:
         return "failed";
     case attempt_end::broken:
@@ -308,4 +314,7 @@
     return "invalid";
 }
 
+// Returns whether the caller has received an answer, which ends its request.
+constexpr bool is_answer(attempt_end end) { return end == attempt_end::complete || end == attempt_end::closed; }
+
 } // namespace shedhill::dispatch
--- a/libraries/relay/attempt_judgement.cpp
+++ b/libraries/relay/attempt_judgement.cpp
@@ -34,7 +34,7 @@
         return dispatch::attempt_end::broken;
     if (!answer.is_stream && answer.status >= first_server_error)
         return dispatch::attempt_end::failed;
-    return dispatch::attempt_end::complete;
+    return answer.end == call_end::closed ? dispatch::attempt_end::closed : dispatch::attempt_end::complete;
 }
 
 } // namespace shedhill::relay
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -190,9 +190,9 @@
         if (connection->is_idle())
             m_owner.on_connection_free(m_attempt, std::move(connection));
         auto const judged = judge_attempt(evidence_of(end));
-        if (judged != dispatch::attempt_end::complete)
+        if (!dispatch::is_answer(judged))
             return end_attempt(judged);
-        finish_answer();
+        finish_answer(judged);
     }
 
     [[nodiscard]] answer_evidence evidence_of(call_end end) const
@@ -242,7 +242,7 @@
         m_caller->finish_answer();
     }
 
-    void finish_answer()
+    void finish_answer(dispatch::attempt_end end)
     {
         if (m_is_stream) {
             begin_stream();
@@ -253,7 +253,7 @@
         } else {
             forward_whole_answer();
         }
-        end_attempt(dispatch::attempt_end::complete);
+        end_attempt(end);
         m_owner.on_exchange_finished(m_number);
     }
 
@@ -276,8 +276,9 @@
         dispatch::attempt_ended event { m_number, m_attempt.attempt, end, m_status, std::exchange(m_attempt_events, 0),
             m_is_head_sent };
         event.ending = m_ending;
-        bool const may_clear = end == dispatch::attempt_end::complete && m_owner.suspects_requests();
-        if (end == dispatch::attempt_end::broken || end == dispatch::attempt_end::failed || may_clear)
+        bool const is_needed = dispatch::is_answer(end) && m_owner.suspects_requests();
+        bool const is_unproven = end == dispatch::attempt_end::broken || end == dispatch::attempt_end::closed;
+        if (is_unproven || end == dispatch::attempt_end::failed || is_needed)
             event.content = content_of(m_request);
         m_owner.on_event(event);
     }
--- a/tests/dispatch/crash_suspects_test.cpp
+++ b/tests/dispatch/crash_suspects_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(a_broken_connection_is_not_a_crash);
     CPPUNIT_TEST(an_endpoint_with_an_older_attempt_under_way_is_not_probed);
     CPPUNIT_TEST(endpoints_lost_at_the_same_time_count_once);
+    CPPUNIT_TEST(a_closed_answer_counts_as_a_crash_if_its_endpoint_has_ended);
+    CPPUNIT_TEST(a_closed_answer_clears_a_suspect_only_once_its_endpoint_is_seen_alive);
+    CPPUNIT_TEST(copies_of_a_request_do_not_wait_for_proof_of_closed_answers);
     CPPUNIT_TEST(a_suspect_has_one_trial_at_a_time);
     CPPUNIT_TEST(an_unfinished_trial_delays_others_for_a_limited_time);
     CPPUNIT_TEST(a_waiting_request_is_refused_when_it_is_quarantined);
@@ -69,6 +72,14 @@
             m_driver.deliver(ended);
         }
 
+        // Ends the answer by closing its connection.
+        void close_answer(request_number request, content_hash content = harmful)
+        {
+            attempt_ended ended { request, m_driver.sent_for(request).back().attempt, attempt_end::closed, 200 };
+            ended.content = content;
+            m_driver.deliver(ended);
+        }
+
         // Waits until the probes are sent and answers each with the outcome.
         void answer_probes(probe_outcome outcome)
         {
@@ -156,6 +167,43 @@
         CPPUNIT_ASSERT(is_sent(fleet, fleet.ask(harmful)));
     }
 
+    void a_closed_answer_counts_as_a_crash_if_its_endpoint_has_ended()
+    {
+        single_router_fleet fleet;
+        for (int crashes = 0; crashes < 3; ++crashes) {
+            auto const request = fleet.ask(harmful);
+            CPPUNIT_ASSERT(is_sent(fleet, request));
+            fleet.close_answer(request);
+            fleet.answer_probes(probe_outcome::refused);
+            fleet->wait(milliseconds(200));
+        }
+        CPPUNIT_ASSERT_EQUAL(name_of(refusal_reason::crashes_endpoints), name_of(reason_of(fleet, fleet.ask(harmful))));
+    }
+
+    void a_closed_answer_clears_a_suspect_only_once_its_endpoint_is_seen_alive()
+    {
+        single_router_fleet fleet;
+        fleet.crash(fleet.ask(harmful));
+        fleet.crash(fleet.ask(harmful));
+        auto const answered = fleet.ask(harmful);
+        fleet.close_answer(answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fleet->reducer().suspects().suspects());
+        // Two accepted connections show that the endpoint lives.
+        for (int probes = 0; probes < 2; ++probes) {
+            fleet.answer_probes(probe_outcome::accepted);
+            fleet->wait(milliseconds(200));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet->reducer().suspects().suspects());
+    }
+
+    void copies_of_a_request_do_not_wait_for_proof_of_closed_answers()
+    {
+        single_router_fleet fleet;
+        fleet.close_answer(fleet.ask(harmful));
+        CPPUNIT_ASSERT(is_sent(fleet, fleet.ask(harmful)));
+        CPPUNIT_ASSERT(is_sent(fleet, fleet.ask(harmful)));
+    }
+
     void a_request_that_was_answered_before_is_quarantined_briefly()
     {
         single_router_fleet fleet;
