dispatch: Logs the shared prompt parts of a failed attempt

The prompt part incident's hypotheses differ in what the crashed attempts have in common, and the log named the first part of a prompt only. attempt_failed now lists all parts but the last. No decision changes.

--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -36,6 +36,16 @@
     return attempt_verdict::failed;
 }
 
+// Lists the shared parts of the prompt, that is all but the last, which belongs to the request or its session.
+std::string shared_parts_text(request_cost const& cost)
+{
+    constexpr std::size_t max_listed = 8;
+    std::string text;
+    for (std::size_t index = 0; index + 1 < cost.parts.size() && index < max_listed; ++index)
+        text += (index == 0 ? "" : ",") + std::to_string(cost.parts[index].id);
+    return text;
+}
+
 std::string_view stop_label(answer_ending const& ending)
 {
     bool const is_unmarked = ending.framing == answer_framing::connection && ending.stop == answer_stop::closed;
@@ -146,6 +156,7 @@
                 .add("events", request.events_forwarded)
                 .add("after_ms", (step.now - request.sent_at).count())
                 .add("content", ended.content.value_or(content_hash()).value())
+                .add("parts", shared_parts_text(request.cost))
                 .add("framing", name_of(ended.ending.framing))
                 .add("ended_by", name_of(ended.ending.stop))
                 .add("partial_bytes", ended.ending.partial_bytes)
