--- a/tests/dispatch/crash_simulation.cpp
+++ b/tests/dispatch/crash_simulation.cpp
@@ -67,19 +67,37 @@
 }
 
 void crash_simulation::ask(std::size_t index, content_hash content)
+{
+    request_arrived arrived;
+    arrived.path = "/look/a";
+    arrived.key = "red-key";
+    deliver_request(index, std::move(arrived), { content, content });
+}
+
+void crash_simulation::ask(std::size_t index, prompt_request const& asked)
+{
+    request_arrived arrived;
+    arrived.path = asked.path;
+    arrived.key = asked.key;
+    for (auto const part : asked.shared_parts)
+        arrived.cost.parts.push_back({ part, 100 });
+    // The last part belongs to the request alone.
+    auto const own_part = stable_hash("own part " + std::to_string(m_last_request));
+    arrived.cost.parts.push_back({ own_part, 100 });
+    deliver_request(index, std::move(arrived), { asked.kind, content_hash(own_part) });
+}
+
+void crash_simulation::deliver_request(std::size_t index, request_arrived arrived, asked_request asked)
 {
     auto& receiver = m_routers[index];
     if (m_now < receiver.frozen_until)
         return;
-    request_arrived arrived;
     arrived.request = request_number(++m_last_request);
     arrived.host = "host";
-    arrived.path = "/look/a";
-    arrived.key = "red-key";
     arrived.time_left = milliseconds(4000);
     if (receiver.reducer->suspects_requests())
-        arrived.content = content;
-    receiver.contents[arrived.request] = content;
+        arrived.content = asked.content;
+    receiver.contents[arrived.request] = asked;
     deliver(index, std::move(arrived));
 }
 
@@ -92,16 +110,16 @@
 {
     auto& sender = m_routers[index];
     if (auto const* sent = std::get_if<send_attempt>(&produced)) {
-        auto const content = sender.contents.at(sent->request);
+        auto const asked = sender.contents.at(sent->request);
         auto& target = m_endpoints.at(std::stoul(sent->address));
         if (!target.is_up || key_of(target.entry.name, target.entry.started_at_ms) != sent->instance)
             return enqueue(index, attempt_ended { sent->request, sent->attempt, attempt_end::not_sent }, step_time);
         bool const is_undisturbed = m_now - sender.disturbed_at > milliseconds(3000);
-        m_histories[content].arrivals.push_back({ m_now, is_undisturbed });
+        m_histories[asked.kind].arrivals.push_back({ m_now, is_undisturbed });
         target.runs.push_back(
-            { index, sender.incarnation, sent->request, sent->attempt, content, m_now + m_options.run_time });
+            { index, sender.incarnation, sent->request, sent->attempt, asked, m_now + m_options.run_time });
     } else if (auto const* refused = std::get_if<answer_refusal>(&produced)) {
-        ++m_histories[sender.contents.at(refused->request)].refused;
+        ++m_histories[sender.contents.at(refused->request).kind].refused;
     } else if (auto const* probe = std::get_if<probe_endpoint>(&produced)) {
         bool const is_up = m_endpoints.at(std::stoul(probe->address)).is_up;
         enqueue(index, endpoint_probed { probe->instance, is_up ? probe_outcome::accepted : probe_outcome::refused },
@@ -117,7 +135,7 @@
         if (m_routers[broken.router].incarnation != broken.incarnation)
             continue;
         attempt_ended ending { broken.request, broken.attempt, attempt_end::broken };
-        ending.content = broken.content;
+        ending.content = broken.asked.content;
         enqueue(broken.router, ending, no_delay);
     }
 }
@@ -183,20 +201,20 @@
         auto const due = std::ranges::find_if(host.runs, [&](run const& current) { return m_now >= current.ends_at; });
         if (due == host.runs.end())
             continue;
-        if (auto& harmful = m_histories[due->content]; harmful.is_harmful) {
+        if (auto& harmful = m_histories[due->asked.kind]; harmful.is_harmful) {
             harmful.crash_times.push_back(m_now);
             terminate_endpoint(host);
             continue;
         }
         std::erase_if(host.runs, [&](run const& current) {
-            if (m_now < current.ends_at || m_histories[current.content].is_harmful)
+            if (m_now < current.ends_at || m_histories[current.asked.kind].is_harmful)
                 return false;
-            ++m_histories[current.content].served;
+            ++m_histories[current.asked.kind].served;
             if (m_routers[current.router].incarnation != current.incarnation)
                 return true;
             attempt_ended answered { current.request, current.attempt, attempt_end::complete, 200 };
             if (m_routers[current.router].reducer->suspects_requests())
-                answered.content = current.content;
+                answered.content = current.asked.content;
             enqueue(current.router, answered, no_delay);
             return true;
         });
@@ -299,11 +317,24 @@
 
 std::size_t crash_simulation::sent_after_third_crash(content_hash content, milliseconds later) const
 {
-    constexpr std::size_t third = 2;
+    constexpr std::size_t third = 3;
+    return sent_after_crash(content, third, later);
+}
+
+std::size_t crash_simulation::quarantined() const
+{
+    std::size_t sum = 0;
+    for (auto const& current : m_routers)
+        sum += current.reducer->suspects().quarantined();
+    return sum;
+}
+
+std::size_t crash_simulation::sent_after_crash(content_hash content, std::size_t crash, milliseconds later) const
+{
     auto const found = m_histories.find(content);
-    if (found == m_histories.end() || found->second.crash_times.size() <= third)
+    if (found == m_histories.end() || found->second.crash_times.size() < crash)
         return 0;
-    auto const from = found->second.crash_times[third] + later;
+    auto const from = found->second.crash_times[crash - 1] + later;
     return static_cast<std::size_t>(std::ranges::count_if(
         found->second.arrivals, [&](arrival const& current) { return current.is_undisturbed && current.at > from; }));
 }
--- a/tests/dispatch/crash_simulation.h
+++ b/tests/dispatch/crash_simulation.h
@@ -30,6 +30,14 @@
     // Sends a caller's request with this content to the router. A harmful request crashes the endpoint that runs it.
     void ask(std::size_t router, content_hash content);
     void set_harmful(content_hash content, bool is_harmful);
+    // A request whose prompt holds shared parts. No two such requests have the same content; they count for their kind.
+    struct prompt_request {
+        content_hash kind;
+        std::vector<std::uint64_t> shared_parts;
+        std::string path { "/look/a" };
+        std::string key { "red-key" };
+    };
+    void ask(std::size_t router, prompt_request const& asked);
     // Restarts the router without its state; it receives the reports of the others after `report_delay`.
     void restart_router(std::size_t router);
     // Stops the router for this duration: it processes nothing and accepts no requests.
@@ -48,14 +56,23 @@
     // Number of requests with this content that reached an endpoint more than `later` after the third crash, from
     // routers that for three seconds had not been restarted, frozen or disconnected.
     [[nodiscard]] std::size_t sent_after_third_crash(content_hash content, milliseconds later) const;
+    // The same for this crash, counted from 1.
+    [[nodiscard]] std::size_t sent_after_crash(content_hash content, std::size_t crash, milliseconds later) const;
+    // Number of quarantines in force at all routers together.
+    [[nodiscard]] std::size_t quarantined() const;
 
 private:
+    struct asked_request {
+        // Requests of one kind share their history.
+        content_hash kind;
+        content_hash content;
+    };
     struct run {
         std::size_t router { 0 };
         std::uint64_t incarnation { 0 };
         request_number request;
         attempt_number attempt;
-        content_hash content;
+        asked_request asked;
         instant ends_at {};
     };
     struct endpoint {
@@ -72,7 +89,7 @@
         instant frozen_until {};
         instant disturbed_at {};
         std::vector<std::pair<instant, event_body>> inbox;
-        std::map<request_number, content_hash> contents;
+        std::map<request_number, asked_request> contents;
     };
     struct arrival {
         instant at {};
@@ -86,6 +103,7 @@
         bool is_harmful { false };
     };
 
+    void deliver_request(std::size_t router, request_arrived arrived, asked_request asked);
     void start_router(std::size_t index);
     void enqueue(std::size_t router, event_body body, milliseconds delay);
     void deliver(std::size_t router, event_body body);
