dispatch: A prompt part that crashes endpoints is quarantined, whatever else its requests hold

Cause: a crash was held against the whole content of a request. Requests that share what crashes an endpoint, but not their bodies, were strangers to each other, and each took its attempts anew. The memory's key was finer than the cause.

Change: the suspects are attributes of requests: the whole content, as before, and each prompt part but the last, of one team. The evidence, the one trial at a time, the quarantine after three crashes in a row, reports and stored rows are the same for both. An answer speaks for all parts of its prompt: parts that were answered in the last two seconds are not blamed, those answered before only if no other part can be at fault, and a router that has seen an answer corrects others' records. A part that much of the traffic shares is so never suspected, and sound requests of the same team go on.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -359,7 +359,7 @@
     refused_caller const refused { reason, request.objective, request.deadline - step.now, m_overload.is_overloaded(),
         m_options.policy.early_return,
         m_board.all_backed_off_for(request.pool, request.constraints, step.now).value_or(milliseconds(0)),
-        m_suspects.quarantine_left(identity_of(request), step.now) };
+        quarantine_left(request, step.now) };
     return retry_delay(refused, step.draw);
 }
 
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -165,7 +165,7 @@
         return serve_waiting_throttled(step);
     }
     if (ended.end == attempt_end::complete)
-        record_answer(request, step);
+        record_answer(request, ended.status, step);
     settle_charge(request, step);
     step.effects.emplace_back(count_event { counter_kind::answers, {} });
     step.effects.emplace_back(timer_event { timer_kind::answer, request.pool, step.now - request.arrived });
@@ -381,6 +381,7 @@
     step.effects.emplace_back(refused);
     step.effects.emplace_back(count_event { counter_kind::refusals, name_of(reason) });
     auto const occupied = m_board.occupancy_of(request.pool, step.now);
+    auto const suspect = most_suspected(request);
     log_fields fields;
     fields.add("id", request.caller_id);
     if (request.resumption)
@@ -399,7 +400,8 @@
                     .value_or(milliseconds(0))
                     .count())
             .add("content", request.content.value_or(content_hash()).value())
-            .add("crashes", m_suspects.crashes_of(identity_of(request)))
+            .add("crashes", suspect.crashes)
+            .add("suspect", suspect.identity.content.value())
             .add("waiting", m_waiting.size())
             .add("share", m_ledger.share())
             .add("even_level", m_ledger.even_level())
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -17,6 +17,7 @@
 #include "libraries/dispatch/streams/pool_changes.h"
 #include "libraries/dispatch/streams/stream_directory.h"
 #include "libraries/dispatch/streams/version_history.h"
+#include "libraries/dispatch/suspects/answered_parts.h"
 #include "libraries/dispatch/suspects/crash_suspects.h"
 #include "libraries/dispatch/suspects/failing_requests.h"
 #include "libraries/dispatch/suspects/failing_teams.h"
@@ -112,6 +113,14 @@
         instant settled_by {};
     };
 
+    // A suspected attribute of a request and its crash record when an attempt was sent.
+    struct sent_attribute {
+        request_identity identity;
+        crash_stamp stamp;
+        // Other attempts of requests with this attribute wait for this one.
+        bool is_trial { false };
+    };
+
     struct active_request {
         std::string caller_id;
         team_name team;
@@ -174,10 +183,8 @@
         bool precedes_others { false };
         // Set at its arrival if any request was suspected then, and otherwise when one of its attempts breaks off.
         std::optional<content_hash> content;
-        // The crash record of the request when the running attempt was sent.
-        crash_stamp stamp;
-        // Other attempts of the suspected request wait for the running one.
-        bool is_trial { false };
+        // The suspected attributes of the request when the running attempt was sent.
+        std::vector<sent_attribute> suspected;
         // The endpoint's failure is withheld. It becomes the answer if no other attempt follows.
         bool is_failure_withheld { false };
         // Failures of earlier attempts that the next attempt settles.
@@ -318,6 +325,18 @@
     // Requests that may crash endpoints.
     [[nodiscard]] static request_identity identity_of(active_request const& request);
     [[nodiscard]] suspicion suspicion_of(active_request const& request, step_context const& step) const;
+    // Returns the attribute of the request that most endpoints have crashed under in a row.
+    struct suspected_attribute {
+        request_identity identity;
+        std::uint8_t crashes { 0 };
+    };
+    [[nodiscard]] suspected_attribute most_suspected(active_request const& request) const;
+    [[nodiscard]] bool has_attribute(active_request const& request, request_identity const& identity) const;
+    // Returns the time until none of the request's attributes is in quarantine any more.
+    [[nodiscard]] milliseconds quarantine_left(active_request const& request, instant now) const;
+    // Returns the attributes that an attempt's end may be held against: the content, and the shared prompt parts that
+    // no answer speaks for.
+    [[nodiscard]] std::vector<request_identity> blamable_attributes(active_request const& request, instant now) const;
     // Returns the key by which a suspect prefers other endpoints than other suspects do; 0 below two crashes.
     [[nodiscard]] std::uint64_t suspect_key_of(active_request const& request) const;
     void begin_trial(active_request& request, step_context const& step);
@@ -327,10 +346,15 @@
     // Returns the endpoint whose port shows whether the attempt ended because it crashed; empty if nothing can be
     // inferred from its port.
     [[nodiscard]] std::optional<broken_endpoint> endpoint_to_probe(active_request const& request);
+    // Returns what the end of the running attempt shows about each attribute that may be blamed for it.
+    [[nodiscard]] std::vector<broken_attempt> evidence_of(
+        active_request const& request, step_context const& step) const;
     void record_broken_attempt(active_request const& request, step_context const& step);
     // Records an attempt whose answer was forwarded, but may have ended because its endpoint crashed.
     void record_closed_attempt(active_request const& request, step_context const& step);
-    void record_answer(active_request const& request, step_context& step);
+    void record_answer(active_request const& request, std::uint16_t status, step_context& step);
+    // Records that an attribute was answered, which clears it.
+    void clear_attribute(request_identity const& identity, std::string_view caller_id, step_context& step);
     void apply_crash_records(peer_report const& report, step_context& step);
     void probe_broken_endpoints(step_context& step);
     // Whether an attempt that this router sent to the instance before that time is still running.
@@ -409,6 +433,7 @@
     // The end of the time in which the process may read what arrived while it was paused.
     instant m_paused_until {};
     crash_suspects m_suspects;
+    answered_parts m_answered_parts;
     failing_requests m_failing;
     failing_teams m_failing_teams;
     // The number of unsettled failures of all active requests.
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -176,10 +176,8 @@
 {
     auto const resolved = m_evidence.resolve(instance, outcome, now);
     probe_result result { resolved.endpoint, {}, {} };
-    for (auto const& closed : resolved.answered) {
-        if (record_answer(closed.request, now))
-            result.cleared.push_back(closed.request);
-    }
+    for (auto const& closed : resolved.answered)
+        result.answered.push_back(closed.request);
     for (auto const& broken : resolved.crashed) {
         auto& entry = record_of(broken.request, now);
         auto const counted = count_crash(entry, broken);
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -61,8 +61,8 @@
         endpoint_name endpoint;
         // The requests whose crash count increased.
         std::vector<crash> crashes;
-        // The suspected requests whose answers turned out to be whole.
-        std::vector<request_identity> cleared;
+        // The requests whose closed answers turned out to be whole.
+        std::vector<request_identity> answered;
     };
     probe_result apply_probe(endpoint_key instance, probe_outcome outcome, instant now);
     // Clears an answered request. Returns whether it was suspected.
