--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -265,6 +265,15 @@
     return net::fetch(m_routers.at(router).address("callers"), request, fetch_timeout);
 }
 
+result<net::http_response> hosted_fleet::send_prompt(
+    std::size_t router, std::string const& target, std::string const& id, std::string const& parts) const
+{
+    net::http_request request { "POST", target, {}, "a body of " + id };
+    request.headers = { { "Host", "shop.example" }, { "Shedhill-Request-Id", id }, { "Shedhill-Deadline-Ms", "6000" },
+        { "Authorization", "Bearer key-1" }, { "Shedhill-Prefix-Hash", parts } };
+    return net::fetch(m_routers.at(router).address("callers"), request, fetch_timeout);
+}
+
 result<net::http_response> hosted_fleet::resume_stream(std::size_t router, std::string const& target,
     std::string const& id, std::string const& first_request, int last_event) const
 {
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -97,6 +97,9 @@
 
     [[nodiscard]] result<net::http_response> send_request(
         std::size_t router, std::string const& target, std::string const& id, std::string const& key = "key-1") const;
+    // Sends a request whose prompt consists of these parts, each as ID:TOKENS with the id in hexadecimal.
+    [[nodiscard]] result<net::http_response> send_prompt(
+        std::size_t router, std::string const& target, std::string const& id, std::string const& parts) const;
     // Sends a request of a caller that resumes a stream after this event.
     [[nodiscard]] result<net::http_response> resume_stream(std::size_t router, std::string const& target,
         std::string const& id, std::string const& first_request, int last_event) const;
--- a/tests/processes/hosted_crash_test.cpp
+++ b/tests/processes/hosted_crash_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_request_that_may_not_be_repeated_ends_three_replicas_at_most);
     CPPUNIT_TEST(a_crash_that_closes_a_stream_inside_an_event_is_not_an_answer);
     CPPUNIT_TEST(a_crash_that_closes_a_stream_between_events_is_not_an_answer);
+    CPPUNIT_TEST(different_requests_with_one_crashing_prompt_part_end_five_replicas_at_most);
     CPPUNIT_TEST(routers_of_other_failure_domains_receive_a_quarantine);
     CPPUNIT_TEST(a_quarantine_outlives_the_loss_of_all_routers);
     CPPUNIT_TEST_SUITE_END();
@@ -61,6 +62,26 @@
         }
     }
 
+    // Sound requests of the same team share the first part.
+    void different_requests_with_one_crashing_prompt_part_end_five_replicas_at_most()
+    {
+        constexpr std::size_t max_ended_by_part = 5;
+        auto fleet = start_fleet();
+        for (std::size_t index = 0; index < repeats; ++index) {
+            auto const own_part = "b" + std::to_string(index) + ":10";
+            auto const sound = "sound-" + std::to_string(index);
+            CPPUNIT_ASSERT(fleet.send_prompt(index % routers, "/look/a", sound, "a1:50," + own_part).has_value());
+            auto const harmful = "crash-" + std::to_string(index);
+            (void)fleet.send_prompt(index % routers, "/look/" + harmful, harmful, "a1:50,dead1:20," + own_part);
+            pause(repeat_pause_ms);
+        }
+        CPPUNIT_ASSERT(ended_replicas(fleet) <= max_ended_by_part);
+        for (std::size_t index = 0; index < routers; ++index) {
+            auto const answer = fleet.send_prompt(index, "/look/a", "last-" + std::to_string(index), "a1:50,c1:10");
+            CPPUNIT_ASSERT(answer && answer->status == 200);
+        }
+    }
+
     static double stored_quarantines(hosted_fleet const& fleet)
     {
         double stored = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -197,13 +197,20 @@
 void soak_run::send_harmful_request(planned_fault const& fault)
 {
     auto const started_at = soak_clock::now();
-    auto const target = "/look/crash/" + std::to_string(fault.draw);
+    // Each second series sends requests that differ in everything but one part of their prompts.
+    bool const is_part = fault.draw % 2 == 1;
+    auto const target = (is_part ? "/look/part/" : "/look/crash/") + std::to_string(fault.draw);
     for (std::size_t index = 0; index < harmful_repeats; ++index) {
         auto const router = (fault.draw + index) % m_options.routers;
         auto const id = "crash-" + std::to_string(fault.draw) + "-" + std::to_string(index);
         m_record.harmful_requests.push_back({ id, target, router });
-        if (m_fleet.router(router).is_running())
-            (void)m_fleet.send_request(router, target, id);
+        if (m_fleet.router(router).is_running()) {
+            if (is_part)
+                (void)m_fleet.send_prompt(router, target + "/" + std::to_string(index), id,
+                    "a1:50,dead" + std::to_string(fault.draw) + ":20,b" + std::to_string(index) + ":10");
+            else
+                (void)m_fleet.send_request(router, target, id);
+        }
         harness::pause(static_cast<int>(min_repeat_pause_ms + (fault.draw >> index) % repeat_pause_spread_ms));
     }
     record_failure(started_at);
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -106,7 +106,7 @@
         return reject(exchange);
     ++m_runs[id];
     record_event("ran", request);
-    if (request.target.find("/crash/") != std::string::npos)
+    if (is_harmful(request))
         crash(exchange);
     if (m_mode == "mute") {
         boost::this_fiber::sleep_for(mute_time);
@@ -135,6 +135,12 @@
         (void)exchange.write_chunk(body);
 }
 
+bool hosted_replica::is_harmful(net::http_request const& request)
+{
+    auto const parts = "," + request.header("Shedhill-Prefix-Hash");
+    return request.target.find("/crash/") != std::string::npos || parts.find(",dead") != std::string::npos;
+}
+
 void hosted_replica::crash(net::http_exchange& exchange)
 {
     boost::this_fiber::sleep_for(m_interval);
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -49,6 +49,8 @@
     void record_event(char const* event, net::http_request const& request);
     // Ends the process, which breaks all its connections and closes its port.
     [[noreturn]] void crash(net::http_exchange& exchange);
+    // Whether the request's path, or a part of its prompt whose id begins with "dead", crashes the replica.
+    [[nodiscard]] static bool is_harmful(net::http_request const& request);
     // Sends the start of a stream that only the end of its connection marks.
     void begin_unframed_stream(net::http_exchange& exchange);
     void stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
