dispatch: A prompt part is not suspected before a probe has shown the crash

Cause: an attempt that breaks off counts as a crash until a probe says otherwise. For a whole content that delays copies of one request. For a part that no answer speaks for yet, an endpoint that lives and breaks off its answers delays every request with the part.

Change: attempts are presumed harmless for parts, as closed answers are, unless the part was suspected when they were sent.

--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -135,7 +135,8 @@
     for (auto const& attribute : blamable_attributes(request, step.now)) {
         auto const sent = std::ranges::find(request.suspected, attribute, &sent_attribute::identity);
         auto const stamp = sent == request.suspected.end() ? crash_stamp() : sent->stamp;
-        evidence.push_back({ attribute, stamp, step.now, request.sent_at });
+        bool const is_part = !request.content || attribute != identity_of(request);
+        evidence.push_back({ attribute, stamp, step.now, request.sent_at, false, is_part });
     }
     return evidence;
 }
@@ -156,7 +157,8 @@
         return;
     for (auto closed : evidence_of(request, step)) {
         closed.is_closed_answer = true;
-        m_suspects.record_closed_attempt(*endpoint, closed);
+        closed.is_presumed_harmless = true;
+        m_suspects.record_broken_attempt(*endpoint, closed);
     }
 }
 
--- a/libraries/dispatch/suspects/crash_evidence.cpp
+++ b/libraries/dispatch/suspects/crash_evidence.cpp
@@ -41,8 +41,8 @@
     std::uint8_t most = 0;
     for (auto const& [instance, evidence] : m_endpoints) {
         for (auto const& broken : evidence.broken) {
-            bool const is_presumed_whole = broken.is_closed_answer && broken.stamp.crashes == 0;
-            if (!is_presumed_whole && broken.request == request && broken.stamp.epoch == epoch)
+            bool const is_harmless = broken.is_presumed_harmless && broken.stamp.crashes == 0;
+            if (!is_harmless && broken.request == request && broken.stamp.epoch == epoch)
                 most = std::max(most, static_cast<std::uint8_t>(broken.stamp.crashes + 1));
         }
     }
--- a/libraries/dispatch/suspects/crash_evidence.h
+++ b/libraries/dispatch/suspects/crash_evidence.h
@@ -29,6 +29,9 @@
     instant sent_at {};
     // The answer was forwarded until the endpoint closed its connection. If the endpoint still listens, it was whole.
     bool is_closed_answer { false };
+    // Unless the request was suspected when the attempt was sent, the attempt does not count as a crash before a probe
+    // decides. This holds for closed answers, and for attributes that many requests share.
+    bool is_presumed_harmless { false };
 };
 
 // The endpoint instance at which attempts broke off.
@@ -44,7 +47,7 @@
     [[nodiscard]] bool is_empty() const { return m_endpoints.empty(); }
 
     // Returns the number of crashes of the request under the assumption that every endpoint at which it broke off has
-    // crashed. Closed answers of requests that were not suspected are presumed to be whole.
+    // crashed, but for attempts that are presumed harmless.
     [[nodiscard]] std::uint8_t presumed_crashes(request_identity const& request, std::uint16_t epoch) const;
     // Removes the evidence about a request that was answered or has no record any more.
     void forget(request_identity const& request);
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -130,19 +130,14 @@
 
 void crash_suspects::record_broken_attempt(broken_endpoint const& endpoint, broken_attempt const& broken)
 {
+    if (broken.is_presumed_harmless && !m_records.contains(broken.request))
+        return m_evidence.add(endpoint, broken);
     auto& entry = record_of(broken.request, broken.at);
     entry.broken_at = broken.at;
     if (broken.stamp.epoch == entry.stamp.epoch)
         m_evidence.add(endpoint, broken);
 }
 
-void crash_suspects::record_closed_attempt(broken_endpoint const& endpoint, broken_attempt const& closed)
-{
-    if (m_records.contains(closed.request))
-        return record_broken_attempt(endpoint, closed);
-    m_evidence.add(endpoint, closed);
-}
-
 crash_suspects::record& crash_suspects::record_of(request_identity const& request, instant now)
 {
     auto const found = m_records.find(request);
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -44,10 +44,9 @@
     [[nodiscard]] bool begin_trial(request_identity const& request, instant now);
     void end_trial(request_identity const& request);
 
+    // Records an attempt that broke off or may have. An attempt that is presumed harmless makes no record before a
+    // probe shows that its endpoint crashed.
     void record_broken_attempt(broken_endpoint const& endpoint, broken_attempt const& broken);
-    // Records an attempt whose answer was forwarded but has no marked end. The request gets no record before a probe
-    // shows that the endpoint crashed.
-    void record_closed_attempt(broken_endpoint const& endpoint, broken_attempt const& closed);
     [[nodiscard]] std::vector<crash_evidence::due_probe> take_due_probes(instant now)
     {
         return m_evidence.take_due(now);
--- a/tests/relay/event_stream_test.cpp
+++ b/tests/relay/event_stream_test.cpp
@@ -82,7 +82,8 @@
                     continue;
                 event_stream stream;
                 std::string events;
-                auto const event = "data: a" + first + second;
+                auto event = "data: a" + first;
+                event += second;
                 CPPUNIT_ASSERT_EQUAL(std::uint32_t { 2 }, stream.feed(event + event, events));
                 CPPUNIT_ASSERT_EQUAL(event + event, events);
                 CPPUNIT_ASSERT(!stream.is_inside_event());
