dispatch, diagnosis: A refusal names the prompt part that is to blame

On-call engineers could not tell from a refused id which part was blamed: the line named a hash. refused now has suspect, the hash that request_crashed_endpoint and request_quarantined name, and suspect_part; explain-request says it in words.

--- a/libraries/diagnosis/request_trace.cpp
+++ b/libraries/diagnosis/request_trace.cpp
@@ -21,6 +21,13 @@
     return json::serialize(*value);
 }
 
+// Returns what a refused request has in common with those under which endpoints crashed.
+std::string name_of_suspect(json::object const& fields)
+{
+    auto const part = text_of(fields, "suspect_part");
+    return part == "0" ? "content" : "prompt part " + part;
+}
+
 std::string summary_of_refusal(json::object const& fields)
 {
     auto const reason = text_of(fields, "reason");
@@ -36,9 +43,9 @@
         return start + ": all endpoints of pool " + text_of(fields, "pool")
             + " had asked this router to back off, the first for another " + text_of(fields, "rest_ms") + " ms";
     if (reason == "crashes_endpoints")
-        return start + ": endpoints crashed during its last " + text_of(fields, "crashes")
-            + " consecutive attempts; the events request_crashed_endpoint with content " + text_of(fields, "content")
-            + " name them";
+        return start + ": endpoints crashed during the last " + text_of(fields, "crashes")
+            + " consecutive attempts of requests with the same " + name_of_suspect(fields)
+            + "; the events request_crashed_endpoint with content " + text_of(fields, "suspect") + " name them";
     if (reason == "unknown_version")
         return start + ": no router remembered in time which software version began the stream of request "
             + text_of(fields, "resumed_request");
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -402,6 +402,7 @@
             .add("content", request.content.value_or(content_hash()).value())
             .add("crashes", suspect.crashes)
             .add("suspect", suspect.identity.content.value())
+            .add("suspect_part", suspect.part)
             .add("waiting", m_waiting.size())
             .add("share", m_ledger.share())
             .add("even_level", m_ledger.even_level())
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -325,11 +325,13 @@
     // Requests that may crash endpoints.
     [[nodiscard]] static request_identity identity_of(active_request const& request);
     [[nodiscard]] suspicion suspicion_of(active_request const& request, step_context const& step) const;
-    // Returns the attribute of the request that most endpoints have crashed under in a row.
     struct suspected_attribute {
         request_identity identity;
         std::uint8_t crashes { 0 };
+        // The id of the prompt part that the identity stands for; 0 if it stands for the whole content.
+        std::uint64_t part { 0 };
     };
+    // Returns the attribute of the request that most endpoints have crashed under in a row.
     [[nodiscard]] suspected_attribute most_suspected(active_request const& request) const;
     [[nodiscard]] bool has_attribute(active_request const& request, request_identity const& identity) const;
     // Returns the time until none of the request's attributes is in quarantine any more.
--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -47,6 +47,10 @@
         if (auto const crashes = m_suspects.stamp_of(attribute).crashes; crashes > most.crashes)
             most = { attribute, crashes };
     });
+    for (auto const& part : request.cost.parts) {
+        if (identity_of_part(request.account, part.id) == most.identity)
+            most.part = part.id;
+    }
     return most;
 }
 
--- a/tests/diagnosis/request_trace_test.cpp
+++ b/tests/diagnosis/request_trace_test.cpp
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 
+#include "libraries/dispatch/suspects/suspect_attributes.h"
 #include "tests/dispatch/dispatch_driver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(a_refusal_of_a_quarantined_request_is_explained);
     CPPUNIT_TEST(a_resumption_of_an_unknown_stream_is_explained);
     CPPUNIT_TEST(an_answer_broken_by_a_crash_is_explained);
+    CPPUNIT_TEST(a_refusal_for_a_quarantined_prompt_part_is_explained);
     CPPUNIT_TEST(the_end_of_a_broken_answer_is_explained);
     CPPUNIT_TEST(a_request_under_an_old_configuration_is_explained);
     CPPUNIT_TEST(a_refusal_while_all_endpoints_back_off_is_explained);
@@ -118,8 +120,24 @@
         arrived.content = content_hash(77);
         fleet.deliver(std::move(arrived));
         CPPUNIT_ASSERT(cause_contains(trace_of(fleet, "id-1"),
-            "refused with 503 (crashes_endpoints): endpoints crashed during its last 3 consecutive attempts; "
-            "the events request_crashed_endpoint with content 77 name them"));
+            "refused with 503 (crashes_endpoints): endpoints crashed during the last 3 consecutive attempts of "
+            "requests with the same content; the events request_crashed_endpoint with content 77 name them"));
+    }
+
+    void a_refusal_for_a_quarantined_prompt_part_is_explained()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain") });
+        constexpr std::uint64_t shared_part = 7;
+        auto const part = dispatch::identity_of_part(key_of(team_name("red")), shared_part);
+        dispatch::peer_report report;
+        report.peer = vm_name("router-b");
+        report.crashes = { { part, { 0, 3 }, milliseconds(1000), {} } };
+        fleet.deliver(report);
+        fleet.ask("/look/x");
+        CPPUNIT_ASSERT(cause_contains(trace_of(fleet, "id-1"),
+            "requests with the same prompt part 7; the events request_crashed_endpoint with content "
+                + std::to_string(part.content.value())));
     }
 
     void an_answer_broken_by_a_crash_is_explained()
