tests: A crashing prompt part where sound answers take long

Sound answers of 1.56 s beside a part that crashes endpoints after 60 ms: the bounds of the other plays hold.

--- a/tests/dispatch/crash_simulation.cpp
+++ b/tests/dispatch/crash_simulation.cpp
@@ -116,8 +116,9 @@
             return enqueue(index, attempt_ended { sent->request, sent->attempt, attempt_end::not_sent }, step_time);
         bool const is_undisturbed = m_now - sender.disturbed_at > milliseconds(3000);
         m_histories[asked.kind].arrivals.push_back({ m_now, is_undisturbed });
-        target.runs.push_back(
-            { index, sender.incarnation, sent->request, sent->attempt, asked, m_now + m_options.run_time });
+        auto const run_time
+            = m_options.run_time + (m_histories[asked.kind].is_harmful ? no_delay : m_options.answer_time);
+        target.runs.push_back({ index, sender.incarnation, sent->request, sent->attempt, asked, m_now + run_time });
     } else if (auto const* refused = std::get_if<answer_refusal>(&produced)) {
         ++m_histories[sender.contents.at(refused->request).kind].refused;
     } else if (auto const* probe = std::get_if<probe_endpoint>(&produced)) {
--- a/tests/dispatch/crash_simulation.h
+++ b/tests/dispatch/crash_simulation.h
@@ -23,6 +23,8 @@
         milliseconds report_delay { 40 };
         // Time from the arrival of a request at an endpoint until its answer, or until the crash of the endpoint.
         milliseconds run_time { 60 };
+        // Additional time until the answer of a request that is harmless.
+        milliseconds answer_time { 0 };
     };
 
     explicit crash_simulation(options settings);
--- a/tests/dispatch/crashing_part_test.cpp
+++ b/tests/dispatch/crashing_part_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_first_prompt_part_that_crashes_endpoints_is_stopped);
     CPPUNIT_TEST(a_prompt_part_whose_requests_come_seldom_is_stopped);
     CPPUNIT_TEST(a_prompt_part_whose_requests_may_not_be_repeated_is_stopped);
+    CPPUNIT_TEST(a_prompt_part_is_stopped_and_others_are_served_where_answers_take_long);
     CPPUNIT_TEST(a_prompt_part_stays_stopped_while_routers_restart);
     CPPUNIT_TEST(a_prompt_part_that_comes_with_the_crashing_one_is_served);
     CPPUNIT_TEST(no_prompt_part_is_blamed_for_crashes_of_other_causes);
@@ -46,6 +47,7 @@
         std::vector<std::uint64_t> harmful_parts { popular_part, 200, crashing_part };
         std::string path { "/look/a" };
         milliseconds router_restart_interval { 0 };
+        milliseconds answer_time { 0 };
     };
 
     // A sound request each 25 ms, with one of 94 second parts.
@@ -57,7 +59,10 @@
     struct player {
         explicit player(play const& settings)
             : options(settings)
-            , simulation({ settings.routers, settings.domains, settings.endpoints })
+            , simulation({ .routers = settings.routers,
+                  .domains = settings.domains,
+                  .endpoints = settings.endpoints,
+                  .answer_time = settings.answer_time })
         {
             simulation.set_harmful(harmful_kind, true);
         }
@@ -131,6 +136,10 @@
     }
     void a_prompt_part_whose_requests_come_seldom_is_stopped() { check({ .harmful_interval = milliseconds(2000) }); }
     void a_prompt_part_whose_requests_may_not_be_repeated_is_stopped() { check({ .path = "/order/a" }); }
+    void a_prompt_part_is_stopped_and_others_are_served_where_answers_take_long()
+    {
+        check({ .answer_time = milliseconds(1500) });
+    }
     void a_prompt_part_stays_stopped_while_routers_restart()
     {
         check({ .router_restart_interval = milliseconds(2500) });
