--- a/libraries/dispatch/dispatch_suspects.cpp
+++ b/libraries/dispatch/dispatch_suspects.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds answer_memory { 600000 };
 constexpr std::uint8_t crashes_to_spread = 2;
 constexpr std::uint16_t first_status_not_success = 300;
-constexpr std::uint8_t crashes_to_quarantine = 3;
 
 } // namespace
 
--- a/libraries/dispatch/suspects/crash_record.h
+++ b/libraries/dispatch/suspects/crash_record.h
@@ -11,8 +11,11 @@
 
 namespace shedhill::dispatch {
 
-// Identifies a request that a caller sends again under another id. The team is a separate member so that no team can
-// craft content whose hash is that of another team's request.
+// A request or a prompt part is quarantined after this number of successive crashes.
+constexpr std::uint8_t crashes_to_quarantine = 3;
+
+// Identifies a request that a caller sends again under another id, or a prompt part that requests share. The team is a
+// separate member so that no team can craft content whose hash is that of another team's request.
 struct request_identity {
     team_key team;
     content_hash content;
--- a/libraries/dispatch/suspects/crash_suspects.cpp
+++ b/libraries/dispatch/suspects/crash_suspects.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t max_records = 512;
 // Bounds the size of the router's row in the store.
 constexpr std::size_t max_stored_quarantines = 64;
-constexpr std::uint8_t crashes_to_quarantine = 3;
 // Records with at least this number of crashes are repeated in each whole report.
 constexpr std::uint8_t crashes_to_repeat = 2;
 // The lifetime of a suspect's record, and the duration of a quarantine.
