--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -46,7 +46,8 @@
     soak_clock::time_point sent_at;
     soak_clock::time_point ended_at;
     caller_end end { caller_end::whole };
-    // The answer's framing marked its end. Otherwise the end of its connection did, which does not prove that it is whole.
+    // The answer's framing marked its end. Otherwise the end of its connection did, which does not prove that it is
+    // whole.
     bool has_marked_end { false };
     unsigned status { 0 };
     std::string answered_id;
