relay, dispatch, net: Comments of the new headers are whole sentences

Cause: four head comments began as fragments, and crash_suspects.h named requests alone although prompt parts go through the same table.

--- a/libraries/dispatch/answer_ending.h
+++ b/libraries/dispatch/answer_ending.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// How an endpoint's answer was framed and what ended it. Only some endings prove that the answer is whole.
+// Describes how an endpoint's answer was framed and what ended it. Only some endings prove that the answer is whole.
 #pragma once
 
 #include <cstdint>
@@ -7,7 +7,7 @@
 
 namespace shedhill::dispatch {
 
-// How an answer's head marks the end of its body.
+// The framing tells how an answer's head marks the end of its body.
 enum class answer_framing {
     // No head was received.
     none,
--- a/libraries/dispatch/suspects/crash_suspects.h
+++ b/libraries/dispatch/suspects/crash_suspects.h
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Detects requests that crash the endpoints that run them. When an endpoint crashes, all requests that ran there become
-// suspects. A suspect is still served, but only one attempt at a time in the whole fleet: an answer clears it, and the
-// third successive crash quarantines it. A suspect that was answered before is quarantined for a short time only,
-// because it more likely ran beside another request that crashes endpoints. Routers merge each other's records, and no
-// crash counts twice.
+// Detects requests and prompt parts that crash the endpoints that run them; both are called requests here. When an
+// endpoint crashes, all requests that ran there become suspects. A suspect is still served, but only one attempt at a
+// time in the whole fleet: an answer clears it, and the third successive crash quarantines it. A suspect that was
+// answered before is quarantined for a short time only, because it more likely ran beside another request that crashes
+// endpoints. Routers merge each other's records, and no crash counts twice.
 #pragma once
 
 #include "libraries/dispatch/admission/team_ledger.h"
--- a/libraries/net/http.h
+++ b/libraries/net/http.h
@@ -37,7 +37,7 @@
     std::string body;
 };
 
-// How a streamed answer marks its end: by a last chunk, or only by the end of its connection.
+// A streamed answer marks its end by a last chunk, or only by the end of its connection.
 enum class stream_framing { chunks, connection };
 
 // A request received by a server, and the functions to answer it. Not more than one fiber uses an exchange.
--- a/libraries/relay/attempt_judgement.h
+++ b/libraries/relay/attempt_judgement.h
@@ -9,7 +9,7 @@
 
 namespace shedhill::relay {
 
-// What the connection and the body show of an attempt's answer.
+// Holds what the connection and the body show of an attempt's answer.
 struct answer_evidence {
     call_end end { call_end::broken };
     answer_kind kind { answer_kind::invalid };
