dispatch: Taking a configuration takes operations in proportion to its routes

Callers of small routers saw their requests held past the route's time limit, and requests reached endpoints more than 3 s after these had said that they leave.

Cause: pool_changes::record() compared each route of the new version with each of the old one, twice.

A route_index finds the route of a path by one look-up for each length of prefix; route_table uses it for requests, too, which went through all prefixes of a host before. The replaced configuration is swapped out and no longer copied.

A property compares the index with a scan.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -51,12 +51,13 @@
 
 void dispatch_reducer::handle(configuration_received const& received, step_context& step)
 {
-    auto const routes_before = m_routes.current().routes;
-    if (m_routes.adopt(received.declared) == adoption::not_newer)
+    auto exchanged = received.declared;
+    if (m_routes.adopt(exchanged) == adoption::not_newer)
         return;
+    auto const& replaced = exchanged;
     auto const& current = m_routes.current();
     update_stream_lifetime();
-    if (m_pool_changes.record(routes_before, current.routes, m_versions.stream_lifetime(), step.now))
+    if (m_pool_changes.record(replaced.routes, current.routes, m_versions.stream_lifetime(), step.now))
         record_running_streams(step.now);
     m_board.apply_pools(current.pools, current.limits.tokens_per_second);
     step.effects.emplace_back(log_line { severity::info, "configuration_in_force",
--- a/libraries/dispatch/route_table.cpp
+++ b/libraries/dispatch/route_table.cpp
@@ -2,24 +2,18 @@
 // Implements the look-ups by index tables that are built once for each revision.
 #include "libraries/dispatch/route_table.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace shedhill::dispatch {
 
-adoption route_table::adopt(configuration received)
+adoption route_table::adopt(configuration& received)
 {
     if (received.revision <= m_configuration.revision)
         return adoption::not_newer;
-    m_configuration = std::move(received);
-    m_routes_by_host.clear();
+    std::swap(m_configuration, received);
     m_team_by_key.clear();
     m_pool_by_name.clear();
-    auto const& routes = m_configuration.routes;
-    for (std::size_t index = 0; index < routes.size(); ++index)
-        m_routes_by_host[routes[index].host].push_back(index);
-    for (auto& [host, indices] : m_routes_by_host)
-        std::ranges::stable_sort(
-            indices, std::greater {}, [&](std::size_t index) { return routes[index].path_prefix.size(); });
+    m_route_index = route_index(m_configuration.routes);
     for (std::size_t index = 0; index < m_configuration.teams.size(); ++index) {
         for (auto const& key : m_configuration.teams[index].keys)
             m_team_by_key.emplace(key, index);
@@ -29,18 +23,6 @@
     return adoption::adopted;
 }
 
-route const* route_table::find_route(std::string_view host, std::string_view path) const
-{
-    auto const found = m_routes_by_host.find(std::string(host));
-    if (found == m_routes_by_host.end())
-        return nullptr;
-    for (auto const index : found->second) {
-        if (path.starts_with(m_configuration.routes[index].path_prefix))
-            return &m_configuration.routes[index];
-    }
-    return nullptr;
-}
-
 team_settings const* route_table::find_team(std::string const& key) const
 {
     auto const found = m_team_by_key.find(key);
--- a/libraries/dispatch/route_table.h
+++ b/libraries/dispatch/route_table.h
@@ -3,6 +3,7 @@
 // key.
 #pragma once
 
+#include "libraries/dispatch/route_index.h"
 #include "libraries/dispatch/types.h"
 
 #include <string>
@@ -15,14 +16,18 @@
 
 class route_table {
 public:
-    // Replaces the current configuration if the revision of the received one is later.
-    adoption adopt(configuration received);
+    // Replaces the current configuration if the revision of the received one is later, and leaves the replaced one in
+    // `received`.
+    adoption adopt(configuration& received);
 
     [[nodiscard]] bool has_configuration() const { return m_configuration.revision > 0; }
     [[nodiscard]] configuration const& current() const { return m_configuration; }
 
     // Returns the route of the host with the longest prefix of the path, or null.
-    [[nodiscard]] route const* find_route(std::string_view host, std::string_view path) const;
+    [[nodiscard]] route const* find_route(std::string_view host, std::string_view path) const
+    {
+        return m_route_index.find(host, path);
+    }
     [[nodiscard]] team_settings const* find_team(std::string const& key) const;
     [[nodiscard]] pool_settings const* find_pool(pool_name const& name) const;
 
@@ -32,8 +37,8 @@
 private:
     // Its revision never decreases.
     configuration m_configuration;
-    // Derived from m_configuration: the indices of the routes of each host, longest prefix first.
-    std::unordered_map<std::string, std::vector<std::size_t>> m_routes_by_host;
+    // The members below are derived from m_configuration.
+    route_index m_route_index;
     std::unordered_map<std::string, std::size_t> m_team_by_key;
     std::unordered_map<pool_name, std::size_t> m_pool_by_name;
 };
--- a/libraries/dispatch/streams/pool_changes.cpp
+++ b/libraries/dispatch/streams/pool_changes.cpp
@@ -2,25 +2,14 @@
 // Implements the comparison of two lists of routes.
 #include "libraries/dispatch/streams/pool_changes.h"
 
+#include "libraries/dispatch/route_index.h"
+
 #include <algorithm>
 
 namespace shedhill::dispatch {
 
 namespace {
 
-// Returns the route that serves the host and path, or null.
-route const* longest_match(std::vector<route> const& routes, route const& of, std::uint64_t& examined)
-{
-    route const* longest = nullptr;
-    examined += routes.size();
-    for (auto const& candidate : routes) {
-        if (candidate.host == of.host && of.path_prefix.starts_with(candidate.path_prefix)
-            && (longest == nullptr || candidate.path_prefix.size() > longest->path_prefix.size()))
-            longest = &candidate;
-    }
-    return longest;
-}
-
 bool has_equal_pools(route const& left, route const& right)
 {
     return std::ranges::equal(left.pools, right.pools, {}, &weighted_pool::pool, &weighted_pool::pool);
@@ -41,18 +30,24 @@
 {
     if (std::ranges::equal(before, after, is_same_routing))
         return false;
+    route_index const index_before(before);
+    route_index const index_after(after);
     bool has_changed = false;
     for (auto const& current : after) {
-        auto const* const earlier = longest_match(before, current, m_examined_routes);
-        if (has_resumable_streams(current) && earlier != nullptr)
+        if (!has_resumable_streams(current))
+            continue;
+        if (auto const* const earlier = index_before.find(current.host, current.path_prefix))
             has_changed |= add(current, *earlier, now + lifetime);
     }
     // The paths of a route that was removed may belong to a route with a shorter prefix now.
     for (auto const& earlier : before) {
-        auto const* const current = longest_match(after, earlier, m_examined_routes);
-        if (has_resumable_streams(earlier) && current != nullptr && current->path_prefix != earlier.path_prefix)
+        if (!has_resumable_streams(earlier))
+            continue;
+        auto const* const current = index_after.find(earlier.host, earlier.path_prefix);
+        if (current != nullptr && current->path_prefix != earlier.path_prefix)
             has_changed |= add(*current, earlier, now + lifetime);
     }
+    m_examined_routes += index_before.lookups() + index_after.lookups();
     return has_changed;
 }
 
--- a/tests/dispatch/configuration_change_test.cpp
+++ b/tests/dispatch/configuration_change_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Tests what a router does while its configuration grows: the number of operations that a new version takes, and what
 // happens to requests that waited meanwhile.
+#include "libraries/dispatch/route_index.h"
 #include "libraries/dispatch/streams/pool_changes.h"
 #include "tests/dispatch/dispatch_driver.h"
 #include "tests/support/property.h"
@@ -14,6 +15,7 @@
     CPPUNIT_TEST(twice_as_many_routes_take_twice_as_many_operations);
     CPPUNIT_TEST(routes_of_one_host_take_operations_in_proportion);
     CPPUNIT_TEST(any_change_takes_operations_in_proportion_to_its_routes);
+    CPPUNIT_TEST(an_indexed_search_finds_the_route_with_the_longest_prefix);
     CPPUNIT_TEST(a_request_that_waited_unread_is_not_held_past_its_time_limit);
     CPPUNIT_TEST(a_request_whose_time_limit_passed_unread_is_refused_at_once);
     CPPUNIT_TEST(a_paused_router_sends_nothing_to_an_endpoint_that_left_meanwhile);
@@ -71,6 +73,36 @@
         });
     }
 
+    static route const* find_by_scan(std::vector<route> const& routes, std::string const& host, std::string const& path)
+    {
+        route const* longest = nullptr;
+        for (auto const& candidate : routes) {
+            if (candidate.host == host && path.starts_with(candidate.path_prefix)
+                && (longest == nullptr || candidate.path_prefix.size() > longest->path_prefix.size()))
+                longest = &candidate;
+        }
+        return longest;
+    }
+
+    void an_indexed_search_finds_the_route_with_the_longest_prefix()
+    {
+        testing::check_property("the index agrees with a scan of all routes", [] {
+            auto const make_path = [] {
+                std::string path = "/";
+                for (auto const part : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3)))
+                    path += std::string(static_cast<std::size_t>(part) + 1, static_cast<char>('a' + part)) + "/";
+                return path;
+            };
+            auto routes = make_routes(*rc::gen::inRange<std::size_t>(0, 40), 2);
+            for (auto& changed : routes)
+                changed.path_prefix = make_path();
+            route_index const index(routes);
+            auto const path = make_path() + "end";
+            for (auto const* host : { "host0", "host1", "host2" })
+                RC_ASSERT(index.find(host, path) == find_by_scan(routes, host, path));
+        });
+    }
+
     static request_arrived make_late_request(std::uint64_t number, milliseconds unread_time)
     {
         request_arrived arrived;
