dispatch: A router's own pause is no outage of the store

Cause: a router that was paused for 1.8 s heard no confirmation of the list for over 2.3 s and took that for an outage of the store, although the store answered all other routers. For 1.9 s after that, it kept endpoints that were missing from the list, as if their rows had only expired: lapsed_endpoints_kept at seven small routers within 60 ms, at none of the large ones.

The time in which this router could hear nobody no longer counts as silence. a_paused_router_keeps_no_endpoint_that_left_meanwhile failed before (2 endpoints in place of 1); an_outage_that_began_before_a_pause_is_noticed guards the other side and passed before and after.

--- a/libraries/dispatch/store/store_outage_watch.cpp
+++ b/libraries/dispatch/store/store_outage_watch.cpp
@@ -16,25 +16,32 @@
 
 } // namespace
 
+void store_outage_watch::record_pause(milliseconds length)
+{
+    m_last_pause = length;
+    m_paused_since_confirmation += length;
+}
+
 void store_outage_watch::record_peer_confirmation(instant confirmed_at, instant recovered_at)
 {
     if (confirmed_at <= m_peers_confirmed_at)
         return;
-    if (m_peers_confirmed_at != instant {} && confirmed_at - m_peers_confirmed_at > max_usual_gap)
+    if (m_peers_confirmed_at != instant {} && silence_since(m_peers_confirmed_at, confirmed_at) > max_usual_gap)
         m_peers_confirming_since = confirmed_at;
+    m_paused_since_confirmation = milliseconds(0);
     m_peers_confirmed_at = confirmed_at;
     m_peers_recovered_at = recovered_at;
 }
 
 bool store_outage_watch::is_confirmed_by_peers(instant now) const
 {
-    return m_peers_confirmed_at != instant {} && now - m_peers_confirmed_at < outage_threshold;
+    return m_peers_confirmed_at != instant {} && silence_since(m_peers_confirmed_at, now) < outage_threshold;
 }
 
 store_availability store_outage_watch::availability(own_store_availability const& own, instant now) const
 {
-    store_availability result { now - std::max(own.confirmed_at, m_peers_confirmed_at) >= outage_threshold,
-        own.recovered_at };
+    auto const confirmed_at = std::max(own.confirmed_at, m_peers_confirmed_at);
+    store_availability result { silence_since(confirmed_at, now) >= outage_threshold, own.recovered_at };
     if (!is_confirmed_by_peers(now))
         return result;
     if (!own.is_watched)
--- a/libraries/dispatch/store/store_outage_watch.h
+++ b/libraries/dispatch/store/store_outage_watch.h
@@ -24,7 +24,7 @@
     void record_peer_confirmation(instant confirmed_at, instant recovered_at = {});
 
     // Records that this router was paused for this time until now, in which it could hear nobody.
-    void record_pause(milliseconds length) { m_last_pause = length; }
+    void record_pause(milliseconds length);
     [[nodiscard]] milliseconds last_pause() const { return m_last_pause; }
 
     // Whether the store recently confirmed the list to another router.
@@ -32,6 +32,12 @@
     [[nodiscard]] store_availability availability(own_store_availability const& own, instant now) const;
 
 private:
+    // Returns for how long no confirmation was heard since then, without the time in which none could be.
+    [[nodiscard]] milliseconds silence_since(instant confirmed_at, instant now) const
+    {
+        return now - confirmed_at - m_paused_since_confirmation;
+    }
+
     // The latest confirmation that another router reported.
     instant m_peers_confirmed_at {};
     // The time of the store's recovery according to the router that reported the latest confirmation.
@@ -39,6 +45,8 @@
     // The time since which the other routers' confirmations show no outage; the epoch if they never showed one.
     instant m_peers_confirming_since {};
     milliseconds m_last_pause { 0 };
+    // The time for which this router was paused since the latest confirmation of another router.
+    milliseconds m_paused_since_confirmation { 0 };
 };
 
 } // namespace shedhill::dispatch
