dispatch, relay: A request's time limit counts from its arrival

What a busy router lets a request wait was added.

Both count from the arrival now, as the system tells it (TCP_INFO), and within what the rounds of the loop allow for. A request whose limit has passed unread is refused at once: it has not run. Both tests of it failed before (5 s left in place of 1 s; sent in place of refused).

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -78,12 +78,16 @@
     request.unread_time = arrived.unread_time;
     auto const caller_time = arrived.time_left.value_or(m_options.default_deadline);
     auto const route_time = route->time_limit.count() > 0 ? route->time_limit : m_options.default_deadline;
-    request.deadline = step.now + std::min(caller_time, route_time);
+    request.deadline = step.now - request.unread_time + std::min(caller_time, route_time);
     request.ends_at_route_limit = route_time <= caller_time;
     m_retries.record_request(*pool, step.now);
     if (request.is_engine)
         m_ledger.record_requested(request.account, step.now, request.cost.weighted());
     request.is_split = route->pools.size() > 1;
+    if (request.deadline <= step.now) {
+        auto& stored = m_requests.insert_or_assign(arrived.request, std::move(request)).first->second;
+        return end_at_deadline(arrived.request, stored, step);
+    }
     if (request.resumption && request.retry == retry_mode::resumable)
         return admit_resumption(arrived.request, std::move(request), *route, step);
     admit(arrived.request, std::move(request), step);
