dispatch, services: After a pause, requests wait for a recent list of endpoints

Cause: a router that has read nothing for a while finds the requests that waited and the word of a newer list at the same time. It sent the requests first, by the list of before the pause. And it took what had waited with them for news: a confirmation that another router had sent 2 s earlier counted as 0.1 s old.

After a pause of 0.25 s or more, requests wait up to 0.25 s while the list is older than half of the bound for leaving endpoints; then they are served by it, since the store may be away. Ages that another router reported, and answers of the store, grow by the pause. a_paused_router_sends_nothing_to_an_endpoint_that_left_meanwhile failed before (sent to the endpoint that had left); a_paused_router_serves_while_the_list_cannot_be_confirmed passed before and after.

--- a/libraries/dispatch/dispatch_admission.cpp
+++ b/libraries/dispatch/dispatch_admission.cpp
@@ -124,8 +124,8 @@
 
 endpoint_choice dispatch_reducer::choose(active_request const& request, step_context const& step)
 {
-    // Every attempt is chosen here, so no suspected request can bypass this check.
-    if (suspicion_of(request, step) != suspicion::none)
+    // Every attempt is chosen here, so no request can bypass these checks.
+    if (suspicion_of(request, step) != suspicion::none || awaits_list(step.now))
         return {};
     ++m_choices;
     choice_request choice;
@@ -282,6 +282,8 @@
 
 void dispatch_reducer::serve_waiting(step_context& step)
 {
+    if (awaits_list(step.now))
+        return;
     m_waiting_served_at = step.now;
     struct candidate {
         request_number number;
--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -329,7 +329,7 @@
     bool const is_urgent = request.has_answer_begun;
     if (chosen.endpoint != nullptr && (chosen.is_in_time || is_urgent))
         return send(number, request, chosen, step);
-    if (is_urgent)
+    if (is_urgent && !awaits_list(step.now))
         return end_failed(number, request, reason_for_no_endpoint(request, step), step);
     request.is_failure_withheld = end == attempt_end::failed;
     if (cannot_be_served(request, step))
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -323,6 +323,11 @@
     [[nodiscard]] std::vector<stream_record> take_domain_streams();
     void update_stream_lifetime();
     void record_list_age(milliseconds age, instant now);
+    // Whether this router has read nothing for a while, up to now.
+    [[nodiscard]] bool has_paused(instant now) const;
+    // Whether requests wait for a newer list of endpoints. After a pause, endpoints may have left that the list of
+    // before the pause contains, and the newer list may arrive after the requests that waited meanwhile.
+    [[nodiscard]] bool awaits_list(instant now) const;
 
     // Requests that may crash endpoints.
     [[nodiscard]] static request_identity identity_of(active_request const& request);
@@ -436,6 +441,8 @@
     instant m_ticked_at {};
     // The end of the time in which the process may read what arrived while it was paused.
     instant m_paused_until {};
+    // The end of the time for which requests wait for a newer list after a pause.
+    instant m_awaits_list_until {};
     crash_suspects m_suspects;
     answered_parts m_answered_parts;
     failing_requests m_failing;
--- a/libraries/dispatch/dispatch_streams.cpp
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -16,6 +16,9 @@
 constexpr std::int64_t stream_lifetime_limits = 2;
 // Ticks come every few milliseconds. After a longer pause the process may read what has arrived in the meantime.
 constexpr milliseconds max_tick_pause { 250 };
+// The time that a router without recent list needs to hear of a newer one and to receive it: two report intervals of
+// 100 ms, and a call.
+constexpr milliseconds max_list_wait { 250 };
 // Within this time the reports arrive that routers sent at the latest when the caller returned: the longest interval
 // between two reports, and their way.
 constexpr milliseconds max_report_delay { 150 };
@@ -123,10 +126,23 @@
         && now >= m_paused_until;
 }
 
+bool dispatch_reducer::has_paused(instant now) const
+{
+    return m_ticked_at != instant {} && now - m_ticked_at > max_tick_pause;
+}
+
+bool dispatch_reducer::awaits_list(instant now) const
+{
+    bool const is_after_pause = has_paused(now) || now < m_awaits_list_until;
+    return is_after_pause && now - m_list_confirmed_at > m_versions.staleness_bound() / 2;
+}
+
 void dispatch_reducer::record_list_age(milliseconds age, instant now)
 {
-    if (m_ticked_at != instant {} && now - m_ticked_at > max_tick_pause)
+    if (has_paused(now)) {
         m_paused_until = now + m_versions.staleness_bound();
+        m_awaits_list_until = now + max_list_wait;
+    }
     m_ticked_at = now;
     m_list_confirmed_at = now - age;
 }
--- a/libraries/relay/event_loop.h
+++ b/libraries/relay/event_loop.h
@@ -62,6 +62,14 @@
 
     // Waits for events for at most `limit` and handles them.
     void run_once(milliseconds limit);
+    // Returns the time for which the loop read nothing before this round, if that is more than the usual time between
+    // two rounds; 0 otherwise.
+    [[nodiscard]] milliseconds pause_before_round() const
+    {
+        constexpr milliseconds usual_time { 100 };
+        auto const time = max_unread_time();
+        return time >= usual_time ? time : milliseconds(0);
+    }
     // Calls the action once at the end of the current round. An action that another one adds runs in the same round.
     void at_end_of_round(std::function<void()> action) { m_at_end.push_back(std::move(action)); }
 
--- a/libraries/relay/store_session.h
+++ b/libraries/relay/store_session.h
@@ -121,7 +121,9 @@
         rows.reserve(page.rows.size());
         for (auto& row : page.rows)
             rows.push_back({ std::move(row.key), std::move(row.value), row.version, row.is_gone });
-        if (m_watchers.apply_page(m_table, rows, page.version, page.has_more, m_loop.now())
+        // An answer that arrived during a pause of this router says nothing about the time since.
+        auto const arrived_at = m_loop.now() - m_loop.pause_before_round();
+        if (m_watchers.apply_page(m_table, rows, page.version, page.has_more, arrived_at)
             == watcher::page_outcome::changed)
             m_on_changed();
     }
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -168,10 +168,12 @@
     void apply_document_versions(peering::state_message const& state, instant now)
     {
         record_own_pause(now);
+        // A message that arrived during a pause of this router is that much older.
+        auto const sent_at = now - m_loop.pause_before_round();
         for (auto const& document : state.documents) {
-            auto const confirmed_at = now - document.age;
+            auto const confirmed_at = sent_at - document.age;
             if (document.kind == document_kind::endpoints)
-                record_list_confirmation(document, state, now);
+                record_list_confirmation(document, state, sent_at);
             if (document.version == own_version(document.kind))
                 m_published_documents.record_confirmed(document.kind, confirmed_at);
             request_if_newer(document, state, now);
@@ -214,8 +216,6 @@
     // domains: 300 routers that request a list of 450 kB from three seeds saturate the seeds' links. The store answers
     // within 30 ms.
     static constexpr milliseconds initial_store_read_time { 400 };
-    // Rounds of the event loop are usually at most 20 ms apart.
-    static constexpr milliseconds min_own_pause { 100 };
     // The time that a feed's answer and the report that mentions it take, beyond the time between two calls and the
     // time that the store may hold a call.
     static constexpr milliseconds report_delay { 300 };
@@ -261,10 +261,9 @@
     // A router that reads nothing for a while hears neither the store nor other routers, which says nothing about them.
     void record_own_pause(instant now)
     {
-        auto const pause = m_loop.max_unread_time();
-        if (pause < min_own_pause || std::exchange(m_pause_recorded_at, now) == now)
-            return;
-        m_outages.record_pause(pause);
+        auto const pause = m_loop.pause_before_round();
+        if (pause > milliseconds(0) && std::exchange(m_pause_recorded_at, now) != now)
+            m_outages.record_pause(pause);
     }
 
     // The functions below apply what comes from the store, directly or through another router.
@@ -385,16 +384,16 @@
     }
 
     void record_list_confirmation(
-        peering::document_version const& reported, peering::state_message const& state, instant now)
+        peering::document_version const& reported, peering::state_message const& state, instant sent_at)
     {
-        auto const confirmed_at = now - reported.age;
+        auto const confirmed_at = sent_at - reported.age;
         m_outages.record_peer_confirmation(
-            confirmed_at, reported.returned_ago ? now - *reported.returned_ago : instant {});
+            confirmed_at, reported.returned_ago ? sent_at - *reported.returned_ago : instant {});
         bool const is_domain_peer
             = state.report.subject == dispatch::report_subject::router && state.report.domain == m_settings.domain;
         if (!is_domain_peer)
             return;
-        m_watch_assignment.record_report(state.report.peer, confirmed_at, now);
+        m_watch_assignment.record_report(state.report.peer, confirmed_at, m_loop.now());
         m_domain_confirmed_at = std::max(m_domain_confirmed_at, confirmed_at);
     }
 
