--- a/meta/make_days.py
+++ b/meta/make_days.py
@@ -5,12 +5,15 @@
     meta/make_days.py cover OUT              a few days that have each kind of trouble once or more, for any site
     meta/make_days.py pairs OUT SEED COUNT   days drawn by the seed: two or three kinds, each twice, overlapping
     meta/make_days.py with OUT SEED COUNT KIND...   the same, each with one of these kinds beside two drawn ones
+    meta/make_days.py growth OUT SITE        days on which the configuration grows while the site's endpoints are
+                                             replaced, with the traffic of its quiet day; and one with small changes
 
 A day is a TOML file in the form of a site's [[day]]; the bench plays it with the site's own load.
 """
 import pathlib
 import random
 import sys
+import tomllib
 
 # Each entry: what the bench calls the trouble and the fields that shape it, in the forms that its list of kinds tells.
 TROUBLES = [
@@ -146,6 +149,34 @@
         write_day(out / f"{name}.toml", name, seed * 1000 + number, sorted(strikes), generator.choice(CLOSINGS))
 
 
+def growth(out: pathlib.Path, site: pathlib.Path) -> None:
+    declared = tomllib.loads(site.read_text())
+    streamed = next(service["name"] for service in declared["services"] if "llm" in service)
+    quiet = next(day for day in declared["day"] if day["slot"] == "quiet")
+    for name, growing in (("growth-1400", 'kind = "big_config", count = 1400'),
+                          ("growth-2800", 'kind = "big_config", count = 2800'),
+                          ("growth-none", 'kind = "config_change", how = "idle"')):
+        strikes = [(3.0, f'kind = "release", service = "{streamed}", share = 0.6, x = 1, gap_s = 0.5')]
+        for at in (6.0, 14.0, 22.0):
+            strikes += [(at, growing), (at + 0.7, 'kind = "config_change", how = "idle"')]
+        path = out / f"{name}.toml"
+        write_day(path, name, 63, strikes, None)
+        if "traffic" in quiet:
+            traffic = ",\n  ".join(inline(entry) for entry in quiet["traffic"])
+            path.write_text(f"{path.read_text()}traffic = [\n  {traffic},\n]\n")
+
+
+def inline(value: object) -> str:
+    """Formats a value as it stands in one line of a TOML file."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {inline(entry)}" for key, entry in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(inline(entry) for entry in value) + "]"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
 def main() -> None:
     if len(sys.argv) >= 3:
         pathlib.Path(sys.argv[2]).mkdir(parents=True, exist_ok=True)
@@ -153,6 +184,8 @@
         cover(pathlib.Path(sys.argv[2]))
     elif len(sys.argv) == 5 and sys.argv[1] == "pairs":
         pairs(pathlib.Path(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4]))
+    elif len(sys.argv) == 4 and sys.argv[1] == "growth":
+        growth(pathlib.Path(sys.argv[2]), pathlib.Path(sys.argv[3]))
     elif len(sys.argv) >= 6 and sys.argv[1] == "with":
         with_kinds(pathlib.Path(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4]), sys.argv[5:])
     else:
