platform, services: The configuration is read in steps of a bounded size

Cause: the document was parsed and converted in one piece between two rounds of the event loop, however large it is.

configuration_parser takes steps of 16 kB or 64 entries; fleet_view yields to requests after 4 ms, and the version in force serves them until the new one is whole. A version that arrives meanwhile waits until the one being read is in force, so that versions in quick succession do not keep each other from that. The reducer takes the configuration without a copy.

The ways weighed: slices (chosen), reading only routes that changed (needs a scan of all text, and a whole reading where it is laid out anew), one long step less often.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -42,19 +42,18 @@
 {
 }
 
-effect_list dispatch_reducer::reduce(event const& incoming)
+effect_list dispatch_reducer::reduce(event incoming)
 {
     step_context step { incoming.now, incoming.draw, {} };
-    std::visit([&](auto const& body) { handle(body, step); }, incoming.body);
+    std::visit([&](auto& body) { handle(body, step); }, incoming.body);
     return std::move(step.effects);
 }
 
-void dispatch_reducer::handle(configuration_received const& received, step_context& step)
+void dispatch_reducer::handle(configuration_received& received, step_context& step)
 {
-    auto exchanged = received.declared;
-    if (m_routes.adopt(exchanged) == adoption::not_newer)
+    if (m_routes.adopt(received.declared) == adoption::not_newer)
         return;
-    auto const& replaced = exchanged;
+    auto const& replaced = received.declared;
     auto const& current = m_routes.current();
     update_stream_lifetime();
     if (m_pool_changes.record(replaced.routes, current.routes, m_versions.stream_lifetime(), step.now))
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -48,7 +48,7 @@
 public:
     explicit dispatch_reducer(dispatch_options options);
 
-    effect_list reduce(event const& incoming);
+    effect_list reduce(event incoming);
 
     [[nodiscard]] route_table const& routes() const { return m_routes; }
     [[nodiscard]] bool is_ready() const { return m_is_ready; }
@@ -211,7 +211,7 @@
     void handle(endpoint_probed const& probed, step_context& step);
     void handle(quarantines_loaded const& loaded, step_context& step);
     void handle(versions_restored const& restored, step_context& step);
-    void handle(configuration_received const& received, step_context& step);
+    void handle(configuration_received& received, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
     void handle(routers_listed const& listed, step_context& step);
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -119,8 +119,10 @@
 {
     tcp_info info {};
     socklen_t size = sizeof(info);
-    // Some environments accept the call and fill in nothing; the state of a real connection is never zero.
-    bool const is_told = getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_state != 0;
+    // The loop has sent nothing for max_time, so the last bytes were sent longer ago than 0 ms where the system keeps
+    // these times.
+    bool const is_told
+        = getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_last_data_sent != 0;
     if (!is_told)
         return max_time / 2;
     return std::min(milliseconds(info.tcpi_last_data_recv), max_time);
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -59,8 +59,8 @@
 
     // Reads once into the loop's buffer; the bytes are valid until the next read of any socket.
     [[nodiscard]] read_outcome read();
-    // Returns how long ago the system received the last bytes: `max_time` at most, and half of it where the system
-    // does not tell.
+    // Returns how long ago the system received the last bytes, which is `max_time` at most. The loop must have sent
+    // nothing for that time. Where the system does not tell, returns half of it.
     [[nodiscard]] milliseconds time_since_receipt(milliseconds max_time) const;
     // Queues the bytes. They are written by flush().
     void queue(std::string_view bytes) { m_out += bytes; }
--- a/libraries/relay/table_access.h
+++ b/libraries/relay/table_access.h
@@ -41,9 +41,25 @@
     failed,
 };
 
+// Parses a configuration in steps of a bounded size.
+template <typename Steps>
+concept configuration_steps = std::constructible_from<Steps, std::string> && requires(Steps& steps)
+{
+    // Takes a step; returns whether it was the last one.
+    {
+        steps.advance()
+        } -> std::same_as<bool>;
+    {
+        steps.take()
+        } -> std::same_as<result<dispatch::configuration>>;
+    {
+        steps.document_size()
+        } -> std::same_as<std::size_t>;
+};
+
 template <typename Binding>
-concept table_protocol = requires(std::string const& text, std::string_view body, table_name table,
-    std::uint64_t version, milliseconds wait, unsigned status)
+concept table_protocol = configuration_steps<typename Binding::configuration_steps> && requires(std::string const& text,
+    std::string_view body, table_name table, std::uint64_t version, milliseconds wait, unsigned status)
 {
     // Return complete HTTP calls to the store, whose address is the first argument.
     {
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -20,6 +20,7 @@
 #include <algorithm>
 #include <concepts>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -102,6 +103,7 @@
         m_configuration.tick(now, draw);
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
+        continue_loading();
         for (auto const& event : m_watchers.take_events())
             log_store_event(event);
         if (m_roster.drop_lapsed(now))
@@ -282,6 +284,21 @@
         milliseconds age { 0 };
     };
 
+    // A version of the configuration that is being read.
+    struct loading {
+        loading(std::string document, document_source from)
+            : steps(std::move(document))
+            , source(std::move(from))
+        {
+        }
+        typename TableBinding::configuration_steps steps;
+        document_source source;
+    };
+
+    // The time after which reading the configuration yields to requests. A step takes a fraction of it, even on the
+    // slowest VMs.
+    static constexpr std::int64_t max_loading_ns = 4'000'000;
+
     void apply_received_rows(document_kind kind)
     {
         if (kind == document_kind::configuration)
@@ -294,6 +311,7 @@
     // Applies what operators declare: the configuration and the failure domains that they evacuate.
     void apply_configuration_rows(document_source const& source)
     {
+        m_newest_source = source;
         dispatch::domains_evacuated evacuated;
         for (auto const& [key, row] : m_configuration.watcher().rows()) {
             if (key == TableBinding::configuration_key())
@@ -304,19 +322,46 @@
         m_host.handle_event(std::move(evacuated));
     }
 
+    // Starts to read a version of the configuration. A newer one waits until the version being read is in force, so
+    // that versions in quick succession do not keep each other from that.
     void apply_configuration(dispatch::table_watcher::row const& row, document_source const& source)
     {
-        if (std::exchange(m_configuration_row_version, row.version) == row.version)
+        if (m_loading || m_configuration_row_version == row.version)
+            return;
+        m_configuration_row_version = row.version;
+        m_loading = std::make_unique<loading>(row.value, source);
+    }
+
+    // Takes some steps of reading the configuration. Requests are served between the calls, by the version in force.
+    void continue_loading()
+    {
+        if (!m_loading)
             return;
-        auto parsed = m_host.measure(
-            "parse_configuration", row.value.size(), [&] { return TableBinding::parse_configuration(row.value); });
-        if (!parsed) {
+        auto& steps = m_loading->steps;
+        bool const is_read = m_host.measure("parse_configuration", steps.document_size(), [&] {
+            auto const started_ns = m_loop.time_ns();
+            bool is_last = false;
+            do
+                is_last = steps.advance();
+            while (!is_last && m_loop.time_ns() - started_ns < max_loading_ns);
+            return is_last;
+        });
+        if (is_read)
+            finish_loading();
+    }
+
+    void finish_loading()
+    {
+        auto const loaded = std::exchange(m_loading, nullptr);
+        if (auto parsed = loaded->steps.take()) {
+            m_host.handle_event(dispatch::configuration_received {
+                std::move(*parsed), loaded->source.name, loaded->source.age, loaded->steps.document_size() });
+        } else {
             m_host.count("shedhill_bad_documents_total");
-            return m_host.log_state(
+            m_host.log_state(
                 "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
         }
-        m_host.handle_event(
-            dispatch::configuration_received { std::move(*parsed), source.name, source.age, row.value.size() });
+        apply_configuration_rows(m_newest_source);
     }
 
     [[nodiscard]] dispatch::store_availability endpoint_list_availability(instant now)
@@ -452,8 +497,10 @@
     relay::table_session<TableBinding> m_endpoints;
     routers_table<TableBinding> m_routers;
 
-    // The version of the configuration's row that was applied last.
+    // The version of the configuration's row that was read last, or is being read.
     std::uint64_t m_configuration_row_version { 0 };
+    std::unique_ptr<loading> m_loading;
+    document_source m_newest_source;
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
     instant m_pause_recorded_at {};
--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(settings_are_parsed_and_validated);
     CPPUNIT_TEST(an_evacuation_names_its_failure_domain);
     CPPUNIT_TEST(the_cold_time_of_a_row_is_parsed_strictly);
+    CPPUNIT_TEST(a_step_of_reading_a_configuration_is_bounded);
+    CPPUNIT_TEST(a_configuration_read_in_steps_is_the_same);
     CPPUNIT_TEST_SUITE_END();
 
     static relay::caller_request stream_request()
@@ -495,6 +497,46 @@
         for (auto const* text : { "\"soon\"", "[]", "true", "null" })
             CPPUNIT_ASSERT_EQUAL(std::int64_t { -1 }, cold_time_left(text));
     }
+
+    // Returns a document with this number of routes.
+    static std::string growing_configuration(std::size_t routes)
+    {
+        std::string text = R"({"version":7,"routes":[)";
+        for (std::size_t index = 0; index < routes; ++index)
+            text += (index == 0 ? "" : ",") + std::string(R"({"hostname":"shop","path_prefix":"/p)")
+                + std::to_string(index) + R"(/","route_type":"safe","service":"plain"})";
+        return text + R"(],"services":[{"name":"plain"}],"tenants":[{"name":"red","api_keys":["k"]}]})";
+    }
+
+    static std::size_t steps_for(std::string const& document)
+    {
+        configuration_parser parser { document };
+        while (!parser.advance()) { }
+        CPPUNIT_ASSERT(parser.take().has_value());
+        return parser.steps();
+    }
+
+    // A document of any size is handled in steps of the same size, so twice as many routes take twice as many steps.
+    void a_step_of_reading_a_configuration_is_bounded()
+    {
+        constexpr std::size_t routes = 8500;
+        auto const document = growing_configuration(routes);
+        auto const steps = steps_for(document);
+        CPPUNIT_ASSERT(steps >= document.size() / configuration_parser::bytes_per_step);
+        CPPUNIT_ASSERT(steps >= routes / configuration_parser::entries_per_step);
+        constexpr std::size_t other_steps = 8;
+        CPPUNIT_ASSERT(steps_for(growing_configuration(2 * routes)) <= 2 * steps + other_steps);
+    }
+
+    void a_configuration_read_in_steps_is_the_same()
+    {
+        auto const read = table_binding::parse_configuration(growing_configuration(300));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 300 }, read->routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("/p299/"), read->routes.back().path_prefix);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, read->pools.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, read->teams.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(binding_test);
