--- a/libraries/dispatch/store/endpoint_roster.cpp
+++ b/libraries/dispatch/store/endpoint_roster.cpp
@@ -2,7 +2,8 @@
 // Retains entries whose rows expired during an outage of the store.
 #include "libraries/dispatch/store/endpoint_roster.h"
 
-#include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 namespace shedhill::dispatch {
 
@@ -11,11 +12,6 @@
 // The time after the store's recovery within which a live endpoint restores its row.
 constexpr milliseconds max_restore_time { 1900 };
 
-bool contains(std::vector<endpoint_entry> const& entries, endpoint_name const& name)
-{
-    return std::ranges::find(entries, name, &endpoint_entry::name) != entries.end();
-}
-
 } // namespace
 
 bool endpoint_roster::apply_list(std::vector<endpoint_entry> listed, store_availability availability, instant now)
@@ -24,9 +20,14 @@
         || (availability.recovered_at != instant {} && now < availability.recovered_at + max_restore_time);
     auto const until = (availability.is_unavailable ? now : availability.recovered_at) + max_restore_time;
     auto const before = entries();
+    std::unordered_set<std::string_view> listed_names;
+    for (auto const& entry : listed)
+        listed_names.insert(entry.name.value());
+    m_examined_entries += listed.size();
     if (has_outage) {
+        m_examined_entries += m_listed.size();
         for (auto const& entry : m_listed) {
-            if (!entry.is_draining && !contains(listed, entry.name))
+            if (!entry.is_draining && !listed_names.contains(entry.name.value()))
                 m_retained.try_emplace(entry.name, retained_entry { entry, until });
         }
     }
@@ -35,9 +36,11 @@
         for (auto& [name, retained] : m_retained)
             retained.until = until;
     }
+    m_examined_entries += m_retained.size();
+    std::erase_if(m_retained, [&](auto const& retained) {
+        return now >= retained.second.until || listed_names.contains(retained.first.value());
+    });
     m_listed = std::move(listed);
-    std::erase_if(m_retained,
-        [&](auto const& retained) { return now >= retained.second.until || contains(m_listed, retained.first); });
     return entries() != before;
 }
 
--- a/libraries/dispatch/store/endpoint_roster.h
+++ b/libraries/dispatch/store/endpoint_roster.h
@@ -7,6 +7,7 @@
 
 #include "libraries/dispatch/types.h"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -31,6 +32,8 @@
     [[nodiscard]] std::vector<endpoint_entry> entries() const;
     [[nodiscard]] std::size_t retained_count() const { return m_retained.size(); }
     [[nodiscard]] std::vector<endpoint_name> retained_names() const;
+    // The number of entries that were examined to find out whether an endpoint is listed.
+    [[nodiscard]] std::uint64_t examined_entries() const { return m_examined_entries; }
 
 private:
     struct retained_entry {
@@ -41,6 +44,7 @@
     std::vector<endpoint_entry> m_listed;
     // Invariant: no retained entry is in m_listed, and none was draining when it was last listed.
     std::map<endpoint_name, retained_entry> m_retained;
+    std::uint64_t m_examined_entries { 0 };
 };
 
 } // namespace shedhill::dispatch
--- a/tests/dispatch/endpoint_roster_test.cpp
+++ b/tests/dispatch/endpoint_roster_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(an_entry_removed_some_time_after_the_recovery_is_dropped);
     CPPUNIT_TEST(reports_of_other_routers_retain_no_entry_forever);
     CPPUNIT_TEST(only_an_outage_leads_to_a_recovery);
+    CPPUNIT_TEST(twice_as_many_entries_in_an_outage_take_twice_as_many_operations);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(std::int64_t time) { return instant(milliseconds(time)); }
@@ -107,6 +108,34 @@
         (void)watcher.apply_page({}, 1, false, at(3000));
         CPPUNIT_ASSERT(watcher.recovered_at() == at(3000));
     }
+
+    // Returns the operations of a router whose store returns from an outage in which half of the rows expired.
+    static std::uint64_t operations_of_outage(std::size_t count)
+    {
+        std::vector<endpoint_entry> all;
+        for (std::size_t index = 0; index < count; ++index)
+            all.push_back({ endpoint_name("i-" + std::to_string(index)), "10.0.0.1:1", pool_name("pool"),
+                failure_domain("north"), 4, false });
+        endpoint_roster roster;
+        (void)roster.apply_list(all, {}, instant(milliseconds(1000)));
+        auto const half
+            = std::vector<endpoint_entry>(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count / 2));
+        store_availability const recovered { false, instant(milliseconds(9000)) };
+        (void)roster.apply_list(half, recovered, instant(milliseconds(9000)));
+        CPPUNIT_ASSERT_EQUAL(count, roster.entries().size());
+        (void)roster.apply_list(all, recovered, instant(milliseconds(9500)));
+        return roster.examined_entries();
+    }
+
+    void twice_as_many_entries_in_an_outage_take_twice_as_many_operations()
+    {
+        auto const single = operations_of_outage(600);
+        auto const twice = operations_of_outage(1200);
+        CPPUNIT_ASSERT(twice <= 2 * single);
+        // Each of the three lists is compared with the one before and with the retained entries.
+        constexpr std::uint64_t max_operations_per_entry = 3 * 3;
+        CPPUNIT_ASSERT(twice <= max_operations_per_entry * 1200);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_roster_test);
