peering, relay: A document on its way is not requested again

Cause: a router that lacks a version asks for it every 0.4 s until it has it, and each request brings the whole document again over the same link.

--- a/services/shedhilld/published_documents.cpp
+++ b/libraries/peering/published_documents.cpp
@@ -1,15 +1,16 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Implements published_documents with one state for each kind of document.
-#include "services/shedhilld/published_documents.h"
+#include "libraries/peering/published_documents.h"
 
 #include <algorithm>
 
-namespace shedhill::daemon {
+namespace shedhill::peering {
 
 namespace {
 
 // The shortest time between two requests for the same kind of document.
 constexpr milliseconds request_interval { 400 };
+constexpr std::uint32_t max_doublings = 3;
 
 } // namespace
 
@@ -34,28 +35,34 @@
     return state.newer_version > own ? now - state.newer_version_seen_at : milliseconds(0);
 }
 
-bool published_documents::try_request(document_kind kind, vm_name const& router, instant confirmed_at, instant now)
+bool published_documents::try_request(document_kind kind, offer const& offered, instant now)
 {
     auto& state = state_of(kind);
+    if (state.requested_version != offered.version) {
+        state.requests = 0;
+        state.next_request_at = std::min(state.next_request_at, state.requested_at + request_interval);
+    }
     if (now < state.next_request_at)
         return false;
-    state.next_request_at = now + request_interval;
-    state.requested_router = router;
-    state.requested_confirmed_at = confirmed_at;
+    state.requested_at = now;
+    state.next_request_at = now + request_interval * (1U << std::min(state.requests, max_doublings));
+    state.requested_version = offered.version;
+    ++state.requests;
+    state.requested_router = offered.router;
+    state.requested_confirmed_at = offered.confirmed_at;
     return true;
 }
 
-std::string const& published_documents::frame_for(
-    peering::document_request const& request, dispatch::table_watcher const& table)
+std::string const& published_documents::frame_for(document_request const& request, dispatch::table_watcher const& table)
 {
     auto& state = state_of(request.kind);
     auto const version = table.changed_version();
     if (state.frame_version == version && state.frame_since == request.since)
         return state.frame;
-    state.frame = peering::encode_frame(peering::document_message { request.kind, table.rows_since(request.since) });
+    state.frame = encode_frame(document_message { request.kind, table.rows_since(request.since) });
     state.frame_version = version;
     state.frame_since = request.since;
     return state.frame;
 }
 
-} // namespace shedhill::daemon
+} // namespace shedhill::peering
--- a/services/shedhilld/published_documents.h
+++ b/libraries/peering/published_documents.h
@@ -7,14 +7,13 @@
 #include "libraries/peering/peer_message.h"
 
 #include <array>
+#include <cstdint>
 #include <string>
 
-namespace shedhill::daemon {
+namespace shedhill::peering {
 
 class published_documents {
 public:
-    using document_kind = peering::document_kind;
-
     // Records that the store confirmed to another router the version that this router holds.
     void record_confirmed(document_kind kind, instant at);
     [[nodiscard]] instant confirmed_at(document_kind kind) const { return state_of(kind).confirmed_at; }
@@ -24,9 +23,16 @@
     // Returns the time since another router first reported a newer version than the own one; 0 if none has.
     [[nodiscard]] milliseconds time_behind(document_kind kind, std::uint64_t own, instant now) const;
 
-    // Returns whether a newer version may be requested now. If so, records that it is requested from `router`, to
-    // which the store confirmed it at `confirmed_at`.
-    [[nodiscard]] bool try_request(document_kind kind, vm_name const& router, instant confirmed_at, instant now);
+    // A version of a document that another router offers, and when the store confirmed it to that router.
+    struct offer {
+        vm_name router;
+        std::uint64_t version { 0 };
+        instant confirmed_at {};
+    };
+    // Returns whether the offered version may be requested now, and if so records the request. The same version is
+    // requested again after a time that doubles with each request, because a large document that is on its way would
+    // otherwise be sent several times over the same link.
+    [[nodiscard]] bool try_request(document_kind kind, offer const& offered, instant now);
     // The router from which a document was last requested, and when the store had confirmed the document to it.
     [[nodiscard]] vm_name const& requested_router(document_kind kind) const { return state_of(kind).requested_router; }
     [[nodiscard]] instant requested_confirmed_at(document_kind kind) const
@@ -35,13 +41,16 @@
     }
 
     // Returns the encoded frame with what the requesting router needs of the table.
-    [[nodiscard]] std::string const& frame_for(
-        peering::document_request const& request, dispatch::table_watcher const& table);
+    [[nodiscard]] std::string const& frame_for(document_request const& request, dispatch::table_watcher const& table);
 
 private:
     struct document_state {
         instant confirmed_at {};
+        instant requested_at {};
         instant next_request_at {};
+        // The version requested last, and the number of requests for it.
+        std::uint64_t requested_version { 0 };
+        std::uint32_t requests { 0 };
         // The first version newer than the own one that another router reported, and when it did.
         std::uint64_t newer_version { 0 };
         instant newer_version_seen_at {};
@@ -62,4 +71,4 @@
     std::array<document_state, static_cast<std::size_t>(document_kind::count)> m_states {};
 };
 
-} // namespace shedhill::daemon
+} // namespace shedhill::peering
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -13,6 +13,8 @@
 // out of date by then.
 constexpr std::size_t max_unwritten_bytes = 256U << 10U;
 constexpr std::size_t max_incoming_links = 1024;
+// A message of which nothing was received for this time may never arrive.
+constexpr milliseconds max_receiving_pause { 900 };
 
 } // namespace
 
@@ -90,6 +92,11 @@
     }
 
     void open(int descriptor) { m_socket.adopt(descriptor); }
+    [[nodiscard]] bool is_receiving_document(instant now) const
+    {
+        auto const size = peering::frame_size(m_input);
+        return size && *size > event_loop::read_buffer_size && now - m_received_at < max_receiving_pause;
+    }
 
 private:
     void on_ready(readiness) override
@@ -97,6 +104,7 @@
         auto const [bytes, end] = m_socket.read();
         if (end != read_end::drained)
             return disconnect();
+        m_received_at = m_mesh.m_loop.now();
         m_input += bytes;
         std::size_t used = 0;
         auto rest = std::string_view(m_input);
@@ -129,6 +137,7 @@
     std::uint64_t m_number;
     socket m_socket;
     std::string m_input;
+    instant m_received_at {};
 };
 
 peer_mesh::peer_mesh(event_loop& loop, peering::peer_directory directory, message_function on_message)
@@ -212,6 +221,12 @@
     return addresses;
 }
 
+bool peer_mesh::is_receiving_document(instant now) const
+{
+    return std::ranges::any_of(
+        m_incoming, [now](auto const& entry) { return entry.second->is_receiving_document(now); });
+}
+
 void peer_mesh::send_to(std::string const& address, std::string const& frame, traffic_kind kind)
 {
     if (auto const found = m_outgoing.find(address); found != m_outgoing.end())
--- a/libraries/relay/peer_mesh.h
+++ b/libraries/relay/peer_mesh.h
@@ -42,6 +42,9 @@
     // no report from this router over that connection yet.
     [[nodiscard]] std::vector<std::string> take_newly_connected() { return std::exchange(m_newly_connected, {}); }
 
+    // Returns whether a message that is too large for one read is arriving, of which a part was received recently.
+    [[nodiscard]] bool is_receiving_document(instant now) const;
+
     [[nodiscard]] peer_traffic const& traffic() const { return m_traffic; }
     // Returns the number of received messages since the last call that could not be decoded.
     [[nodiscard]] std::uint64_t take_skipped() { return std::exchange(m_skipped, 0); }
--- a/meta/make_days.py
+++ b/meta/make_days.py
@@ -161,9 +161,10 @@
             strikes += [(at, growing), (at + 0.7, 'kind = "config_change", how = "idle"')]
         path = out / f"{name}.toml"
         write_day(path, name, 63, strikes, None)
-        if "traffic" in quiet:
-            traffic = ",\n  ".join(inline(entry) for entry in quiet["traffic"])
-            path.write_text(f"{path.read_text()}traffic = [\n  {traffic},\n]\n")
+        with path.open("a") as day:
+            for field in ("small", "traffic"):
+                if field in quiet:
+                    day.write(f"{field} = {inline(quiet[field])}\n")
 
 
 def inline(value: object) -> str:
--- a/services/shedhilld/fleet_reports.h
+++ b/services/shedhilld/fleet_reports.h
@@ -95,6 +95,9 @@
         m_peers.send_to(address, frame, relay::traffic_kind::documents);
     }
 
+    // Returns whether a large document is arriving from another router.
+    [[nodiscard]] bool is_receiving_document(instant now) const { return m_peers.is_receiving_document(now); }
+
     [[nodiscard]] peering::peer_directory& directory() { return m_peers.directory(); }
     [[nodiscard]] peering::fleet_member const& self() { return m_peers.directory().self(); }
     [[nodiscard]] relay::peer_traffic const& traffic() const { return m_peers.traffic(); }
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -8,12 +8,12 @@
 #include "libraries/dispatch/log_fields.h"
 #include "libraries/dispatch/store/endpoint_roster.h"
 #include "libraries/dispatch/store/store_outage_watch.h"
+#include "libraries/peering/published_documents.h"
 #include "libraries/peering/watch_assignment.h"
 #include "libraries/relay/deployment.h"
 #include "libraries/relay/store_session.h"
 #include "services/shedhilld/endpoint_rows.h"
 #include "services/shedhilld/fleet_reports.h"
-#include "services/shedhilld/published_documents.h"
 #include "services/shedhilld/routers_table.h"
 #include "services/shedhilld/store_log_lines.h"
 
@@ -480,7 +480,10 @@
         if (reported.version <= own
             || (is_domain_peer ? is_up_to_date(reported.kind, now) : is_expected_from_own_domain(reported, now)))
             return;
-        if (!m_published_documents.try_request(reported.kind, state.report.peer, now - reported.age, now))
+        if (reported.kind == document_kind::configuration && m_reports.is_receiving_document(now))
+            return;
+        if (!m_published_documents.try_request(
+                reported.kind, { state.report.peer, reported.version, now - reported.age }, now))
             return;
         m_reports.send(state.address,
             peering::encode_frame(peering::document_request {
@@ -505,7 +508,7 @@
     dispatch::store_outage_watch m_outages;
     instant m_pause_recorded_at {};
     endpoint_rows<TableBinding> m_endpoint_rows;
-    published_documents m_published_documents;
+    peering::published_documents m_published_documents;
     std::vector<std::string> m_listed_routers;
     // This router watches the store. Otherwise it receives changes from the watchers of its failure domain.
     bool m_is_watching_store { false };
--- a/tests/relay/peer_mesh_test.cpp
+++ b/tests/relay/peer_mesh_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(a_message_of_unknown_kind_is_skipped);
     CPPUNIT_TEST(sums_go_to_other_failure_domains_only);
     CPPUNIT_TEST(messages_are_counted_by_kind_at_both_ends);
+    CPPUNIT_TEST(a_large_document_is_known_to_arrive_until_it_is_whole);
     CPPUNIT_TEST(an_empty_buffer_frees_its_memory);
     CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, b.mesh.take_skipped());
     }
 
+    void a_large_document_is_known_to_arrive_until_it_is_whole()
+    {
+        event_loop loop;
+        router a(loop, "north");
+        router b(loop, "north");
+        connect(loop, a, b);
+        peering::document_message document;
+        document.rows.rows["key"] = { std::string(200'000, 'x'), 1 };
+        auto const frame = peering::encode_frame(document);
+        auto const half = frame.size() / 2;
+        a.mesh.send_to(b.address(), frame.substr(0, half), traffic_kind::documents);
+        run_until(loop, [&] { return b.mesh.is_receiving_document(loop.now()); });
+        CPPUNIT_ASSERT(!b.mesh.is_receiving_document(loop.now() + milliseconds(1000)));
+        a.mesh.send_to(b.address(), frame.substr(half), traffic_kind::documents);
+        run_until(loop, [&] { return !b.received_messages.empty(); });
+        CPPUNIT_ASSERT(!b.mesh.is_receiving_document(loop.now()));
+    }
+
     // Guards against buffers that keep the memory of a large message, such as the 373 kB sent to a router that has just
     // started, for as long as the connection is open.
     void an_empty_buffer_frees_its_memory()
