dispatch, relay, peering: The waits after a pause and of a transfer end

- A router that is paused for over 0.25 s again and again while the store is away never sent a request: each pause began another wait for the list.
The wait is granted once until the list is recent again.
- A long poll whose answer stopped half way was given up only after the whole time of the poll, up to 8.9 s; 0.9 s without a byte now, as for other calls.
- A list of endpoints whose answer was lost was asked for later and later, as the configuration is; its changes are small and are asked for every 0.4 s again.

a_router_that_is_paused_again_and_again_serves and a_long_poll_whose_answer_stops_is_given_up_soon failed on the code before and pass now; the third has no test of its own.

--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -443,6 +443,9 @@
     instant m_paused_until {};
     // The end of the time for which requests wait for a newer list after a pause.
     instant m_awaits_list_until {};
+    // Whether the list was recent since the last such wait. A router that is paused again and again while the store is
+    // away serves its requests by the list that it has.
+    bool m_may_await_list { false };
     crash_suspects m_suspects;
     answered_parts m_answered_parts;
     failing_requests m_failing;
--- a/libraries/dispatch/dispatch_streams.cpp
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -133,7 +133,7 @@
 
 bool dispatch_reducer::awaits_list(instant now) const
 {
-    bool const is_after_pause = has_paused(now) || now < m_awaits_list_until;
+    bool const is_after_pause = (has_paused(now) && m_may_await_list) || now < m_awaits_list_until;
     return is_after_pause && now - m_list_confirmed_at > m_versions.staleness_bound() / 2;
 }
 
@@ -141,8 +141,10 @@
 {
     if (has_paused(now)) {
         m_paused_until = now + m_versions.staleness_bound();
-        m_awaits_list_until = now + max_list_wait;
+        if (std::exchange(m_may_await_list, false))
+            m_awaits_list_until = now + max_list_wait;
     }
+    m_may_await_list |= age <= m_versions.staleness_bound() / 2;
     m_ticked_at = now;
     m_list_confirmed_at = now - age;
 }
--- a/libraries/peering/published_documents.cpp
+++ b/libraries/peering/published_documents.cpp
@@ -45,7 +45,9 @@
     if (now < state.next_request_at)
         return false;
     state.requested_at = now;
-    state.next_request_at = now + request_interval * (1U << std::min(state.requests, max_doublings));
+    // The list of endpoints is sent as changes, which are small, and must not be late.
+    auto const doublings = kind == document_kind::configuration ? std::min(state.requests, max_doublings) : 0U;
+    state.next_request_at = now + request_interval * (1U << doublings);
     state.requested_version = offered.version;
     ++state.requests;
     state.requested_router = offered.router;
--- a/libraries/peering/published_documents.h
+++ b/libraries/peering/published_documents.h
@@ -29,9 +29,9 @@
         std::uint64_t version { 0 };
         instant confirmed_at {};
     };
-    // Returns whether the offered version may be requested now, and if so records the request. The same version is
-    // requested again after a time that doubles with each request, because a large document that is on its way would
-    // otherwise be sent several times over the same link.
+    // Returns whether the offered version may be requested now, and if so records the request. The same version of
+    // the configuration is requested again after a time that doubles with each request, because a large document that
+    // is on its way would otherwise be sent several times over the same link.
     [[nodiscard]] bool try_request(document_kind kind, offer const& offered, instant now);
     // The router from which a document was last requested, and when the store had confirmed the document to it.
     [[nodiscard]] vm_name const& requested_router(document_kind kind) const { return state_of(kind).requested_router; }
--- a/libraries/relay/store_session.cpp
+++ b/libraries/relay/store_session.cpp
@@ -2,6 +2,8 @@
 // Implements calls whose answers are collected whole.
 #include "libraries/relay/store_session.h"
 
+#include <algorithm>
+
 namespace shedhill::relay {
 
 void buffered_call::start(std::string call, milliseconds limit)
@@ -26,7 +28,8 @@
         return;
     constexpr std::int64_t ms_per_second = 1000;
     milliseconds const earned(static_cast<std::int64_t>(m_body.size()) * ms_per_second / min_bytes_per_second);
-    if (now >= m_received_at + m_limit || now >= m_started_at + m_limit + earned)
+    auto const silence_limit = m_body.empty() ? m_limit : std::min(m_limit, max_receiving_pause);
+    if (now >= m_received_at + silence_limit || now >= m_started_at + m_limit + earned)
         cancel();
 }
 
--- a/libraries/relay/store_session.h
+++ b/libraries/relay/store_session.h
@@ -45,6 +45,8 @@
 private:
     // A tenth of the narrowest link of a VM in use, 10 Mbit/s, which a transfer shares with requests and answers.
     static constexpr std::int64_t min_bytes_per_second = 125'000;
+    // The longest time without a byte once the answer has begun, whatever time a long poll has.
+    static constexpr milliseconds max_receiving_pause { 900 };
 
     head_decision on_head(answer_head const& head) override;
     void on_data(std::string_view data) override;
--- a/tests/dispatch/configuration_change_test.cpp
+++ b/tests/dispatch/configuration_change_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_request_whose_time_limit_passed_unread_is_refused_at_once);
     CPPUNIT_TEST(a_paused_router_sends_nothing_to_an_endpoint_that_left_meanwhile);
     CPPUNIT_TEST(a_paused_router_serves_while_the_list_cannot_be_confirmed);
+    CPPUNIT_TEST(a_router_that_is_paused_again_and_again_serves);
     CPPUNIT_TEST_SUITE_END();
 
     // The operations for each route of both versions. Paths have few prefixes, whatever the number of routes is.
@@ -170,6 +171,23 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, driver.sent_for(request_number(7)).size());
     }
+
+    void a_router_that_is_paused_again_and_again_serves()
+    {
+        dispatch_driver driver;
+        driver.start({ dispatch_driver::make_endpoint("a", "plain") });
+        constexpr milliseconds short_pause { 300 };
+        driver.pause(long_pause);
+        driver.deliver(make_late_request(7, milliseconds(300)));
+        auto list_age = long_pause;
+        constexpr int pauses = 4;
+        for (int index = 0; index < pauses; ++index) {
+            driver.deliver(tick { .list_age = list_age });
+            driver.pause(short_pause);
+            list_age += short_pause;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, driver.sent_for(request_number(7)).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_change_test);
--- a/tests/relay/store_transfer_test.cpp
+++ b/tests/relay/store_transfer_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(an_answer_that_arrives_slowly_is_not_given_up);
     CPPUNIT_TEST(an_answer_that_stops_arriving_is_given_up);
     CPPUNIT_TEST(an_answer_that_trickles_is_given_up);
+    CPPUNIT_TEST(a_long_poll_whose_answer_stops_is_given_up_soon);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr milliseconds limit { 900 };
@@ -39,10 +40,10 @@
                 loop.run_once(milliseconds(1));
         }
 
-        void start(std::size_t length)
+        void start(std::size_t length, milliseconds call_limit = limit)
         {
             server.add("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n");
-            call.start("GET / HTTP/1.1\r\nHost: store\r\n\r\n", limit);
+            call.start("GET / HTTP/1.1\r\nHost: store\r\n\r\n", call_limit);
             run_some();
         }
 
@@ -96,6 +97,17 @@
         }
         CPPUNIT_ASSERT(tested.status == 0U);
     }
+
+    void a_long_poll_whose_answer_stops_is_given_up_soon()
+    {
+        slow_call tested;
+        tested.start(1'000'000, milliseconds(8900));
+        tested.advance(milliseconds(5000));
+        tested.send(200'000);
+        CPPUNIT_ASSERT(!tested.status);
+        tested.advance(limit);
+        CPPUNIT_ASSERT(tested.status == 0U);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_transfer_test);
