relay: A connection after a calm time has not waited

Found by reading the change before the landing: a listener that had accepted exactly sixteen connections took the next one, however much later it came, for one that had waited since. Where the system does not tell when bytes arrived, half of that time was taken off the request's limit, and it could be refused as too late.

Only connections that the round before left waiting have waited since then; and a request has not waited longer than since the answer before it on its connection. a_connection_after_a_calm_time_has_not_waited failed before (the whole calm time) and passes now; the_time_without_a_look_at_the_sockets_is_known tests the loop's measure.

--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -53,8 +53,10 @@
     auto const now = m_loop.now();
     auto const round_before = now - m_loop.max_unread_time();
     bool const came_with_connection = round_before <= m_opened_at;
-    auto const max_time = now - (came_with_connection ? std::min(round_before, m_waiting_since) : round_before);
-    m_unread_time = max_time <= negligible ? milliseconds(0) : m_socket.time_since_receipt(max_time);
+    auto since = came_with_connection ? std::min(round_before, m_waiting_since) : round_before;
+    // A caller sends its next request after the answer to the one before.
+    since = std::max(since, m_answered_at);
+    m_unread_time = now - since <= negligible ? milliseconds(0) : m_socket.time_since_receipt(now - since);
 }
 
 void caller_connection::begin_request()
@@ -163,6 +165,7 @@
 void caller_connection::finish_answer()
 {
     m_is_answering = false;
+    m_answered_at = m_loop.now() + m_loop.time_in_round();
     m_socket.set_reading(true);
     schedule_flush();
     if (!m_closes_after_answer)
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -101,6 +101,8 @@
     // that came with the connection.
     instant m_waiting_since {};
     instant m_opened_at {};
+    // The time at which the last answer was complete.
+    instant m_answered_at {};
 };
 
 } // namespace shedhill::relay
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -245,8 +245,11 @@
 void listener_socket::on_ready(readiness)
 {
     constexpr int max_accepts_per_event = 16;
-    if (std::exchange(m_has_accepted_all, false))
-        m_waiting_since = m_loop.now() - m_loop.max_unread_time();
+    // Connections that the last round left waiting are accepted in this one.
+    auto const round_before = m_loop.now() - m_loop.max_unread_time();
+    if (std::exchange(m_has_accepted_all, false) || m_accepted_at < round_before)
+        m_waiting_since = round_before;
+    m_accepted_at = m_loop.now();
     for (int accepted = 0; accepted < max_accepts_per_event; ++accepted) {
         auto const descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -126,6 +126,7 @@
     watch_id m_watch;
     // The time before which no connection can have begun to wait.
     instant m_waiting_since {};
+    instant m_accepted_at {};
     bool m_has_accepted_all { true };
 };
 
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -8,8 +8,10 @@
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <memory>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 namespace shedhill::relay {
 
@@ -27,6 +29,7 @@
     CPPUNIT_TEST(only_whole_events_are_forwarded);
     CPPUNIT_TEST(repeated_events_are_omitted);
     CPPUNIT_TEST(a_missing_event_is_detected);
+    CPPUNIT_TEST(a_connection_after_a_calm_time_has_not_waited);
     CPPUNIT_TEST_SUITE_END();
 
     // The caller's end of a caller_connection.
@@ -72,6 +75,7 @@
     public:
         explicit server(event_loop& loop, read_limits limits = {})
             : m_listener(loop, [this, &loop, limits](int descriptor) {
+                max_unaccepted_time = m_listener.max_unaccepted_time();
                 connection = std::make_shared<caller_connection>(loop, 1, static_cast<caller_listener&>(*this), limits);
                 connection->open(descriptor);
             })
@@ -101,6 +105,7 @@
         void on_caller_disconnected(caller_connection&) override { is_disconnected = true; }
 
         bool answers_immediately { true };
+        milliseconds max_unaccepted_time { 0 };
         std::vector<caller_request> requests;
         unsigned bad_status { 0 };
         bool is_disconnected { false };
@@ -289,6 +294,37 @@
         stream.feed("id: 3\n\n", events);
         CPPUNIT_ASSERT(stream.has_gap());
     }
+
+    static inline boot_clock::time_point s_time {};
+    static boot_clock::time_point test_time() { return s_time; }
+
+    static void run_some(event_loop& loop)
+    {
+        constexpr int rounds = 20;
+        for (int round = 0; round < rounds; ++round)
+            loop.run_once(milliseconds(1));
+    }
+
+    static constexpr milliseconds long_time { 400 };
+
+    // Sixteen connections are accepted at once, and a caller connects much later, while the loop looks all the time.
+    void a_connection_after_a_calm_time_has_not_waited()
+    {
+        event_loop loop { test_time };
+        server tested(loop);
+        constexpr std::size_t accepted_at_once = 16;
+        std::vector<std::unique_ptr<client>> callers;
+        for (std::size_t index = 0; index < accepted_at_once; ++index)
+            callers.push_back(std::make_unique<client>(loop, tested.address()));
+        run_some(loop);
+        for (int step = 0; step < 10; ++step) {
+            s_time += long_time / 40;
+            run_some(loop);
+        }
+        client late(loop, tested.address());
+        run_some(loop);
+        CPPUNIT_ASSERT(tested.max_unaccepted_time <= long_time / 40);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
--- a/tests/relay/event_loop_test.cpp
+++ b/tests/relay/event_loop_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(event_loop_test);
     CPPUNIT_TEST(time_while_the_machine_is_suspended_counts);
     CPPUNIT_TEST(the_clock_is_the_one_that_counts_suspension);
+    CPPUNIT_TEST(the_time_without_a_look_at_the_sockets_is_known);
     CPPUNIT_TEST_SUITE_END();
 
     static inline boot_clock::time_point s_time {};
@@ -28,6 +29,22 @@
         CPPUNIT_ASSERT(loop.now() - before == milliseconds(7000));
     }
 
+    void the_time_without_a_look_at_the_sockets_is_known()
+    {
+        s_time = boot_clock::time_point(std::chrono::seconds(100));
+        event_loop loop(test_time);
+        loop.run_once(milliseconds(0));
+        s_time += std::chrono::milliseconds(400);
+        CPPUNIT_ASSERT(loop.time_in_round() == milliseconds(400));
+        loop.run_once(milliseconds(0));
+        CPPUNIT_ASSERT(loop.max_unread_time() == milliseconds(400));
+        CPPUNIT_ASSERT(loop.pause_before_round() == milliseconds(400));
+        s_time += std::chrono::milliseconds(20);
+        loop.run_once(milliseconds(0));
+        CPPUNIT_ASSERT(loop.max_unread_time() == milliseconds(20));
+        CPPUNIT_ASSERT(loop.pause_before_round() == milliseconds(0));
+    }
+
     void the_clock_is_the_one_that_counts_suspension()
     {
         timespec before {};
