--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -138,7 +138,7 @@
         endpoint_constraints constraints;
         bool is_engine { false };
         instant arrived {};
-        // For how long the request had waited before the router read it.
+        // This is the time for which the request waited before the router read it.
         milliseconds unread_time { 0 };
         // The caller's deadline or the route's time limit, whichever is first.
         instant deadline {};
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -32,7 +32,7 @@
     std::optional<content_hash> content {};
     // Set if the caller has received a part of a stream and asks for the rest.
     std::optional<stream_resumption> resumption {};
-    // For how long the request had waited before the router read it.
+    // This is the time for which the request waited before the router read it.
     milliseconds unread_time { 0 };
 };
 
