peering: Announces a digest of a table's rows, and reports rows that differ

Routers compare one number for each table, the version of its newest change, and log nothing about the rows that they use.

A router now announces a hash of the keys and versions of its rows, 8 bytes for each of two tables in a report, kept up to date by each changed row. Equal rows confirm the own ones; equal numbers confirm them only for routers of earlier versions, which send no hash. table_rows_changed names the source, version, number of rows and hash of the rows in use. table_diverged and shedhill_table_divergences_total tell that another router has had other rows for a second, without a newer version, although the store confirmed its rows later.

--- a/libraries/dispatch/store/table_watcher.cpp
+++ b/libraries/dispatch/store/table_watcher.cpp
@@ -2,8 +2,6 @@
 // Implements the calls to the store and the exchange of rows between routers.
 #include "libraries/dispatch/store/table_watcher.h"
 
-#include "base/hash.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -19,14 +17,6 @@
 // The store counts as recovered from an outage if it failed and confirmed no rows for at least this time.
 constexpr milliseconds min_outage { 1000 };
 
-std::uint64_t hash_of_keys(std::map<std::string, table_watcher::row> const& rows)
-{
-    std::uint64_t sum = 0;
-    for (auto const& [key, row] : rows)
-        sum += stable_hash(key);
-    return sum;
-}
-
 } // namespace
 
 void table_watcher::set_options(watch_options options)
@@ -65,15 +55,14 @@
     m_version = version;
     bool is_changed = false;
     for (auto const& changed : rows) {
-        auto const current = m_rows.find(changed.key);
-        if (current != m_rows.end() && current->second.version >= changed.version)
+        if (auto const* current = m_rows.find(changed.key); current && current->version >= changed.version)
             continue;
         is_changed = true;
         m_changed_version = std::max(m_changed_version, changed.version);
         if (changed.is_removed)
             record_removal({ changed.key, changed.version });
         else
-            m_rows[changed.key] = { changed.value, changed.version };
+            m_rows.put(changed.key, { changed.value, changed.version });
     }
     return is_changed ? page_outcome::changed : page_outcome::nothing_new;
 }
@@ -98,7 +87,7 @@
     }
     // NOTE: Pages of one read may have different versions. Polling continues from the version of the first page, so it
     //       returns the changes that later pages lack.
-    auto const read = std::exchange(m_read_rows, {});
+    auto read = std::exchange(m_read_rows, {});
     auto const read_version = std::exchange(m_read_version, 0);
     if (read_version < m_version) {
         m_next_at = now + out_of_date_pause;
@@ -106,9 +95,9 @@
     }
     m_needs_read = false;
     m_has_rows = true;
-    m_rows = read;
+    m_rows = table_rows(std::move(read));
     m_version = read_version;
-    update_changed_version(m_rows);
+    update_changed_version();
     m_confirmed_at = now;
     return page_outcome::changed;
 }
@@ -133,15 +122,15 @@
     m_read_version = 0;
 }
 
-void table_watcher::update_changed_version(std::map<std::string, row> const& rows)
+void table_watcher::update_changed_version()
 {
-    for (auto const& [key, current] : rows)
+    for (auto const& [key, current] : m_rows.all())
         m_changed_version = std::max(m_changed_version, current.version);
 }
 
 void table_watcher::record_removal(removed_row removed)
 {
-    m_rows.erase(removed.key);
+    m_rows.remove(removed.key);
     m_changed_version = std::max(m_changed_version, removed.version);
     m_removed_rows.push_back(std::move(removed));
     if (m_removed_rows.size() > max_removed_rows)
@@ -150,39 +139,37 @@
 
 table_watcher::reported_rows table_watcher::rows_since(std::uint64_t version) const
 {
-    reported_rows reported { std::nullopt, {}, {}, hash_of_keys(m_rows), m_version, m_changed_version };
+    reported_rows reported { std::nullopt, {}, {}, m_rows.keys_hash(), m_version, m_changed_version };
     if (version == 0) {
-        reported.rows = m_rows;
+        reported.rows = m_rows.all();
         return reported;
     }
     reported.since = version;
-    for (auto const& [key, current] : m_rows) {
+    for (auto const& [key, current] : m_rows.all()) {
         if (current.version > version)
             reported.rows.emplace(key, current);
     }
     for (auto const& removed : m_removed_rows) {
-        if (removed.version > version && !m_rows.contains(removed.key))
+        if (removed.version > version && !m_rows.find(removed.key))
             reported.removed.push_back(removed);
     }
     return reported;
 }
 
-std::optional<std::map<std::string, table_watcher::row>> table_watcher::with_changes(
-    reported_rows const& reported) const
+std::optional<table_rows> table_watcher::with_changes(reported_rows const& reported) const
 {
     if (!m_has_rows || *reported.since > m_version)
         return std::nullopt;
     auto rows = m_rows;
     for (auto const& [key, reported_row] : reported.rows) {
-        if (auto& current = rows[key]; current.version < reported_row.version)
-            current = reported_row;
+        if (auto const* current = rows.find(key); !current || current->version < reported_row.version)
+            rows.put(key, reported_row);
     }
     for (auto const& removed : reported.removed) {
-        if (auto const current = rows.find(removed.key);
-            current != rows.end() && current->second.version < removed.version)
-            rows.erase(current);
+        if (auto const* current = rows.find(removed.key); current && current->version < removed.version)
+            rows.remove(removed.key);
     }
-    if (hash_of_keys(rows) != reported.keys_hash)
+    if (rows.keys_hash() != reported.keys_hash)
         return std::nullopt;
     return rows;
 }
@@ -200,11 +187,11 @@
         for (auto& removed : reported.removed)
             record_removal(std::move(removed));
     } else {
-        m_rows = std::move(reported.rows);
+        m_rows = table_rows(std::move(reported.rows));
         m_needs_all_rows = false;
     }
     m_version = reported.version;
-    update_changed_version(m_rows);
+    update_changed_version();
     m_changed_version = std::max(m_changed_version, std::min(reported.changed_version, m_version));
     m_has_rows = true;
     // A full read is no longer needed; polling continues from the reported version.
--- a/libraries/dispatch/store/table_watcher.h
+++ b/libraries/dispatch/store/table_watcher.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/units.h"
+#include "libraries/dispatch/store/table_rows.h"
 
 #include <cstdint>
 #include <deque>
@@ -46,10 +47,7 @@
         milliseconds wait { 0 };
     };
 
-    struct row {
-        std::string value;
-        std::uint64_t version { 0 };
-    };
+    using row = table_rows::row;
 
     struct changed_row {
         std::string key;
@@ -111,7 +109,9 @@
     // Returns the version after which another router is to report changes; 0 requests all rows.
     [[nodiscard]] std::uint64_t changes_wanted_since() const { return m_needs_all_rows || !m_has_rows ? 0 : m_version; }
 
-    [[nodiscard]] std::map<std::string, row> const& rows() const { return m_rows; }
+    [[nodiscard]] std::map<std::string, row> const& rows() const { return m_rows.all(); }
+    // Returns the hash of the rows, by which two watchers find out whether they have the same ones.
+    [[nodiscard]] std::uint64_t digest() const { return m_rows.digest(); }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     // Returns the version of the newest known change. Two watchers compare it to find out which one is more recent.
     [[nodiscard]] std::uint64_t changed_version() const { return m_changed_version; }
@@ -129,10 +129,10 @@
 private:
     void record_answer(instant now);
     void end_call();
-    void update_changed_version(std::map<std::string, row> const& rows);
+    void update_changed_version();
     void record_removal(removed_row removed);
     // Returns the rows with the changes applied, or nothing if the changes are incomplete.
-    [[nodiscard]] std::optional<std::map<std::string, row>> with_changes(reported_rows const& reported) const;
+    [[nodiscard]] std::optional<table_rows> with_changes(reported_rows const& reported) const;
     page_outcome apply_read_page(
         std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
 
@@ -140,7 +140,7 @@
     bool m_is_calling { false };
     call_kind m_call_kind { call_kind::none };
     bool m_needs_read { true };
-    std::map<std::string, row> m_rows;
+    table_rows m_rows;
     bool m_has_rows { false };
     // The version of the store up to which m_rows is complete. Never decreases.
     std::uint64_t m_version { 0 };
--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -130,7 +130,8 @@
     for (auto const& document : state.documents)
         documents.push_back(fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(document.kind),
             document.version, static_cast<std::uint64_t>(document.age.count()),
-            document.returned_ago ? static_cast<std::uint64_t>(document.returned_ago->count()) + 1 : 0));
+            document.returned_ago ? static_cast<std::uint64_t>(document.returned_ago->count()) + 1 : 0,
+            document.digest.value_or(0)));
     std::vector<std::string> members;
     for (auto const& member : state.members)
         members.push_back(to_text(member));
@@ -195,6 +196,8 @@
             document_version version { kind, document->version(), to_milliseconds(document->age_ms()) };
             if (document->returned_ago_ms() > 0)
                 version.returned_ago = to_milliseconds(document->returned_ago_ms() - 1);
+            if (document->rows_digest() > 0)
+                version.digest = document->rows_digest();
             decoded.documents.push_back(version);
         }
     }
@@ -267,6 +270,19 @@
 
 } // namespace
 
+std::string_view name_of(document_kind kind)
+{
+    switch (kind) {
+    case document_kind::configuration:
+        return "configuration";
+    case document_kind::endpoints:
+        return "endpoints";
+    case document_kind::count:
+        break;
+    }
+    return "none";
+}
+
 std::string encode_frame(peer_message const& message)
 {
     flatbuffers::FlatBufferBuilder builder;
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -21,6 +21,8 @@
 // declarations of operators, and the list of endpoints.
 enum class document_kind : std::uint8_t { configuration, endpoints, count };
 
+[[nodiscard]] std::string_view name_of(document_kind kind);
+
 struct document_version {
     document_kind kind { document_kind::configuration };
     std::uint64_t version { 0 };
@@ -28,6 +30,8 @@
     milliseconds age { 0 };
     // Time since the store returned after an outage, as far as the sender knows; empty if there was no outage.
     std::optional<milliseconds> returned_ago {};
+    // The hash of the document's rows; empty if the sender is of an earlier version.
+    std::optional<std::uint64_t> digest {};
 };
 
 struct state_message {
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -8,6 +8,7 @@
 #include "libraries/dispatch/log_fields.h"
 #include "libraries/dispatch/store/endpoint_roster.h"
 #include "libraries/dispatch/store/store_outage_watch.h"
+#include "libraries/peering/divergence_detector.h"
 #include "libraries/peering/published_documents.h"
 #include "libraries/peering/watch_assignment.h"
 #include "libraries/relay/deployment.h"
@@ -18,6 +19,7 @@
 #include "services/shedhilld/store_log_lines.h"
 
 #include <algorithm>
+#include <array>
 #include <concepts>
 #include <map>
 #include <memory>
@@ -66,8 +68,10 @@
               [this] {
                   apply_configuration_rows({ "store", milliseconds(0) });
               })
-        , m_endpoints(
-              loop, settings.store_address, relay::table_name::endpoints, m_watchers, [this] { apply_endpoint_rows(); })
+        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, m_watchers,
+              [this] {
+                  apply_endpoint_rows({ "store", milliseconds(0) });
+              })
         , m_routers(
               loop, settings, m_reports.directory(), m_watchers,
               [this] { m_host.count("shedhill_store_write_failures_total"); },
@@ -161,10 +165,12 @@
         std::optional<milliseconds> returned_ago;
         if (recovered_at != instant {})
             returned_ago = now - recovered_at;
-        return { { document_kind::configuration, m_configuration.watcher().changed_version(),
-                     now - m_configuration.watcher().confirmed_at() },
-            { document_kind::endpoints, m_endpoints.watcher().changed_version(),
-                now - m_endpoints.watcher().confirmed_at(), returned_ago } };
+        auto const& configuration = m_configuration.watcher();
+        auto const& endpoints = m_endpoints.watcher();
+        return { { document_kind::configuration, configuration.changed_version(), now - configuration.confirmed_at(),
+                     std::nullopt, configuration.digest() },
+            { document_kind::endpoints, endpoints.changed_version(), now - endpoints.confirmed_at(), returned_ago,
+                endpoints.digest() } };
     }
 
     void apply_document_versions(peering::state_message const& state, instant now)
@@ -176,8 +182,10 @@
             auto const confirmed_at = sent_at - document.age;
             if (document.kind == document_kind::endpoints)
                 record_list_confirmation(document, state, sent_at);
-            if (document.version == own_version(document.kind))
+            if (has_same_rows(document))
                 m_published_documents.record_confirmed(document.kind, confirmed_at);
+            else
+                check_divergence(document, state, confirmed_at);
             request_if_newer(document, state, now);
         }
     }
@@ -301,15 +309,37 @@
 
     void apply_received_rows(document_kind kind)
     {
+        document_source const source { m_published_documents.requested_router(kind).value(),
+            m_loop.now() - m_published_documents.requested_confirmed_at(kind) };
         if (kind == document_kind::configuration)
-            apply_configuration_rows({ m_published_documents.requested_router(kind).value(),
-                m_loop.now() - m_published_documents.requested_confirmed_at(kind) });
+            apply_configuration_rows(source);
         else
-            apply_endpoint_rows();
+            apply_endpoint_rows(source);
+    }
+
+    void log_rows(document_kind kind, document_source const& source)
+    {
+        auto const& watcher = watcher_of(kind);
+        m_host.log_state("table_rows_changed",
+            dispatch::log_fields()
+                .add("table", name_of(kind))
+                .add("source", source.name)
+                .add("confirmed_ago_ms", source.age.count())
+                .add("version", watcher.version())
+                .add("changed_version", watcher.changed_version())
+                .add("rows", watcher.rows().size())
+                .add("digest", watcher.digest())
+                .take());
     }
 
     // Applies what operators declare: the configuration and the failure domains that they evacuate.
     void apply_configuration_rows(document_source const& source)
+    {
+        log_rows(document_kind::configuration, source);
+        apply_declarations(source);
+    }
+
+    void apply_declarations(document_source const& source)
     {
         m_newest_source = source;
         dispatch::domains_evacuated evacuated;
@@ -361,7 +391,7 @@
             m_host.log_state(
                 "configuration_refused", dispatch::log_fields().add("reason", parsed.error().to_string()).take());
         }
-        apply_configuration_rows(m_newest_source);
+        apply_declarations(m_newest_source);
     }
 
     [[nodiscard]] dispatch::store_availability endpoint_list_availability(instant now)
@@ -370,8 +400,9 @@
         return m_outages.availability({ watcher.confirmed_at(), watcher.recovered_at(), m_is_watching_store }, now);
     }
 
-    void apply_endpoint_rows()
+    void apply_endpoint_rows(document_source const& source)
     {
+        log_rows(document_kind::endpoints, source);
         auto const& rows = m_endpoints.watcher().rows();
         auto table_rows = m_host.measure("read_endpoint_rows", rows.size(), [&] { return m_endpoint_rows.read(rows); });
         log_refused_rows(m_endpoint_rows.take_refused());
@@ -449,6 +480,42 @@
 
     [[nodiscard]] std::uint64_t own_version(document_kind kind) { return watcher_of(kind).changed_version(); }
 
+    // Whether another router announces the rows that this router has. A router of an earlier version announces only the
+    // number of their newest change.
+    [[nodiscard]] bool has_same_rows(peering::document_version const& reported)
+    {
+        auto const& watcher = watcher_of(reported.kind);
+        if (!reported.digest)
+            return reported.version == watcher.changed_version();
+        return watcher.has_rows() && *reported.digest == watcher.digest();
+    }
+
+    void check_divergence(
+        peering::document_version const& reported, peering::state_message const& state, instant confirmed_at)
+    {
+        auto const& watcher = watcher_of(reported.kind);
+        auto const own_confirmed_at
+            = std::max(watcher.confirmed_at(), m_published_documents.confirmed_at(reported.kind));
+        auto& divergence = m_divergences.at(static_cast<std::size_t>(reported.kind));
+        bool const is_found = divergence.record({ watcher.changed_version(), watcher.digest(), own_confirmed_at },
+            { reported.version, reported.digest, confirmed_at }, m_loop.now());
+        if (!is_found)
+            return;
+        m_host.count("shedhill_table_divergences_total{table=\"" + std::string(name_of(reported.kind)) + "\"}");
+        m_host.log(logging::event_level::warning, "table_diverged",
+            dispatch::log_fields()
+                .add("table", name_of(reported.kind))
+                .add("peer", state.report.peer.value())
+                .add("version", watcher.changed_version())
+                .add("peer_version", reported.version)
+                .add("digest", watcher.digest())
+                .add("peer_digest", reported.digest.value_or(0))
+                .add("confirmed_ago_ms", (m_loop.now() - own_confirmed_at).count())
+                .add("peer_confirmed_ago_ms", (m_loop.now() - confirmed_at).count())
+                .add("since_ms", (m_loop.now() - divergence.since()).count())
+                .take());
+    }
+
     // Returns whether the store confirmed this router's copy so recently that a newer version at a router of the same
     // failure domain is not requested.
     [[nodiscard]] bool is_up_to_date(document_kind kind, instant now)
@@ -509,6 +576,8 @@
     instant m_pause_recorded_at {};
     endpoint_rows<TableBinding> m_endpoint_rows;
     peering::published_documents m_published_documents;
+    // Indexed by document_kind.
+    std::array<peering::divergence_detector, static_cast<std::size_t>(document_kind::count)> m_divergences {};
     std::vector<std::string> m_listed_routers;
     // This router watches the store. Otherwise it receives changes from the watchers of its failure domain.
     bool m_is_watching_store { false };
--- a/tests/peering/peer_message_test.cpp
+++ b/tests/peering/peer_message_test.cpp
@@ -52,7 +52,7 @@
         state.report.teams = { { key_of(team_name("red")), 700, 500 } };
         state.report.parts = { { key_of(endpoint_name("e")), 77 } };
         state.address = "10.0.0.1:1";
-        state.documents = { { document_kind::endpoints, 9, milliseconds(30) } };
+        state.documents = { { document_kind::endpoints, 9, milliseconds(30), std::nullopt, 4711 } };
         state.members = { { "10.0.0.2:1", failure_domain("south"), 90 } };
         state.number = 12;
         state.is_forwarded = true;
@@ -97,7 +97,8 @@
         auto const* const scope = state.report.scope == dispatch::report_scope::whole ? " whole " : " changes ";
         return state.report.peer.value() + scope + load_text_of(state.report.loads.at(0))
             + std::to_string(state.report.teams.at(0).admitted) + std::to_string(state.report.parts.at(0).part)
-            + state.address + std::to_string(state.documents.at(0).version) + to_text(state.members.at(0))
+            + state.address + std::to_string(state.documents.at(0).version) + "/"
+            + std::to_string(state.documents.at(0).digest.value_or(0)) + " " + to_text(state.members.at(0))
             + std::to_string(state.number) + (state.is_forwarded ? " forwarded " : " ") + to_text(state.sender())
             + state.report.source().value() + std::to_string(state.report.routers)
             + std::to_string(state.report.overloaded_routers) + crash_text_of(state.report.crashes.at(0));
