dispatch: A complete read announces its own version, so that removals reach every router

Cause: routers compare one number for each table, the greatest version of a change that they know. A read of the complete table shows that a row is gone, but not the version of its removal, so the number stayed that of an older change. Routers that do not watch the store hold the same number with the old rows, took the equal number for a confirmation and never asked. The same happens where the watchers start again while a row is removed: their first read has the number of an older change.

Hypotheses that this ruled out: a change that was asked for and not applied (no request was made), a report that lacked the removal (none was sent), entries retained as in an outage (no lapsed_endpoints_kept), watchers that kept the row (their list has one row less within 0.3 s).

Change: after a complete read, the announced number is the version of the read, up to which any row may have been removed. A router whose rows have the announced hash takes the number without asking for anything, so a read that finds nothing new costs no message. A read also records the rows that it no longer finds, so that a report of changes names them. An unchanged read is no longer applied again.

Why this works: a router with a smaller number always asks or has equal rows; a router with this number is complete up to it. No case, table or deployment is special: the configuration's table and evacuations had the same fault.

In the stand-in, a history can be lost together with a removal, also during a long poll.

--- a/libraries/dispatch/store/table_watcher.cpp
+++ b/libraries/dispatch/store/table_watcher.cpp
@@ -94,12 +94,23 @@
         return page_outcome::out_of_date;
     }
     m_needs_read = false;
-    m_has_rows = true;
-    m_rows = table_rows(std::move(read));
-    m_version = read_version;
-    update_changed_version();
     m_confirmed_at = now;
-    return page_outcome::changed;
+    m_version = read_version;
+    // A read does not show when a row was removed, so any version up to that of the read may be the newest change.
+    m_changed_version = read_version;
+    return replace_rows(table_rows(std::move(read)));
+}
+
+table_watcher::page_outcome table_watcher::replace_rows(table_rows rows)
+{
+    bool const is_changed = !m_has_rows || rows.digest() != m_rows.digest();
+    auto const before = std::exchange(m_rows, std::move(rows));
+    m_has_rows = true;
+    for (auto const& [key, row] : before.all()) {
+        if (!m_rows.find(key))
+            record_removal({ key, m_version });
+    }
+    return is_changed ? page_outcome::changed : page_outcome::nothing_new;
 }
 
 void table_watcher::apply_failure(failure reason, instant now)
@@ -174,6 +185,17 @@
     return rows;
 }
 
+bool table_watcher::has_same_rows(std::uint64_t version, std::optional<std::uint64_t> digest) const
+{
+    return digest ? m_has_rows && *digest == m_rows.digest() : version == m_changed_version;
+}
+
+void table_watcher::confirm_same_rows(std::uint64_t version)
+{
+    m_version = std::max(m_version, version);
+    m_changed_version = std::max(m_changed_version, version);
+}
+
 table_watcher::page_outcome table_watcher::apply_reported(reported_rows reported)
 {
     if (reported.version <= m_version)
--- a/libraries/dispatch/store/table_watcher.h
+++ b/libraries/dispatch/store/table_watcher.h
@@ -106,6 +106,11 @@
     // Applies a report of another router, except for data older than its own. A report of incomplete changes is not
     // applied, and the next request is for all rows.
     page_outcome apply_reported(reported_rows reported);
+    // Whether a router that announces this version and digest has the rows of this watcher. A router of an earlier
+    // version of this program announces no digest.
+    [[nodiscard]] bool has_same_rows(std::uint64_t version, std::optional<std::uint64_t> digest) const;
+    // Records that a router with the same rows announced this version, so that they are complete up to it here, too.
+    void confirm_same_rows(std::uint64_t version);
     // Returns the version after which another router is to report changes; 0 requests all rows.
     [[nodiscard]] std::uint64_t changes_wanted_since() const { return m_needs_all_rows || !m_has_rows ? 0 : m_version; }
 
@@ -113,7 +118,8 @@
     // Returns the hash of the rows, by which two watchers find out whether they have the same ones.
     [[nodiscard]] std::uint64_t digest() const { return m_rows.digest(); }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
-    // Returns the version of the newest known change. Two watchers compare it to find out which one is more recent.
+    // Returns the version that is announced to other routers: a watcher whose version is smaller may lack a change.
+    // It is that of the newest change or, after a read of the complete table, that of the read.
     [[nodiscard]] std::uint64_t changed_version() const { return m_changed_version; }
     // Sets the polling options. A shorter interval already applies to the next call.
     void set_options(watch_options options);
@@ -131,6 +137,8 @@
     void end_call();
     void update_changed_version();
     void record_removal(removed_row removed);
+    // Replaces the rows by those of a read or a report, and records which ones were removed.
+    page_outcome replace_rows(table_rows rows);
     // Returns the rows with the changes applied, or nothing if the changes are incomplete.
     [[nodiscard]] std::optional<table_rows> with_changes(reported_rows const& reported) const;
     page_outcome apply_read_page(
@@ -144,7 +152,8 @@
     bool m_has_rows { false };
     // The version of the store up to which m_rows is complete. Never decreases.
     std::uint64_t m_version { 0 };
-    // Never decreases and never exceeds m_version.
+    // Never decreases and never exceeds m_version. Every change that the rows contain up to m_version, including
+    // removals, has at most this version, so that no other router needs changes after it.
     std::uint64_t m_changed_version { 0 };
     // The recently removed rows, the latest last; their number is bounded.
     std::deque<removed_row> m_removed_rows;
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -182,8 +182,8 @@
             auto const confirmed_at = sent_at - document.age;
             if (document.kind == document_kind::endpoints)
                 record_list_confirmation(document, state, sent_at);
-            if (has_same_rows(document))
-                m_published_documents.record_confirmed(document.kind, confirmed_at);
+            if (watcher_of(document.kind).has_same_rows(document.version, document.digest))
+                record_same_rows(document, confirmed_at);
             else
                 check_divergence(document, state, confirmed_at);
             request_if_newer(document, state, now);
@@ -480,14 +480,10 @@
 
     [[nodiscard]] std::uint64_t own_version(document_kind kind) { return watcher_of(kind).changed_version(); }
 
-    // Whether another router announces the rows that this router has. A router of an earlier version announces only the
-    // number of their newest change.
-    [[nodiscard]] bool has_same_rows(peering::document_version const& reported)
+    void record_same_rows(peering::document_version const& reported, instant confirmed_at)
     {
-        auto const& watcher = watcher_of(reported.kind);
-        if (!reported.digest)
-            return reported.version == watcher.changed_version();
-        return watcher.has_rows() && *reported.digest == watcher.digest();
+        m_published_documents.record_confirmed(reported.kind, confirmed_at);
+        watcher_of(reported.kind).confirm_same_rows(reported.version);
     }
 
     void check_divergence(
--- a/tests/stand_ins/hosted_store.h
+++ b/tests/stand_ins/hosted_store.h
@@ -16,7 +16,8 @@
     // Serves GET /rows-get, /rows-feed; POST /rows-tx; POST /control {"down": bool, "lose": bool, "forget": true,
     // "put":
     // [{table, key, value}], "remove": [{table, key}]}; GET /counts. While answers are lost ("lose"), transactions
-    // still take effect. After "forget" the feed has no history before the current version.
+    // still take effect. After "forget" the feed has no history up to the current version, the changes of the same
+    // command included.
     void serve(net::http_exchange& exchange);
 
 private:
