dispatch: A read of several pages is brought to one version of the table

What callers would see: a router that starts while the list of endpoints changes keeps an endpoint that has left, for up to a minute if it does not watch the store.

Cause: the pages of one read have different versions. The rows were used with the version of the first page, and announced with the greatest version of any row, which may come from a later page. A row that was removed from an earlier page in between was kept under a number that claims its removal, so that other routers with a smaller number would take it over, and the router itself asked nobody.

Change: a read of several pages whose versions differ ends with a poll of the changes since the first page, which gives one version of the whole table; only then are the rows used. An answer that belongs to a read which a report has made unnecessary is dropped.

Why this works: a router's rows are now always exactly the table at one version.

--- a/libraries/dispatch/store/store_watchers.cpp
+++ b/libraries/dispatch/store/store_watchers.cpp
@@ -99,7 +99,7 @@
     state.abandoned_for = abandon_reason::none;
     state.called_at = now;
     state.wait = next.wait;
-    state.is_full_read = next.kind == table_watcher::call_kind::read;
+    state.is_full_read = next.is_part_of_read;
     m_next_probe_at = now + m_terms.probe_interval;
     return store_call { table, next, next.wait + (next.wait > milliseconds(0) ? m_long_poll_margin : answer_timeout) };
 }
--- a/libraries/dispatch/store/table_watcher.cpp
+++ b/libraries/dispatch/store/table_watcher.cpp
@@ -31,15 +31,21 @@
     if (m_is_calling || (terms.when == call_terms::urgency::paced && now < m_next_at))
         return {};
     m_is_calling = true;
-    m_call_kind = m_needs_read ? call_kind::read : call_kind::watch;
+    m_is_call_of_read = m_needs_read;
+    m_call_kind = m_needs_read && !m_has_all_pages ? call_kind::read : call_kind::watch;
     m_called_at = now;
     m_next_at = now + m_options.min_interval;
-    if (!m_needs_read)
-        return { m_call_kind, {}, m_version, std::min(m_options.wait, terms.max_wait) };
-    next_call read { m_call_kind, {}, 0, milliseconds(0) };
-    if (!m_read_rows.empty())
-        read.after_key = m_read_rows.rbegin()->first;
-    return read;
+    if (m_needs_read)
+        return make_read_call();
+    return { m_call_kind, {}, m_version, std::min(m_options.wait, terms.max_wait) };
+}
+
+table_watcher::next_call table_watcher::make_read_call() const
+{
+    next_call call { m_call_kind, {}, m_read_version, milliseconds(0), true };
+    if (m_call_kind == call_kind::read && !m_read_rows.empty())
+        call.after_key = m_read_rows.rbegin()->first;
+    return call;
 }
 
 table_watcher::page_outcome table_watcher::apply_page(
@@ -47,8 +53,8 @@
 {
     m_is_calling = false;
     record_answer(now);
-    if (m_call_kind == call_kind::read)
-        return apply_read_page(rows, version, has_more, now);
+    if (m_is_call_of_read)
+        return apply_answer_of_read(rows, version, has_more, now);
     if (version < m_version)
         return page_outcome::out_of_date;
     m_confirmed_at = now;
@@ -74,6 +80,15 @@
     m_is_failing = false;
 }
 
+table_watcher::page_outcome table_watcher::apply_answer_of_read(
+    std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now)
+{
+    // A report of another router has made the read unnecessary.
+    if (!m_needs_read)
+        return page_outcome::nothing_new;
+    return m_has_all_pages ? apply_changes_of_read(rows, version, now) : apply_read_page(rows, version, has_more, now);
+}
+
 table_watcher::page_outcome table_watcher::apply_read_page(
     std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now)
 {
@@ -81,26 +96,48 @@
         m_read_rows[read.key] = { read.value, read.version };
     if (m_read_version == 0)
         m_read_version = version;
-    if (has_more) {
-        m_next_at = now;
-        return page_outcome::nothing_new;
+    if (!has_more && version == m_read_version)
+        return finish_read(version, now);
+    m_has_all_pages = !has_more;
+    m_next_at = now;
+    return page_outcome::nothing_new;
+}
+
+table_watcher::page_outcome table_watcher::apply_changes_of_read(
+    std::vector<changed_row> const& rows, std::uint64_t version, instant now)
+{
+    for (auto const& changed : rows) {
+        if (changed.is_removed)
+            m_read_rows.erase(changed.key);
+        else
+            m_read_rows[changed.key] = { changed.value, changed.version };
     }
-    // NOTE: Pages of one read may have different versions. Polling continues from the version of the first page, so it
-    //       returns the changes that later pages lack.
+    return finish_read(version, now);
+}
+
+table_watcher::page_outcome table_watcher::finish_read(std::uint64_t version, instant now)
+{
     auto read = std::exchange(m_read_rows, {});
-    auto const read_version = std::exchange(m_read_version, 0);
-    if (read_version < m_version) {
+    forget_read();
+    if (version < m_version) {
         m_next_at = now + out_of_date_pause;
         return page_outcome::out_of_date;
     }
     m_needs_read = false;
     m_confirmed_at = now;
-    m_version = read_version;
+    m_version = version;
     // A read does not show when a row was removed, so any version up to that of the read may be the newest change.
-    m_changed_version = read_version;
+    m_changed_version = version;
     return replace_rows(table_rows(std::move(read)));
 }
 
+void table_watcher::forget_read()
+{
+    m_read_rows.clear();
+    m_read_version = 0;
+    m_has_all_pages = false;
+}
+
 table_watcher::page_outcome table_watcher::replace_rows(table_rows rows)
 {
     bool const is_changed = !m_has_rows || rows.digest() != m_rows.digest();
@@ -129,14 +166,7 @@
 void table_watcher::end_call()
 {
     m_is_calling = false;
-    m_read_rows.clear();
-    m_read_version = 0;
-}
-
-void table_watcher::update_changed_version()
-{
-    for (auto const& [key, current] : m_rows.all())
-        m_changed_version = std::max(m_changed_version, current.version);
+    forget_read();
 }
 
 void table_watcher::record_removal(removed_row removed)
@@ -213,11 +243,11 @@
         m_needs_all_rows = false;
     }
     m_version = reported.version;
-    update_changed_version();
     m_changed_version = std::max(m_changed_version, std::min(reported.changed_version, m_version));
     m_has_rows = true;
     // A full read is no longer needed; polling continues from the reported version.
     m_needs_read = false;
+    forget_read();
     return page_outcome::changed;
 }
 
--- a/libraries/dispatch/store/table_watcher.h
+++ b/libraries/dispatch/store/table_watcher.h
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Keeps a copy of one table of the store. The watcher reads the table completely once, then polls its changes, and
-// reads it again when the store no longer has the history of changes. It never applies data older than its own.
+// reads it again when the store no longer has the history of changes. It never applies data older than its own. The
+// pages of a read may have different versions, so a read of several pages ends with a poll of the changes since the
+// first one.
 // store_watchers decides for all tables together when to call a store that has failures.
 #pragma once
 
@@ -45,6 +47,8 @@
         std::uint64_t since { 0 };
         // The time for which the store may hold its answer.
         milliseconds wait { 0 };
+        // The call is part of a read of the complete table, of which a failure loses the earlier calls' answers.
+        bool is_part_of_read { false };
     };
 
     using row = table_rows::row;
@@ -135,22 +139,29 @@
 private:
     void record_answer(instant now);
     void end_call();
-    void update_changed_version();
     void record_removal(removed_row removed);
     // Replaces the rows by those of a read or a report, and records which ones were removed.
     page_outcome replace_rows(table_rows rows);
     // Returns the rows with the changes applied, or nothing if the changes are incomplete.
     [[nodiscard]] std::optional<table_rows> with_changes(reported_rows const& reported) const;
+    [[nodiscard]] next_call make_read_call() const;
+    page_outcome apply_answer_of_read(
+        std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
     page_outcome apply_read_page(
         std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
+    page_outcome apply_changes_of_read(std::vector<changed_row> const& rows, std::uint64_t version, instant now);
+    page_outcome finish_read(std::uint64_t version, instant now);
+    void forget_read();
 
     watch_options m_options;
     bool m_is_calling { false };
     call_kind m_call_kind { call_kind::none };
+    // The call in flight is part of a read.
+    bool m_is_call_of_read { false };
     bool m_needs_read { true };
     table_rows m_rows;
     bool m_has_rows { false };
-    // The version of the store up to which m_rows is complete. Never decreases.
+    // The version of the store at which the table has exactly m_rows. Never decreases.
     std::uint64_t m_version { 0 };
     // Never decreases and never exceeds m_version. Every change that the rows contain up to m_version, including
     // removals, has at most this version, so that no other router needs changes after it.
@@ -159,9 +170,11 @@
     std::deque<removed_row> m_removed_rows;
     // The last report of another router was incomplete.
     bool m_needs_all_rows { false };
-    // The rows and the first page's version of a read that is not complete.
-    std::map<std::string, row> m_read_rows;
+    // The rows and the first page's version of a read that is not complete, and whether only the changes since that
+    // version are missing.
+    table_rows::row_map m_read_rows;
     std::uint64_t m_read_version { 0 };
+    bool m_has_all_pages { false };
     instant m_next_at {};
     instant m_called_at {};
     instant m_confirmed_at {};
--- a/tests/dispatch/dispatch_parts_test.cpp
+++ b/tests/dispatch/dispatch_parts_test.cpp
@@ -201,17 +201,20 @@
         call = watcher.take_next(at(1003));
         CPPUNIT_ASSERT(call.kind == table_watcher::call_kind::read);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), call.after_key);
-        CPPUNIT_ASSERT(
-            watcher.apply_page({ { "b", "2", 4, false } }, 6, false, at(1004)) == table_watcher::page_outcome::changed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, watcher.rows().size());
+        // Rows may have changed while further pages were read, so the rows of the pages are not used yet.
+        CPPUNIT_ASSERT(watcher.apply_page({ { "b", "2", 4, false } }, 6, false, at(1004))
+            == table_watcher::page_outcome::nothing_new);
+        CPPUNIT_ASSERT(!watcher.has_rows());
         call = watcher.take_next(at(1005));
         CPPUNIT_ASSERT(call.kind == table_watcher::call_kind::watch);
-        // The watch starts at the version of the first page, because rows may have changed while further pages were
-        // read.
+        CPPUNIT_ASSERT(call.is_part_of_read);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, call.since);
-        watcher.apply_page({ { "a", "", 7, true }, { "b", "3", 8, false } }, 8, false, at(1006));
+        CPPUNIT_ASSERT(watcher.apply_page({ { "a", "", 7, true }, { "b", "3", 8, false } }, 8, false, at(1006))
+            == table_watcher::page_outcome::changed);
         CPPUNIT_ASSERT(!watcher.rows().contains("a"));
         CPPUNIT_ASSERT_EQUAL(std::string("3"), watcher.rows().at("b").value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 8 }, watcher.version());
+        CPPUNIT_ASSERT(!watcher.take_next(at(1007)).is_part_of_read);
     }
 
     void a_lost_history_causes_a_full_read_that_never_goes_back()
--- a/tests/dispatch/replicated_tables.cpp
+++ b/tests/dispatch/replicated_tables.cpp
@@ -92,26 +92,20 @@
 {
     auto const& watcher = m_routers.at(router).watcher;
     if (watcher.changed_version() > watcher.version())
-        return "the newest change exceeds the version " + std::to_string(watcher.version());
+        return "the announced version exceeds the version " + std::to_string(watcher.version());
     if (!watcher.has_rows())
         return {};
     for (auto const& [key, changes] : m_changes) {
-        auto const row = watcher.rows().find(key);
-        auto const held = row == watcher.rows().end() ? 0 : row->second.version;
-        // The last change that the rows have to contain, and whether a later one removes the row.
         change expected {};
-        bool is_removed_later = false;
         for (auto const& one : changes) {
             if (one.version <= watcher.version())
                 expected = one;
-            else
-                is_removed_later |= one.is_removal;
         }
-        bool const is_outdated = held != 0 && held < expected.version;
-        bool const is_missing = held == 0 && expected.version != 0 && !expected.is_removal && !is_removed_later;
-        if (is_outdated || is_missing)
-            return "key " + key + " has version " + std::to_string(held) + ", while the rows are complete up to "
-                + std::to_string(watcher.version()) + " and its change " + std::to_string(expected.version);
+        auto const row = watcher.rows().find(key);
+        auto const held = row == watcher.rows().end() ? 0 : row->second.version;
+        if (held != (expected.is_removal ? 0 : expected.version))
+            return "key " + key + " has version " + std::to_string(held) + " instead of "
+                + std::to_string(expected.version) + " at the version " + std::to_string(watcher.version());
     }
     return {};
 }
