dispatch: Reported changes of a table are applied in place

Cause: each report of changes was applied to a copy of all rows, which then replaced them, so that a changed row cost a router work in proportion to its table, 12,000 rows at the target; the hash of the keys read all of them once more.

Change: the hash of the keys that would result is computed from the changed rows, and the changes are applied only if it is the reported one. A report that leaves the rows as they are is no longer applied again by the router.

--- a/libraries/dispatch/store/table_rows.h
+++ b/libraries/dispatch/store/table_rows.h
@@ -27,9 +27,10 @@
     void put(std::string const& key, row const& written);
     void remove(std::string const& key);
 
+    [[nodiscard]] static std::uint64_t hash_of_key(std::string const& key);
     [[nodiscard]] row_map const& all() const { return m_rows; }
     [[nodiscard]] row const* find(std::string const& key) const;
-    // Returns a hash of the keys, which shows whether a row is missing.
+    // Returns a hash of the keys, the sum of their hashes, which shows whether a row is missing.
     [[nodiscard]] std::uint64_t keys_hash() const { return m_keys_hash; }
     // Returns a hash of the keys and versions, which is not 0. The store gives each written value a version of its own,
     // so equal hashes mean equal rows.
--- a/libraries/dispatch/store/table_watcher.cpp
+++ b/libraries/dispatch/store/table_watcher.cpp
@@ -145,7 +145,7 @@
     m_has_rows = true;
     for (auto const& [key, row] : before.all()) {
         if (!m_rows.find(key))
-            record_removal({ key, m_version });
+            record_removal({ key, m_changed_version });
     }
     return is_changed ? page_outcome::changed : page_outcome::nothing_new;
 }
@@ -197,22 +197,34 @@
     return reported;
 }
 
-std::optional<table_rows> table_watcher::with_changes(reported_rows const& reported) const
+bool table_watcher::is_complete(reported_rows const& reported) const
 {
     if (!m_has_rows || *reported.since > m_version)
-        return std::nullopt;
-    auto rows = m_rows;
-    for (auto const& [key, reported_row] : reported.rows) {
-        if (auto const* current = rows.find(key); !current || current->version < reported_row.version)
-            rows.put(key, reported_row);
+        return false;
+    auto keys_hash = m_rows.keys_hash();
+    for (auto const& [key, row] : reported.rows) {
+        if (!m_rows.find(key))
+            keys_hash += table_rows::hash_of_key(key);
     }
     for (auto const& removed : reported.removed) {
-        if (auto const* current = rows.find(removed.key); current && current->version < removed.version)
-            rows.remove(removed.key);
+        if (auto const* current = m_rows.find(removed.key); current && current->version < removed.version)
+            keys_hash -= table_rows::hash_of_key(removed.key);
     }
-    if (rows.keys_hash() != reported.keys_hash)
-        return std::nullopt;
-    return rows;
+    return keys_hash == reported.keys_hash;
+}
+
+table_watcher::page_outcome table_watcher::apply_changes(reported_rows reported)
+{
+    auto const digest_before = m_rows.digest();
+    for (auto const& [key, row] : reported.rows) {
+        if (auto const* current = m_rows.find(key); !current || current->version < row.version)
+            m_rows.put(key, row);
+    }
+    for (auto& removed : reported.removed) {
+        if (auto const* current = m_rows.find(removed.key); !current || current->version < removed.version)
+            record_removal(std::move(removed));
+    }
+    return m_rows.digest() == digest_before ? page_outcome::nothing_new : page_outcome::changed;
 }
 
 bool table_watcher::has_same_rows(std::uint64_t version, std::optional<std::uint64_t> digest) const
@@ -230,25 +242,17 @@
 {
     if (reported.version <= m_version)
         return page_outcome::out_of_date;
-    if (reported.since) {
-        auto changed = with_changes(reported);
-        m_needs_all_rows = !changed;
-        if (!changed)
-            return page_outcome::out_of_date;
-        m_rows = std::move(*changed);
-        for (auto& removed : reported.removed)
-            record_removal(std::move(removed));
-    } else {
-        m_rows = table_rows(std::move(reported.rows));
-        m_needs_all_rows = false;
-    }
+    m_needs_all_rows = reported.since && !is_complete(reported);
+    if (m_needs_all_rows)
+        return page_outcome::out_of_date;
     m_version = reported.version;
     m_changed_version = std::max(m_changed_version, std::min(reported.changed_version, m_version));
-    m_has_rows = true;
     // A full read is no longer needed; polling continues from the reported version.
     m_needs_read = false;
     forget_read();
-    return page_outcome::changed;
+    if (reported.since)
+        return apply_changes(std::move(reported));
+    return replace_rows(table_rows(std::move(reported.rows)));
 }
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/store/table_watcher.h
+++ b/libraries/dispatch/store/table_watcher.h
@@ -142,8 +142,9 @@
     void record_removal(removed_row removed);
     // Replaces the rows by those of a read or a report, and records which ones were removed.
     page_outcome replace_rows(table_rows rows);
-    // Returns the rows with the changes applied, or nothing if the changes are incomplete.
-    [[nodiscard]] std::optional<table_rows> with_changes(reported_rows const& reported) const;
+    // Whether the reported changes, applied to the rows, give all rows of the reporting router.
+    [[nodiscard]] bool is_complete(reported_rows const& reported) const;
+    page_outcome apply_changes(reported_rows reported);
     [[nodiscard]] next_call make_read_call() const;
     page_outcome apply_answer_of_read(
         std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
@@ -163,8 +164,8 @@
     bool m_has_rows { false };
     // The version of the store at which the table has exactly m_rows. Never decreases.
     std::uint64_t m_version { 0 };
-    // Never decreases and never exceeds m_version. Every change that the rows contain up to m_version, including
-    // removals, has at most this version, so that no other router needs changes after it.
+    // Never decreases and never exceeds m_version. The table has had exactly m_rows from this version on, so that two
+    // routers with the same one have the same rows.
     std::uint64_t m_changed_version { 0 };
     // The recently removed rows, the latest last; their number is bounded.
     std::deque<removed_row> m_removed_rows;
--- a/tests/dispatch/replicated_tables.cpp
+++ b/tests/dispatch/replicated_tables.cpp
@@ -95,17 +95,20 @@
         return "the announced version exceeds the version " + std::to_string(watcher.version());
     if (!watcher.has_rows())
         return {};
-    for (auto const& [key, changes] : m_changes) {
-        change expected {};
-        for (auto const& one : changes) {
-            if (one.version <= watcher.version())
-                expected = one;
+    // The table has had these rows from the announced version on.
+    for (auto const version : { watcher.changed_version(), watcher.version() }) {
+        for (auto const& [key, changes] : m_changes) {
+            change expected {};
+            for (auto const& one : changes) {
+                if (one.version <= version)
+                    expected = one;
+            }
+            auto const row = watcher.rows().find(key);
+            auto const held = row == watcher.rows().end() ? 0 : row->second.version;
+            if (held != (expected.is_removal ? 0 : expected.version))
+                return "key " + key + " has version " + std::to_string(held) + " instead of "
+                    + std::to_string(expected.version) + " at the version " + std::to_string(version);
         }
-        auto const row = watcher.rows().find(key);
-        auto const held = row == watcher.rows().end() ? 0 : row->second.version;
-        if (held != (expected.is_removal ? 0 : expected.version))
-            return "key " + key + " has version " + std::to_string(held) + " instead of "
-                + std::to_string(expected.version) + " at the version " + std::to_string(watcher.version());
     }
     return {};
 }
--- a/tests/dispatch/replicated_tables.h
+++ b/tests/dispatch/replicated_tables.h
@@ -41,7 +41,8 @@
     // Lets the watching routers receive all changes, and then all routers hear each other until nothing changes.
     void settle();
 
-    // Returns a difference between the router's rows and the table at the version of its rows; empty if there is none.
+    // Returns a difference between the router's rows and the table at the version of its rows, or at the version that
+    // it announces; empty if there is none.
     [[nodiscard]] std::string find_fault(std::size_t router) const;
     // Returns a difference between the router's rows and the store's; empty if there is none.
     [[nodiscard]] std::string find_difference(std::size_t router) const;
--- a/tests/dispatch/reported_rows_test.cpp
+++ b/tests/dispatch/reported_rows_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(only_changes_are_reported);
     CPPUNIT_TEST(incomplete_changes_are_not_applied);
     CPPUNIT_TEST(changes_since_a_later_version_are_not_applied);
+    CPPUNIT_TEST(reported_changes_leave_other_rows_in_place);
     CPPUNIT_TEST(two_watchers_converge_to_the_same_rows);
     CPPUNIT_TEST_SUITE_END();
 
@@ -73,6 +74,23 @@
         CPPUNIT_ASSERT(receiver.apply_reported(reporter.rows_since(9)) == outcome::out_of_date);
     }
 
+    // Guards against work in proportion to the table for each reported change: no other row is copied.
+    void reported_changes_leave_other_rows_in_place()
+    {
+        auto reporter = make_watcher({ { "a", "1", 3 }, { "b", "1", 4 } }, 10);
+        auto receiver = make_watcher({ { "a", "1", 3 }, { "b", "1", 4 } }, 10);
+        auto const* const other = &receiver.rows().at("a");
+        poll(reporter, { { "b", "2", 12 } }, 14);
+        CPPUNIT_ASSERT(
+            receiver.apply_reported(reporter.rows_since(receiver.changes_wanted_since())) == outcome::changed);
+        CPPUNIT_ASSERT(other == &receiver.rows().at("a"));
+        // A report without changes confirms the rows.
+        poll(reporter, {}, 20);
+        CPPUNIT_ASSERT(
+            receiver.apply_reported(reporter.rows_since(receiver.changes_wanted_since())) == outcome::nothing_new);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 20 }, receiver.version());
+    }
+
     // One watcher polls the store and the other receives its reports, at random times. Each starts with a complete read
     // at a time of its own.
     void two_watchers_converge_to_the_same_rows()
