daemon: A router whose rows differ from another one's reads the table again

Cause: a difference between two routers' rows that no announced number shows lived until the next change of the table or the minute's poll of the store.

Change: where another router, to which the store confirmed its rows more recently, has announced other rows and no newer version for a second, this router reads the table from the store after a random time of at most 0.6 s, and again each second until the rows agree. Together this is within the smallest bound for a leaving endpoint (2 s). In steady state it costs the 16 bytes that a report has for its two hashes, and no call.

--- a/libraries/dispatch/store/table_watcher.cpp
+++ b/libraries/dispatch/store/table_watcher.cpp
@@ -161,6 +161,13 @@
     m_next_at = now;
 }
 
+void table_watcher::read_again(instant at)
+{
+    if (std::exchange(m_needs_read, true))
+        return;
+    m_next_at = at;
+}
+
 void table_watcher::end_abandoned_call() { end_call(); }
 
 void table_watcher::end_call()
--- a/libraries/dispatch/store/table_watcher.h
+++ b/libraries/dispatch/store/table_watcher.h
@@ -81,6 +81,9 @@
     [[nodiscard]] next_call take_next(instant now, call_terms const& terms = {});
     page_outcome apply_page(std::vector<changed_row> const& rows, std::uint64_t version, bool has_more, instant now);
     void apply_failure(failure reason, instant now);
+    // Requires a read of the complete table from this time on, unless one is already required. The rows stay in use
+    // until it has ended.
+    void read_again(instant at);
     // Ends a call that was abandoned for a reason other than a failure of the store.
     void end_abandoned_call();
 
--- a/libraries/peering/divergence_detector.h
+++ b/libraries/peering/divergence_detector.h
@@ -26,8 +26,8 @@
     // for the time between two polls of the store, less the time between two reports.
     static constexpr milliseconds min_duration { 1000 };
 
-    // Records what another router announces. Returns whether the own rows have now differed for min_duration, once for
-    // the same own rows.
+    // Records what another router announces. Returns whether the own rows have now differed for min_duration, again
+    // after each further min_duration.
     [[nodiscard]] bool record(announced_rows const& own, announced_rows const& reported, instant now);
     // Returns when another router first announced rows that differ from the current own ones; the epoch if none did.
     [[nodiscard]] instant since() const { return m_since.value_or(instant {}); }
@@ -36,7 +36,7 @@
     std::uint64_t m_own_digest { 0 };
     // When other rows than m_own_digest's were first announced; empty if none were.
     std::optional<instant> m_since;
-    bool m_is_found { false };
+    instant m_found_at {};
 };
 
 } // namespace shedhill::peering
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -102,6 +102,7 @@
 
     void tick(instant now, std::uint64_t draw)
     {
+        m_draw = draw;
         record_own_pause(now);
         update_watch_terms(now);
         m_configuration.tick(now, draw);
@@ -276,6 +277,10 @@
             m_outages.record_pause(pause);
     }
 
+    // A router whose rows differ reads the table after a random time up to this, because many may differ at once. With
+    // the time until a difference is found, this is within the smallest bound in use (2 s) for a leaving endpoint.
+    static constexpr milliseconds max_repair_delay { 600 };
+
     // The functions below apply what comes from the store, directly or through another router.
 
     void log_store_event(dispatch::store_event const& event)
@@ -486,10 +491,12 @@
         watcher_of(reported.kind).confirm_same_rows(reported.version);
     }
 
+    // Reads the table from the store again if this router's rows have differed from another one's for too long,
+    // whatever the reason is.
     void check_divergence(
         peering::document_version const& reported, peering::state_message const& state, instant confirmed_at)
     {
-        auto const& watcher = watcher_of(reported.kind);
+        auto& watcher = watcher_of(reported.kind);
         auto const own_confirmed_at
             = std::max(watcher.confirmed_at(), m_published_documents.confirmed_at(reported.kind));
         auto& divergence = m_divergences.at(static_cast<std::size_t>(reported.kind));
@@ -497,6 +504,8 @@
             { reported.version, reported.digest, confirmed_at }, m_loop.now());
         if (!is_found)
             return;
+        watcher.read_again(m_loop.now()
+            + milliseconds(static_cast<std::int64_t>(m_draw % static_cast<std::uint64_t>(max_repair_delay.count()))));
         m_host.count("shedhill_table_divergences_total{table=\"" + std::string(name_of(reported.kind)) + "\"}");
         m_host.log(logging::event_level::warning, "table_diverged",
             dispatch::log_fields()
@@ -570,6 +579,8 @@
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
     instant m_pause_recorded_at {};
+    // The random number of the current tick.
+    std::uint64_t m_draw { 0 };
     endpoint_rows<TableBinding> m_endpoint_rows;
     peering::published_documents m_published_documents;
     // Indexed by document_kind.
--- a/tests/dispatch/store_watchers_test.cpp
+++ b/tests/dispatch/store_watchers_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_table_that_fails_alone_does_not_affect_the_others);
     CPPUNIT_TEST(a_read_in_progress_is_not_abandoned);
     CPPUNIT_TEST(failing_reads_of_whole_tables_are_retried_less_often);
+    CPPUNIT_TEST(a_router_that_does_not_watch_the_store_reads_a_differing_table_again);
     CPPUNIT_TEST(a_version_that_no_row_explains_causes_a_call);
     CPPUNIT_TEST(versions_of_unwatched_tables_cause_few_calls);
     CPPUNIT_TEST_SUITE_END();
@@ -272,6 +273,27 @@
     }
 
     // The answer with the new configuration is lost, while the list is answered as usual.
+    // Guards against rows that differ from the store's until the next change, or for the minute between two polls of a
+    // router that does not watch the store, whatever caused the difference.
+    void a_router_that_does_not_watch_the_store_reads_a_differing_table_again()
+    {
+        store_watchers watchers(make_watch_terms({ smallest_bound, false, true, false }));
+        auto const table = table_name::endpoints;
+        CPPUNIT_ASSERT(watchers.take_next(table, at(1000))->request.kind == table_watcher::call_kind::read);
+        (void)watchers.apply_page(table, { { "a", "1", 3 }, { "left", "1", 4 } }, 5, false, at(1010));
+        CPPUNIT_ASSERT(!watchers.take_next(table, at(3000)));
+        watchers.of(table).read_again(at(3400));
+        CPPUNIT_ASSERT(!watchers.take_next(table, at(3399)));
+        watchers.of(table).read_again(at(3900));
+        auto const call = watchers.take_next(table, at(3400));
+        CPPUNIT_ASSERT(call && call->request.kind == table_watcher::call_kind::read);
+        CPPUNIT_ASSERT(watchers.of(table).rows().contains("left"));
+        CPPUNIT_ASSERT(watchers.apply_page(table, { { "a", "1", 3 } }, 9, false, at(3410))
+            == table_watcher::page_outcome::changed);
+        CPPUNIT_ASSERT(!watchers.of(table).rows().contains("left"));
+        CPPUNIT_ASSERT(!watchers.take_next(table, at(10000)));
+    }
+
     void a_version_that_no_row_explains_causes_a_call()
     {
         store_watchers watchers(usual_terms());
