daemon: Reports contain the tables' digests only where they are of use

Change: a report contains them for a second after a version is new, so that routers with the same rows need not ask for it, and otherwise each 0.4 s. Equal numbers alone confirm the rows between, which the property of replicated_tables allows. Rows that differ are found after 0.8 to 1.2 s, and read again within the smallest bound, 2 s.

Without the digests, each router would ask for each number that a read raises.

--- a/libraries/dispatch/store/table_watcher.h
+++ b/libraries/dispatch/store/table_watcher.h
@@ -113,8 +113,7 @@
     // Applies a report of another router, except for data older than its own. A report of incomplete changes is not
     // applied, and the next request is for all rows.
     page_outcome apply_reported(reported_rows reported);
-    // Whether a router that announces this version and digest has the rows of this watcher. A router of an earlier
-    // version of this program announces no digest.
+    // Whether a router that announces this version, and the digest unless it omits that, has the rows of this watcher.
     [[nodiscard]] bool has_same_rows(std::uint64_t version, std::optional<std::uint64_t> digest) const;
     // Records that a router with the same rows announced this version, so that they are complete up to it here, too.
     void confirm_same_rows(std::uint64_t version);
--- a/libraries/peering/divergence_detector.h
+++ b/libraries/peering/divergence_detector.h
@@ -14,7 +14,7 @@
 struct announced_rows {
     // The version of the newest change that the rows may contain.
     std::uint64_t version { 0 };
-    // The hash of the rows; empty if the router is of an earlier version and sends none.
+    // The hash of the rows; empty if the announcement omits it.
     std::optional<std::uint64_t> digest {};
     // When the store last confirmed the rows.
     instant confirmed_at {};
@@ -24,7 +24,7 @@
 public:
     // The time for which rows have to differ. A router that received a change earlier than another one differs from it
     // for the time between two polls of the store, less the time between two reports.
-    static constexpr milliseconds min_duration { 1000 };
+    static constexpr milliseconds min_duration { 800 };
 
     // Records what another router announces. Returns whether the own rows have now differed for min_duration, again
     // after each further min_duration.
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -30,7 +30,7 @@
     milliseconds age { 0 };
     // Time since the store returned after an outage, as far as the sender knows; empty if there was no outage.
     std::optional<milliseconds> returned_ago {};
-    // The hash of the document's rows; empty if the sender is of an earlier version.
+    // The hash of the document's rows, which most messages omit.
     std::optional<std::uint64_t> digest {};
 };
 
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -168,10 +168,14 @@
             returned_ago = now - recovered_at;
         auto const& configuration = m_configuration.watcher();
         auto const& endpoints = m_endpoints.watcher();
+        bool const has_digests = is_digest_due(now);
+        auto const digest_of = [&](dispatch::table_watcher const& watcher) {
+            return has_digests ? std::optional(watcher.digest()) : std::nullopt;
+        };
         return { { document_kind::configuration, configuration.changed_version(), now - configuration.confirmed_at(),
-                     std::nullopt, configuration.digest() },
+                     std::nullopt, digest_of(configuration) },
             { document_kind::endpoints, endpoints.changed_version(), now - endpoints.confirmed_at(), returned_ago,
-                endpoints.digest() } };
+                digest_of(endpoints) } };
     }
 
     void apply_document_versions(peering::state_message const& state, instant now)
@@ -281,6 +285,24 @@
     // the time until a difference is found, this is within the smallest bound in use (2 s) for a leaving endpoint.
     static constexpr milliseconds max_repair_delay { 600 };
 
+    // Routers with the same rows need the digest when a version is new to them, and otherwise only to find out that
+    // rows differ.
+    static constexpr milliseconds digest_interval { 400 };
+    static constexpr milliseconds new_version_time { 1000 };
+
+    // Returns whether the next report contains the digests of the tables.
+    [[nodiscard]] bool is_digest_due(instant now)
+    {
+        // Versions never decrease, so their sum changes with each of them.
+        auto const versions = own_version(document_kind::configuration) + own_version(document_kind::endpoints);
+        if (std::exchange(m_announced_versions, versions) != versions)
+            m_version_announced_at = now;
+        if (now - m_version_announced_at >= new_version_time && now - m_digests_sent_at < digest_interval)
+            return false;
+        m_digests_sent_at = now;
+        return true;
+    }
+
     // The functions below apply what comes from the store, directly or through another router.
 
     void log_store_event(dispatch::store_event const& event)
@@ -579,6 +601,10 @@
     dispatch::endpoint_roster m_roster;
     dispatch::store_outage_watch m_outages;
     instant m_pause_recorded_at {};
+    // The sum of the versions that this router announces, and since when it announces them.
+    std::uint64_t m_announced_versions { 0 };
+    instant m_version_announced_at {};
+    instant m_digests_sent_at {};
     // The random number of the current tick.
     std::uint64_t m_draw { 0 };
     endpoint_rows<TableBinding> m_endpoint_rows;
--- a/tests/peering/divergence_detector_test.cpp
+++ b/tests/peering/divergence_detector_test.cpp
@@ -8,7 +8,7 @@
 
 class divergence_detector_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(divergence_detector_test);
-    CPPUNIT_TEST(different_rows_of_the_same_version_are_found_each_second);
+    CPPUNIT_TEST(different_rows_of_the_same_version_are_found_again_and_again);
     CPPUNIT_TEST(a_newer_version_is_no_divergence);
     CPPUNIT_TEST(rows_that_the_store_confirmed_earlier_are_no_divergence);
     CPPUNIT_TEST(changed_own_rows_are_compared_anew);
@@ -17,16 +17,16 @@
     static instant at(std::int64_t time) { return instant(milliseconds(time)); }
     static constexpr announced_rows own { 7, 111, instant(milliseconds(100)) };
 
-    void different_rows_of_the_same_version_are_found_each_second()
+    void different_rows_of_the_same_version_are_found_again_and_again()
     {
         divergence_detector detector;
         announced_rows const reported { 7, 222, at(500) };
         CPPUNIT_ASSERT(!detector.record(own, reported, at(1000)));
-        CPPUNIT_ASSERT(!detector.record(own, reported, at(1999)));
-        CPPUNIT_ASSERT(detector.record(own, reported, at(2000)));
+        CPPUNIT_ASSERT(!detector.record(own, reported, at(1799)));
+        CPPUNIT_ASSERT(detector.record(own, reported, at(1800)));
         CPPUNIT_ASSERT(detector.since() == at(1000));
-        CPPUNIT_ASSERT(!detector.record(own, reported, at(2999)));
-        CPPUNIT_ASSERT(detector.record(own, reported, at(3000)));
+        CPPUNIT_ASSERT(!detector.record(own, reported, at(2599)));
+        CPPUNIT_ASSERT(detector.record(own, reported, at(2600)));
         CPPUNIT_ASSERT(detector.since() == at(1000));
     }
 
@@ -54,8 +54,8 @@
         CPPUNIT_ASSERT(!detector.record(own, reported, at(1000)));
         announced_rows const changed { 8, 333, at(100) };
         CPPUNIT_ASSERT(!detector.record(changed, reported, at(2000)));
-        CPPUNIT_ASSERT(!detector.record(changed, reported, at(2999)));
-        CPPUNIT_ASSERT(detector.record(changed, reported, at(3000)));
+        CPPUNIT_ASSERT(!detector.record(changed, reported, at(2799)));
+        CPPUNIT_ASSERT(detector.record(changed, reported, at(2800)));
     }
 };
 
