relay: A request whose length is in doubt is refused and ends the connection

A caller, or a proxy that reads the length in another way, could so have a request run that nobody sent.

Cause: Boost.Beast leaves codings other than chunked to its user and parses such a request as one without a body; nobody looked at the field. It also unfolds folded lines, and accepts a length that is repeated and codings in several fields.

Change: a head is checked line by line before the parser gets it, by a library of its own. A coding other than "chunked" alone, one beside a length or in HTTP/1.0, a length that is repeated, no number or too large, folded lines, CR or LF within a line and a blank before the colon get 400, with the field and its value in the body, and the connection ends. An incomplete head is no longer consumed in parts. "gzip, chunked" is refused as well: its coding would be lost on the way.

The property that draws such heads found an assertion in Beast: an empty chunked body that arrives as "0 CR LF" and then CR ended a process that was built with assertions.

Why this works: each byte belongs to one request that is framed without doubt, or to a refusal after which nothing is read. The router writes its own framing.

--- /dev/null
+++ b/libraries/framing/message_head.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Checks the head of an HTTP/1.1 message before a parser reads it. A head that leaves the length of its body in doubt
+// is refused, because the next server may find the end of the body elsewhere and take a part of it for another message.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace shedhill::framing {
+
+// A line of a head that leaves the length of the message in doubt.
+struct head_error {
+    // The field's name; empty if the line is not that of a field.
+    std::string field;
+    std::string value;
+    std::string_view reason;
+};
+
+// Returns the error as a sentence that names the field, the beginning of its value, and the reason.
+[[nodiscard]] std::string to_text(head_error const& error);
+
+// Returns the size of the head that the bytes begin with, including the empty line; empty if it is incomplete.
+[[nodiscard]] std::optional<std::size_t> head_size(std::string_view bytes);
+
+// Returns the first error of a complete head: a line that does not end with CR and LF, a folded line, a blank before
+// the colon, a Content-Length that is not one number, a Transfer-Encoding that is not "chunked" alone (RFC 9112, 6.1
+// and 6.3), or one beside a Content-Length or in a message of HTTP/1.0.
+[[nodiscard]] std::optional<head_error> check_head(std::string_view head);
+
+} // namespace shedhill::framing
--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -123,6 +123,8 @@
 
 std::size_t call_connection::parse_some(std::string_view bytes)
 {
+    if (m_has_head && m_parser->chunked() && bytes.size() < min_rest_of_chunks)
+        return 0;
     boost::system::error_code failure;
     auto const used = m_parser->put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
     if (failure && failure != http::error::need_more) {
--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -2,6 +2,8 @@
 // Parses requests from a caller and writes the answers.
 #include "libraries/relay/caller_connection.h"
 
+#include "libraries/framing/message_head.h"
+
 #include <algorithm>
 
 namespace shedhill::relay {
@@ -62,7 +64,6 @@
 void caller_connection::begin_request()
 {
     m_parser.emplace();
-    m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
     m_parser->body_limit(m_limits.body_bytes);
 }
@@ -97,34 +98,80 @@
         return;
     m_is_parsing = true;
     while (!m_is_answering && !m_is_closed && !m_input.empty()) {
-        boost::system::error_code failure;
-        auto const used = m_parser->put(boost::asio::buffer(m_input), failure);
-        m_input.erase(0, used);
-        if (failure && failure != http::error::need_more) {
-            m_is_answering = true;
-            m_closes_after_answer = true;
-            m_listener.on_bad_request(*this, status_of(failure));
+        auto const used = parse_input();
+        if (!used)
             break;
-        }
         if (!m_parser->is_done()) {
             if (m_parser->is_header_done() && field_of(m_parser->get().base(), "Expect") == "100-continue"
                 && m_input.empty() && m_parser->get().body().empty())
                 out() += "HTTP/1.1 100 Continue\r\n\r\n";
-            if (used == 0 || m_input.empty())
+            if (*used == 0 || m_input.empty())
                 break;
             continue;
         }
-        m_is_answering = true;
-        m_closes_after_answer = m_closes_after_answer || !m_parser->keep_alive();
-        auto request = m_parser->release();
-        begin_request();
-        m_listener.on_request(*this, std::move(request));
+        finish_request();
     }
     if (m_input.empty())
         clear_buffer(m_input);
     m_is_parsing = false;
 }
 
+std::optional<std::size_t> caller_connection::parse_input()
+{
+    bool const had_head = m_parser->is_header_done();
+    if (!had_head) {
+        // The parser consumes a head line by line, so it gets nothing of one before all of it can be checked.
+        auto const size = framing::head_size(m_input);
+        if (!size && m_input.size() <= m_limits.header_bytes)
+            return 0;
+        if (!is_head_accepted(size))
+            return std::nullopt;
+    } else if (m_parser->chunked() && m_input.size() < min_rest_of_chunks) {
+        return 0;
+    }
+    boost::system::error_code failure;
+    auto const used = m_parser->put(boost::asio::buffer(m_input), failure);
+    m_input.erase(0, used);
+    if (failure && failure != http::error::need_more) {
+        refuse(status_of(failure), failure.message());
+        return std::nullopt;
+    }
+    if (!had_head && m_parser->is_header_done()) {
+        // The parser has read nothing but the head so far.
+        m_parser->eager(true);
+    }
+    return used;
+}
+
+bool caller_connection::is_head_accepted(std::optional<std::size_t> size)
+{
+    if (!size || *size > m_limits.header_bytes) {
+        refuse(status_header_too_large,
+            "the head is larger than max_header_bytes, " + std::to_string(m_limits.header_bytes));
+        return false;
+    }
+    auto const error = framing::check_head(std::string_view(m_input).substr(0, *size));
+    if (error)
+        refuse(status_bad_request, to_text(*error));
+    return !error;
+}
+
+void caller_connection::refuse(unsigned status, std::string reason)
+{
+    m_is_answering = true;
+    m_closes_after_answer = true;
+    m_listener.on_bad_request(*this, { status, std::move(reason) });
+}
+
+void caller_connection::finish_request()
+{
+    m_is_answering = true;
+    m_closes_after_answer = m_closes_after_answer || !m_parser->keep_alive();
+    auto request = m_parser->release();
+    begin_request();
+    m_listener.on_request(*this, std::move(request));
+}
+
 std::string& caller_connection::out()
 {
     schedule_flush();
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -14,13 +14,20 @@
 
 class caller_connection;
 
+// Input that is not a valid request.
+struct bad_request {
+    // The HTTP status to answer with.
+    unsigned status { 0 };
+    // What is wrong, with the field and its value if they are known.
+    std::string reason;
+};
+
 class caller_listener {
 public:
     virtual ~caller_listener() = default;
     virtual void on_request(caller_connection& connection, caller_request request) = 0;
-    // The input is not a valid request; `status` is the HTTP status to answer with. The listener answers, after which
-    // the connection is closed.
-    virtual void on_bad_request(caller_connection& connection, unsigned status) = 0;
+    // The input is not a valid request. The listener answers, after which the connection is closed.
+    virtual void on_bad_request(caller_connection& connection, bad_request const& refused) = 0;
     // The connection is closed. No further callback follows for it.
     virtual void on_caller_disconnected(caller_connection& connection) = 0;
 };
@@ -78,6 +85,12 @@
     void measure_unread_time();
     void read_requests();
     void begin_request();
+    // Parses received bytes. Returns how many were used, or refuses the request and returns nothing.
+    [[nodiscard]] std::optional<std::size_t> parse_input();
+    // Checks the head of this size, or one that is longer than the received bytes; refuses it if it is not accepted.
+    [[nodiscard]] bool is_head_accepted(std::optional<std::size_t> size);
+    void refuse(unsigned status, std::string reason);
+    void finish_request();
     void schedule_flush();
     void flush();
     void disconnect();
--- a/libraries/relay/protocol.h
+++ b/libraries/relay/protocol.h
@@ -41,6 +41,8 @@
     std::string_view reason;
     std::optional<milliseconds> retry_after;
     bool closes { false };
+    // What is wrong with the request; empty if the reason tells it.
+    std::string_view detail {};
 };
 
 template <typename Binding>
--- a/libraries/relay/status_server.cpp
+++ b/libraries/relay/status_server.cpp
@@ -19,9 +19,9 @@
     answer(connection, m_answer(target.substr(0, target.find('?'))));
 }
 
-void status_server::on_bad_request(caller_connection& connection, unsigned status)
+void status_server::on_bad_request(caller_connection& connection, bad_request const& refused)
 {
-    answer(connection, { status, "bad request\n" });
+    answer(connection, { refused.status, "bad request: " + refused.reason + "\n" });
 }
 
 void status_server::answer(caller_connection& connection, status_answer const& response)
--- a/libraries/relay/status_server.h
+++ b/libraries/relay/status_server.h
@@ -31,7 +31,7 @@
 private:
     void accept(int descriptor);
     void on_request(caller_connection& connection, caller_request request) override;
-    void on_bad_request(caller_connection& connection, unsigned status) override;
+    void on_bad_request(caller_connection& connection, bad_request const& refused) override;
     void on_caller_disconnected(caller_connection& connection) override { m_connections.erase(connection.number()); }
     static void answer(caller_connection& connection, status_answer const& response);
 
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -217,10 +217,11 @@
         connection.finish_answer();
     }
 
-    void on_bad_request(relay::caller_connection& connection, unsigned status) override
+    void on_bad_request(relay::caller_connection& connection, relay::bad_request const& refused) override
     {
         CallerBinding::append_refusal(connection.out(),
-            { static_cast<std::uint16_t>(status), dispatch::name_of(dispatch::refusal_reason::bad_request), {}, true },
+            { static_cast<std::uint16_t>(refused.status), dispatch::name_of(dispatch::refusal_reason::bad_request), {},
+                true, refused.reason },
             {});
         m_metrics.add("shedhill_refusals_total{reason=\"bad_request\"}");
         connection.finish_answer();
--- a/tests/relay/answer_relay.h
+++ b/tests/relay/answer_relay.h
@@ -137,7 +137,7 @@
             m_loop, static_cast<exchange_owner&>(*this), request_number(1), std::move(request), m_connection);
         start_attempt();
     }
-    void on_bad_request(caller_connection&, unsigned) override { }
+    void on_bad_request(caller_connection&, bad_request const&) override { }
     void on_caller_disconnected(caller_connection&) override { }
 
     void start_attempt()
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -5,6 +5,7 @@
 
 #include "libraries/relay/event_stream.h"
 #include "tests/relay/scripted_server.h"
+#include "tests/support/property.h"
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -20,6 +21,8 @@
     CPPUNIT_TEST(a_chunked_body_is_read_whole);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(a_smuggled_request_is_refused);
+    CPPUNIT_TEST(a_request_in_a_body_of_unknown_length_is_not_run);
+    CPPUNIT_TEST(each_byte_belongs_to_one_request_or_to_a_refusal);
     CPPUNIT_TEST(limits_are_enforced);
     CPPUNIT_TEST(a_close_by_the_caller_is_reported);
     CPPUNIT_TEST(a_request_whose_caller_has_left_is_not_started);
@@ -96,9 +99,10 @@
             to.out() += "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
             to.finish_answer();
         }
-        void on_bad_request(caller_connection& from, unsigned status) override
+        void on_bad_request(caller_connection& from, bad_request const& refused) override
         {
-            bad_status = status;
+            bad_status = refused.status;
+            bad_reason = refused.reason;
             from.out() += "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
             from.finish_answer();
         }
@@ -108,6 +112,7 @@
         milliseconds max_unaccepted_time { 0 };
         std::vector<caller_request> requests;
         unsigned bad_status { 0 };
+        std::string bad_reason;
         bool is_disconnected { false };
         std::shared_ptr<caller_connection> connection;
 
@@ -159,6 +164,91 @@
         CPPUNIT_ASSERT(served.requests.empty());
     }
 
+    static constexpr char const* inner_request = "GET /inner HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    // Guards against requests that nobody sent: a request whose transfer coding is not chunked was run without its
+    // body, and the body was run as the next request.
+    void a_request_in_a_body_of_unknown_length_is_not_run()
+    {
+        for (auto const* const coding : { "gzip", "identity", "deflate" }) {
+            server served(m_loop);
+            client caller(m_loop, served.address());
+            caller.send("POST /outer HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n"
+                + inner_request);
+            run_until([&] { return caller.is_closed; });
+            CPPUNIT_ASSERT_EQUAL(400U, served.bad_status);
+            CPPUNIT_ASSERT(served.bad_reason.find(coding) != std::string::npos);
+            CPPUNIT_ASSERT(served.requests.empty());
+            CPPUNIT_ASSERT(caller.is_closed);
+        }
+    }
+
+    // Draws a request that is framed without doubt, and records its body.
+    static std::string draw_valid_request(std::vector<std::string>& bodies)
+    {
+        auto const body = *rc::gen::element<std::string>("", "text", inner_request, "0\r\n\r\n", "\r\n\r\n");
+        auto const framing = *rc::gen::inRange(0, 4);
+        std::string const start = "POST / HTTP/1.1\r\nHost: x\r\n";
+        if (framing == 0) {
+            bodies.emplace_back();
+            return start + "\r\n";
+        }
+        bodies.push_back(body);
+        if (framing == 1)
+            return start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string chunks;
+        auto const chunk_size = *rc::gen::inRange<std::size_t>(1, 9);
+        for (std::size_t at = 0; at < body.size(); at += chunk_size)
+            append_chunk(chunks, std::string_view(body).substr(at, chunk_size));
+        auto const* const trailer = framing == 2 ? "" : "Content-Type: inner\r\n";
+        return start + "Transfer-Encoding: " + (framing == 2 ? "chunked" : "Chunked ") + "\r\n\r\n" + chunks + "0\r\n"
+            + trailer + "\r\n";
+    }
+
+    static std::string draw_doubtful_request()
+    {
+        auto const lines = *rc::gen::element<std::string>("Transfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: identity\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked;x=y\r\n", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
+            "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: +5\r\n", "Content-Length: 5, 5\r\n",
+            "Content-Length: 99999999999999999999\r\n", "Content-Length : 5\r\n", "X: y\nContent-Length: 5\r\n",
+            "X: y\rContent-Length: 5\r\n", "Content-Length: 5\r\n 0\r\n", "X: y\r\n Content-Length: 5\r\n");
+        return "POST / HTTP/1.1\r\nHost: x\r\n" + lines + "\r\n" + inner_request;
+    }
+
+    // Guards against a caller's bytes that are taken for a request that it did not send, whatever the head says and
+    // wherever the network cuts the bytes.
+    void each_byte_belongs_to_one_request_or_to_a_refusal()
+    {
+        testing::check_property("each byte belongs to one request or to a refusal", [this] {
+            std::vector<std::string> bodies;
+            std::string bytes;
+            auto const requests = *rc::gen::inRange(0, 4);
+            for (int request = 0; request < requests; ++request)
+                bytes += draw_valid_request(bodies);
+            bool const is_doubtful = *rc::gen::arbitrary<bool>();
+            if (is_doubtful)
+                bytes += draw_doubtful_request() + inner_request;
+            server served(m_loop);
+            client caller(m_loop, served.address());
+            run_until([&] { return served.connection != nullptr; });
+            while (!bytes.empty()) {
+                auto const size = *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+                caller.send(bytes.substr(0, size));
+                bytes.erase(0, size);
+                m_loop.run_once(milliseconds(1));
+            }
+            run_until([&] { return is_doubtful ? caller.is_closed : served.requests.size() >= bodies.size(); });
+            RC_ASSERT(served.requests.size() == bodies.size());
+            for (std::size_t index = 0; index < bodies.size(); ++index)
+                RC_ASSERT(served.requests[index].body() == bodies[index]);
+            RC_ASSERT(served.bad_status == (is_doubtful ? 400U : 0U));
+            RC_ASSERT(caller.is_closed == is_doubtful);
+        });
+    }
+
     void limits_are_enforced()
     {
         server served(m_loop, { 200, 10 });
