relay: Trailer fields of a chunked request are dropped

What endpoints saw: the trailer fields of a chunked request as header fields, beside the caller's own of the same name, so that a caller's proxy and an endpoint could read different values.

Cause: Beast's parser adds trailer fields to the header fields.

Change: the head of a chunked request is kept as it was before the body. RFC 9110, 6.5.1, allows to drop trailers.

trailer_fields_are_no_header_fields failed without the change (2 fields instead of 1) and passes with it.

--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -64,6 +64,7 @@
 void caller_connection::begin_request()
 {
     m_parser.emplace();
+    m_head.reset();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
     m_parser->body_limit(m_limits.body_bytes);
 }
@@ -139,6 +140,8 @@
     if (!had_head && m_parser->is_header_done()) {
         // The parser has read nothing but the head so far.
         m_parser->eager(true);
+        if (m_parser->chunked())
+            m_head = m_parser->get().base();
     }
     return used;
 }
@@ -168,6 +171,8 @@
     m_is_answering = true;
     m_closes_after_answer = m_closes_after_answer || !m_parser->keep_alive();
     auto request = m_parser->release();
+    if (m_head)
+        request.base() = std::move(*m_head);
     begin_request();
     m_listener.on_request(*this, std::move(request));
 }
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -102,6 +102,8 @@
     socket m_socket;
     std::string m_input;
     std::optional<http::request_parser<http::string_body>> m_parser;
+    // The head of a chunked request, without the trailer fields that the parser adds to it.
+    std::optional<request_head> m_head;
     bool m_is_answering { false };
     bool m_closes_after_answer { false };
     bool m_is_aborted { false };
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(a_smuggled_request_is_refused);
     CPPUNIT_TEST(a_request_in_a_body_of_unknown_length_is_not_run);
+    CPPUNIT_TEST(trailer_fields_are_no_header_fields);
     CPPUNIT_TEST(each_byte_belongs_to_one_request_or_to_a_refusal);
     CPPUNIT_TEST(limits_are_enforced);
     CPPUNIT_TEST(a_close_by_the_caller_is_reported);
@@ -183,6 +184,21 @@
         }
     }
 
+    // Guards against a caller whose trailer fields stand beside its header fields, under the same names.
+    void trailer_fields_are_no_header_fields()
+    {
+        server served(m_loop);
+        client caller(m_loop, served.address());
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nX-Key: one\r\n\r\n"
+                    "4\r\nbody\r\n0\r\nX-Key: two\r\nX-Other: three\r\n\r\n");
+        run_until([&] { return !served.requests.empty(); });
+        auto const& request = served.requests.at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), request.body());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, request.count("X-Key"));
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), std::string(request["X-Key"]));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, request.count("X-Other"));
+    }
+
     // Draws a request that is framed without doubt, and records its body.
     static std::string draw_valid_request(std::vector<std::string>& bodies)
     {
