relay: An answer that nobody asked for does not answer the next call

What callers could see: the answer to another request. An endpoint that sends two answers to one call, the second after the connection became idle, had the second one taken for the answer to the next call, if that began before the event loop saw the bytes.

Cause: a call on a kept connection did not look whether bytes were waiting there; only the loop's next round did.

Change: a call looks first (one recv with MSG_PEEK). Where bytes or the end of the connection wait, it opens another connection, which also spares a call on a connection that the endpoint has closed.

an_answer_that_nobody_asked_for_does_not_answer_the_next_call fails with the look left out ("other" instead of "own") and passes with it; 14 of 14 tests of call_connection passed. On the users' platform answers name their request, so it shows only on plain connections.

--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -35,8 +35,11 @@
     m_listener = &listener;
     ++m_call_number;
     begin_answer();
+    // Bytes that arrived while no call was in progress answer nothing, and a closed connection accepts no call.
+    if (m_phase == phase::idle && m_socket.has_input())
+        m_socket.close();
     m_socket.out() = std::move(call);
-    if (m_phase == phase::idle) {
+    if (m_phase == phase::idle && m_socket.is_open()) {
         m_phase = phase::calling;
         if (!m_socket.flush())
             break_call(dispatch::answer_stop::reset);
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -115,6 +115,13 @@
     return { {}, would_block ? read_end::drained : read_end::failed };
 }
 
+bool socket::has_input() const
+{
+    char next = 0;
+    auto const count = ::recv(m_descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 milliseconds socket::time_since_receipt(milliseconds max_time) const
 {
     tcp_info info {};
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -70,6 +70,8 @@
     // Writes as many bytes as the system accepts; returns false if the connection is broken.
     bool flush();
 
+    // Returns whether bytes or the end of the connection wait to be read. It asks the system and reads nothing.
+    [[nodiscard]] bool has_input() const;
     void set_reading(bool is_reading);
     [[nodiscard]] bool is_open() const { return m_descriptor >= 0; }
     // Closes in an orderly way.
--- a/tests/relay/call_connection_test.cpp
+++ b/tests/relay/call_connection_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(bytes_after_the_answer_end_the_connection);
     CPPUNIT_TEST(a_late_answer_to_an_earlier_call_is_skipped);
     CPPUNIT_TEST(bytes_on_an_idle_connection_close_it);
+    CPPUNIT_TEST(an_answer_that_nobody_asked_for_does_not_answer_the_next_call);
     CPPUNIT_TEST(a_call_to_a_closed_port_is_not_sent);
     CPPUNIT_TEST(an_answer_before_the_call_was_read_ends_the_connection);
     CPPUNIT_TEST(a_connection_close_field_is_obeyed);
@@ -171,6 +172,24 @@
         CPPUNIT_ASSERT(!started.connection->is_idle());
     }
 
+    // Guards against a caller that gets the answer to another request: an endpoint sent a second answer to one call,
+    // and the next call began on the connection before the event loop had seen it.
+    void an_answer_that_nobody_asked_for_does_not_answer_the_next_call()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+        server.add("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+        auto const first = run_call(server.address());
+        CPPUNIT_ASSERT(first.connection->is_idle());
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+        collected_call second;
+        first.connection->start(server.address(), simple_call, second);
+        run_until_ended(second);
+        CPPUNIT_ASSERT(second.end == call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("own"), second.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, server.connections());
+    }
+
     void a_call_to_a_closed_port_is_not_sent()
     {
         std::string address;
