relay: An answer whose length is in doubt is broken

What callers could see: an answer that ends elsewhere than its endpoint meant it, framed as complete. With a coding other than chunked, all bytes up to the end of the connection were forwarded as the whole answer, without the coding's name; a repeated length and a folded line were accepted.

Cause: as for requests, Beast leaves these doubts to its user.

Change: the head of an answer passes the check that a request's head passes; one that does not is an invalid answer, with the consequences that this has already.

--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -2,6 +2,8 @@
 // Implements calls over one connection: connecting, parsing of answers, and reuse.
 #include "libraries/relay/call_connection.h"
 
+#include "libraries/framing/message_head.h"
+
 #include <charconv>
 
 namespace shedhill::relay {
@@ -126,6 +128,17 @@
 
 std::size_t call_connection::parse_some(std::string_view bytes)
 {
+    if (!m_has_head) {
+        auto const size = framing::head_size(bytes);
+        if (!size && bytes.size() <= max_header_bytes)
+            return 0;
+        // A head with a doubtful length does not show where the answer ends, and a part of it may look like another
+        // one.
+        if (!size || framing::check_head(bytes.substr(0, *size))) {
+            break_call(dispatch::answer_stop::invalid);
+            return 0;
+        }
+    }
     if (m_has_head && m_parser->chunked() && bytes.size() < min_rest_of_chunks)
         return 0;
     boost::system::error_code failure;
--- a/tests/relay/call_connection_test.cpp
+++ b/tests/relay/call_connection_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(bytes_after_the_answer_end_the_connection);
     CPPUNIT_TEST(a_late_answer_to_an_earlier_call_is_skipped);
     CPPUNIT_TEST(bytes_on_an_idle_connection_close_it);
+    CPPUNIT_TEST(an_answer_whose_length_is_in_doubt_is_broken);
+    CPPUNIT_TEST(an_empty_chunked_answer_may_arrive_in_pieces);
     CPPUNIT_TEST(an_answer_that_nobody_asked_for_does_not_answer_the_next_call);
     CPPUNIT_TEST(a_call_to_a_closed_port_is_not_sent);
     CPPUNIT_TEST(an_answer_before_the_call_was_read_ends_the_connection);
@@ -172,6 +174,36 @@
         CPPUNIT_ASSERT(!started.connection->is_idle());
     }
 
+    // Guards against an answer whose end is found elsewhere than its sender meant it: with a coding other than chunked,
+    // all further bytes were forwarded as a whole answer without the name of the coding.
+    void an_answer_whose_length_is_in_doubt_is_broken()
+    {
+        for (auto const* const lines : { "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+                 "Content-Length: 2\r\nContent-Length: 2\r\n", "Content-Length: 2\r\n 0\r\n" }) {
+            scripted_server server(m_loop);
+            server.add("HTTP/1.1 200 OK\r\n" + std::string(lines) + "\r\nhi", after_reply::close);
+            auto const ended = run_call(server.address());
+            CPPUNIT_ASSERT_MESSAGE(lines, ended.call->end == call_end::broken);
+            CPPUNIT_ASSERT(ended.call->body.empty());
+        }
+    }
+
+    // Guards against a process that ends at an assertion of the parser.
+    void an_empty_chunked_answer_may_arrive_in_pieces()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        started_call started { std::make_shared<call_connection>(m_loop), std::make_unique<collected_call>() };
+        started.connection->start(server.address(), simple_call, *started.call);
+        run_several_rounds();
+        server.send("\r");
+        run_several_rounds();
+        CPPUNIT_ASSERT(!started.call->end);
+        server.send("\n");
+        run_until_ended(*started.call);
+        CPPUNIT_ASSERT(started.call->end == call_end::complete);
+    }
+
     // Guards against a caller that gets the answer to another request: an endpoint sent a second answer to one call,
     // and the next call began on the connection before the event loop had seen it.
     void an_answer_that_nobody_asked_for_does_not_answer_the_next_call()
