net: The product's own interface refuses requests whose length is in doubt

What callers saw: as at the platform's interface, a request with a coding that is not chunked was run without its body, and the body was run as the next request; trailer fields stood among the header fields, where an idempotency key may come from.

The refusal names the field and the value.

--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // The HTTP server. Each connection is served by its own fiber.
+#include "libraries/framing/message_head.h"
 #include "libraries/net/address.h"
 #include "libraries/net/await.h"
 #include "libraries/net/fiber_scheduler.h"
@@ -11,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/json.hpp>
 #include <cctype>
 
 namespace shedhill::net {
@@ -174,18 +176,57 @@
         || failure == asio::error::operation_aborted;
 }
 
-void refuse_invalid_request(beast::tcp_stream& stream, http_limits const& limits, boost::system::error_code failure)
+void refuse_invalid_request(
+    beast::tcp_stream& stream, http_limits const& limits, std::uint16_t status, std::string const& reason)
 {
     server_exchange exchange(stream, limits, {}, false);
     http_response refusal;
-    refusal.status = status_of_read_failure(failure);
+    refusal.status = status;
     refusal.content_type = "application/json";
     refusal.headers.push_back({ "x-shedhill-outcome", "not-run" });
-    refusal.body = R"({"error":{"type":"bad_request","outcome":"not-run","reason":")" + failure.message() + "\"}}\n";
+    boost::json::object const error { { "type", "bad_request" }, { "outcome", "not-run" }, { "reason", reason } };
+    refusal.body = boost::json::serialize(boost::json::object { { "error", error } }) + "\n";
     // A failure to send is ignored: the caller has closed the connection.
     (void)exchange.respond(refusal);
 }
 
+std::string_view view_of(beast::flat_buffer const& buffer)
+{
+    return { static_cast<char const*>(buffer.data().data()), buffer.size() };
+}
+
+// Reads until the buffer holds a complete head.
+boost::system::error_code read_head(beast::tcp_stream& stream, beast::flat_buffer& buffer, std::size_t max_bytes)
+{
+    constexpr std::size_t read_size = 4096;
+    while (!framing::head_size(view_of(buffer))) {
+        if (buffer.size() > max_bytes)
+            return http::error::header_limit;
+        auto const [failure, size]
+            = await_io([&](auto handler) { stream.async_read_some(buffer.prepare(read_size), std::move(handler)); });
+        if (failure == asio::error::eof)
+            return buffer.size() == 0 ? http::error::end_of_stream : http::error::partial_message;
+        if (failure)
+            return failure;
+        buffer.commit(size);
+    }
+    return {};
+}
+
+// Reads the rest of the request whose head the buffer holds, without the trailer fields of a chunked body.
+boost::system::error_code read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    http::request_parser<http::string_body>& parser, http::request_header<>& head)
+{
+    if (auto const outcome
+        = await_io([&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
+        outcome.failure)
+        return outcome.failure;
+    head = parser.get().base();
+    if (parser.is_done())
+        return {};
+    return await_io([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); }).failure;
+}
+
 void serve(tcp::socket socket, http_limits const& limits, http_server::handler const& handle)
 {
     boost::system::error_code ignored;
@@ -197,17 +238,23 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(limits.body_bytes);
         stream.expires_after(limits.read_timeout);
-        auto const [failure, size]
-            = await_io([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+        auto failure = read_head(stream, buffer, limits.header_bytes);
+        auto const head_error = failure ? std::nullopt : framing::check_head(view_of(buffer));
+        http::request_header<> head;
+        if (!failure && !head_error)
+            failure = read_message(stream, buffer, parser, head);
         if (is_disconnect(failure))
             break;
-        if (failure) {
-            refuse_invalid_request(stream, limits, failure);
+        if (failure || head_error) {
+            refuse_invalid_request(
+                stream, limits, status_of_read_failure(failure), head_error ? to_text(*head_error) : failure.message());
             break;
         }
         stream.expires_never();
         keep_alive = parser.get().keep_alive();
-        server_exchange exchange(stream, limits, to_request(parser.release()), keep_alive);
+        auto message = parser.release();
+        message.base() = std::move(head);
+        server_exchange exchange(stream, limits, to_request(std::move(message)), keep_alive);
         handle(exchange);
         keep_alive = exchange.may_keep_alive() && exchange.has_answered();
     }
