net: An empty chunked body that arrives in pieces ends no process

What callers saw: a router of the product's own interface, as meta/build.sh builds it with assertions, ended for all callers when one sent a chunked body of only the last chunk as "0 CR LF" and then CR.

Change: the server reads the body itself, and gives the parser at least the 5 bytes that every rest of a chunked body has.

--- a/libraries/framing/message_head.h
+++ b/libraries/framing/message_head.h
@@ -10,6 +10,10 @@
 
 namespace shedhill::framing {
 
+// The least size of what is missing of a chunked body, its last chunk and the empty line. Beast's parser must not get
+// less of the last chunk: it asserts that it has these bytes when it looks at the chunk again.
+constexpr std::size_t min_rest_of_chunks = 5;
+
 // A line of a head that leaves the length of the message in doubt.
 struct head_error {
     // The field's name; empty if the line is not that of a field.
--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -195,20 +195,29 @@
     return { static_cast<char const*>(buffer.data().data()), buffer.size() };
 }
 
+// Adds the next received bytes to the buffer.
+boost::system::error_code receive(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    constexpr std::size_t read_size = 16384;
+    auto const [failure, size]
+        = await_io([&](auto handler) { stream.async_read_some(buffer.prepare(read_size), std::move(handler)); });
+    buffer.commit(size);
+    if (failure == asio::error::eof)
+        return http::error::partial_message;
+    return failure;
+}
+
 // Reads until the buffer holds a complete head.
 boost::system::error_code read_head(beast::tcp_stream& stream, beast::flat_buffer& buffer, std::size_t max_bytes)
 {
-    constexpr std::size_t read_size = 4096;
     while (!framing::head_size(view_of(buffer))) {
         if (buffer.size() > max_bytes)
             return http::error::header_limit;
-        auto const [failure, size]
-            = await_io([&](auto handler) { stream.async_read_some(buffer.prepare(read_size), std::move(handler)); });
-        if (failure == asio::error::eof)
-            return buffer.size() == 0 ? http::error::end_of_stream : http::error::partial_message;
+        auto const failure = receive(stream, buffer);
+        if (failure == http::error::partial_message && buffer.size() == 0)
+            return http::error::end_of_stream;
         if (failure)
             return failure;
-        buffer.commit(size);
     }
     return {};
 }
@@ -217,14 +226,23 @@
 boost::system::error_code read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
     http::request_parser<http::string_body>& parser, http::request_header<>& head)
 {
-    if (auto const outcome
-        = await_io([&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
-        outcome.failure)
-        return outcome.failure;
+    boost::system::error_code failure;
+    buffer.consume(parser.put(buffer.data(), failure));
+    if (failure)
+        return failure;
     head = parser.get().base();
-    if (parser.is_done())
-        return {};
-    return await_io([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); }).failure;
+    parser.eager(true);
+    while (!parser.is_done()) {
+        auto const min_size = parser.chunked() ? framing::min_rest_of_chunks : 1;
+        failure = http::error::need_more;
+        if (buffer.size() >= min_size)
+            buffer.consume(parser.put(buffer.data(), failure));
+        if (failure == http::error::need_more)
+            failure = receive(stream, buffer);
+        if (failure)
+            return failure;
+    }
+    return {};
 }
 
 void serve(tcp::socket socket, http_limits const& limits, http_server::handler const& handle)
--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -139,7 +139,7 @@
             return 0;
         }
     }
-    if (m_has_head && m_parser->chunked() && bytes.size() < min_rest_of_chunks)
+    if (m_has_head && m_parser->chunked() && bytes.size() < framing::min_rest_of_chunks)
         return 0;
     boost::system::error_code failure;
     auto const used = m_parser->put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -127,7 +127,7 @@
             return 0;
         if (!is_head_accepted(size))
             return std::nullopt;
-    } else if (m_parser->chunked() && m_input.size() < min_rest_of_chunks) {
+    } else if (m_parser->chunked() && m_input.size() < framing::min_rest_of_chunks) {
         return 0;
     }
     boost::system::error_code failure;
--- a/libraries/relay/http_message.h
+++ b/libraries/relay/http_message.h
@@ -28,10 +28,6 @@
 void append_field(std::string& out, std::string_view name, std::string_view value);
 void append_status_line(std::string& out, unsigned status, std::string_view reason);
 
-// The least size of what is missing of a chunked body, its last chunk and the empty line. Beast's parser must not get
-// less of the last chunk: it asserts that it has these bytes when it looks at the chunk again.
-constexpr std::size_t min_rest_of_chunks = 5;
-
 // Append one chunk of a chunked body, and the end of the body.
 void append_chunk(std::string& out, std::string_view data);
 void append_last_chunk(std::string& out);
