relay: Changed limits apply to the next request of an open connection

What callers saw: 413 or 431 on a kept connection for as long as it lived, after operators had raised max_body_bytes or max_header_bytes; a new connection was served.

Cause: a connection had the limits of the configuration that was in force when it was accepted; set_limits was never called, and would not have reached the parser that was ready for the next request.

Change: a new configuration sets the limits of all connections, and the parser gets them when a request's head is complete. A request that is being read keeps its own.

changed_limits_apply_to_the_next_request_of_an_open_connection failed before (431) and passes now. That a router takes them from the configuration is by reading, not by a test. Unit and hosted process tests passed, 0 failed.

--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -65,8 +65,6 @@
 {
     m_parser.emplace();
     m_head.reset();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
-    m_parser->body_limit(m_limits.body_bytes);
 }
 
 void caller_connection::on_ready(readiness ready)
@@ -127,6 +125,8 @@
             return 0;
         if (!is_head_accepted(size))
             return std::nullopt;
+        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
+        m_parser->body_limit(m_limits.body_bytes);
     } else if (m_parser->chunked() && m_input.size() < framing::min_rest_of_chunks) {
         return 0;
     }
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -35,6 +35,8 @@
 struct read_limits {
     std::size_t header_bytes { 16384 };
     std::size_t body_bytes { 4U << 20U };
+
+    bool operator==(read_limits const&) const = default;
 };
 
 class caller_connection final : public io_handler, public std::enable_shared_from_this<caller_connection> {
@@ -78,6 +80,7 @@
     // Closes at once in the middle of an answer, for a caller that does not read. It sees an incomplete answer.
     void abort_connection() { disconnect(); }
 
+    // Sets the limits from the next request on.
     void set_limits(read_limits limits) { m_limits = limits; }
 
 private:
--- a/services/shedhilld/caller_table.cpp
+++ b/services/shedhilld/caller_table.cpp
@@ -6,15 +6,23 @@
 #include "libraries/relay/slow_readers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shedhill::daemon {
 
-void caller_table::accept(int descriptor, milliseconds max_unaccepted_time, relay::caller_listener& listener,
-    dispatch::caller_limits const& limits)
+void caller_table::set_limits(dispatch::caller_limits const& limits)
+{
+    relay::read_limits const changed { limits.max_header_bytes, limits.max_body_bytes };
+    if (std::exchange(m_limits, changed) == changed)
+        return;
+    for (auto const& [number, caller] : m_callers)
+        caller->set_limits(changed);
+}
+
+void caller_table::accept(int descriptor, milliseconds max_unaccepted_time, relay::caller_listener& listener)
 {
     auto const number = ++m_last_number;
-    auto const connection = std::make_shared<relay::caller_connection>(
-        m_loop, number, listener, relay::read_limits { limits.max_header_bytes, limits.max_body_bytes });
+    auto const connection = std::make_shared<relay::caller_connection>(m_loop, number, listener, m_limits);
     m_callers.emplace(number, connection);
     connection->open(descriptor, max_unaccepted_time);
 }
--- a/services/shedhilld/caller_table.h
+++ b/services/shedhilld/caller_table.h
@@ -22,8 +22,9 @@
     }
 
     // Takes over an accepted connection, which has waited to be accepted for at most this time.
-    void accept(int descriptor, milliseconds max_unaccepted_time, relay::caller_listener& listener,
-        dispatch::caller_limits const& limits);
+    void accept(int descriptor, milliseconds max_unaccepted_time, relay::caller_listener& listener);
+    // Sets the limits of all callers' next requests, and of new callers.
+    void set_limits(dispatch::caller_limits const& limits);
     // Removes the caller at the end of the round, because its connection may be on the stack.
     void remove_later(std::uint64_t number);
     [[nodiscard]] std::size_t size() const { return m_callers.size(); }
@@ -46,6 +47,7 @@
 private:
     relay::event_loop& m_loop;
     std::uint64_t m_last_number { 0 };
+    relay::read_limits m_limits {};
     std::unordered_map<std::uint64_t, std::shared_ptr<relay::caller_connection>> m_callers;
 };
 
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -53,10 +53,7 @@
                   on_event(dispatch::endpoint_probed { instance, outcome });
               })
         , m_caller_listener(m_loop,
-              [this](int descriptor) {
-                  m_callers.accept(
-                      descriptor, m_caller_listener.max_unaccepted_time(), *this, m_reducer.routes().current().limits);
-              })
+              [this](int descriptor) { m_callers.accept(descriptor, m_caller_listener.max_unaccepted_time(), *this); })
         , m_ready_server(m_loop, [this](std::string_view) { return answer_readiness(); })
         , m_metrics_server(m_loop,
               [this](std::string_view) {
@@ -113,6 +110,7 @@
         process_events();
         reduce(std::move(event));
         process_events();
+        m_callers.set_limits(m_reducer.routes().current().limits);
     }
 
     void log_state(std::string_view event, std::string const& fields)
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(trailer_fields_are_no_header_fields);
     CPPUNIT_TEST(each_byte_belongs_to_one_request_or_to_a_refusal);
     CPPUNIT_TEST(limits_are_enforced);
+    CPPUNIT_TEST(changed_limits_apply_to_the_next_request_of_an_open_connection);
     CPPUNIT_TEST(a_close_by_the_caller_is_reported);
     CPPUNIT_TEST(a_request_whose_caller_has_left_is_not_started);
     CPPUNIT_TEST(an_answer_reaches_a_caller_that_is_released);
@@ -279,6 +280,25 @@
         CPPUNIT_ASSERT_EQUAL(431U, served.bad_status);
     }
 
+    // Guards against callers that are refused with 413 on a kept connection after operators have raised the limit.
+    void changed_limits_apply_to_the_next_request_of_an_open_connection()
+    {
+        server served(m_loop, { 200, 10 });
+        client caller(m_loop, served.address());
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab");
+        run_until([&] { return served.requests.size() == 1; });
+        served.connection->set_limits({ 400, 20 });
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nWords: " + std::string(250, 'w')
+            + "\r\nContent-Length: 11\r\n\r\nabcdefghijk");
+        run_until([&] { return served.requests.size() == 2 || served.bad_status != 0; });
+        CPPUNIT_ASSERT_EQUAL(0U, served.bad_status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, served.requests.size());
+        served.connection->set_limits({ 400, 10 });
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\nabcdefghijk");
+        run_until([&] { return served.bad_status != 0; });
+        CPPUNIT_ASSERT_EQUAL(413U, served.bad_status);
+    }
+
     void a_close_by_the_caller_is_reported()
     {
         server served(m_loop);
