--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -18,7 +18,7 @@
 struct bad_request {
     // The HTTP status to answer with.
     unsigned status { 0 };
-    // What is wrong, with the field and its value if they are known.
+    // The reason names what is wrong, with the field and its value if they are known.
     std::string reason;
 };
 
--- a/libraries/relay/protocol.h
+++ b/libraries/relay/protocol.h
@@ -41,7 +41,7 @@
     std::string_view reason;
     std::optional<milliseconds> retry_after;
     bool closes { false };
-    // What is wrong with the request; empty if the reason tells it.
+    // The detail names what is wrong with the request; it is empty if the reason suffices.
     std::string_view detail {};
 };
 
