--- a/tests/relay/call_connection_test.cpp
+++ b/tests/relay/call_connection_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(bytes_on_an_idle_connection_close_it);
     CPPUNIT_TEST(an_answer_whose_length_is_in_doubt_is_broken);
     CPPUNIT_TEST(an_empty_chunked_answer_may_arrive_in_pieces);
+    CPPUNIT_TEST(a_chunk_line_without_end_breaks_the_call);
+    CPPUNIT_TEST(a_trailer_without_end_breaks_the_call);
     CPPUNIT_TEST(an_answer_that_nobody_asked_for_does_not_answer_the_next_call);
     CPPUNIT_TEST(a_call_to_a_closed_port_is_not_sent);
     CPPUNIT_TEST(an_answer_before_the_call_was_read_ends_the_connection);
@@ -188,6 +190,25 @@
         }
     }
 
+    static constexpr std::size_t megabyte = 1U << 20U;
+
+    // Guards against a process whose memory grows with a chunk line that an endpoint never ends.
+    void a_chunk_line_without_end_breaks_the_call()
+    {
+        scripted_server server(m_loop);
+        server.add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n5;" + std::string(megabyte, 'x'));
+        CPPUNIT_ASSERT(run_call(server.address()).call->end == call_end::broken);
+    }
+
+    // Guards against a process whose memory grows with a trailer that an endpoint never ends.
+    void a_trailer_without_end_breaks_the_call()
+    {
+        scripted_server server(m_loop);
+        server.add(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: " + std::string(megabyte, 'x'));
+        CPPUNIT_ASSERT(run_call(server.address()).call->end == call_end::broken);
+    }
+
     // Guards against a process that ends at an assertion of the parser.
     void an_empty_chunked_answer_may_arrive_in_pieces()
     {
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(trailer_fields_are_no_header_fields);
     CPPUNIT_TEST(each_byte_belongs_to_one_request_or_to_a_refusal);
     CPPUNIT_TEST(limits_are_enforced);
+    CPPUNIT_TEST(a_chunk_line_without_end_is_refused);
+    CPPUNIT_TEST(a_trailer_without_end_is_refused);
     CPPUNIT_TEST(changed_limits_apply_to_the_next_request_of_an_open_connection);
     CPPUNIT_TEST(a_close_by_the_caller_is_reported);
     CPPUNIT_TEST(a_request_whose_caller_has_left_is_not_started);
@@ -280,6 +282,33 @@
         CPPUNIT_ASSERT_EQUAL(431U, served.bad_status);
     }
 
+    // Sends a request that begins like this and never ends, and returns the reason of its refusal.
+    std::string refusal_of_endless_request(std::string const& begin)
+    {
+        server served(m_loop);
+        client caller(m_loop, served.address());
+        caller.send(
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + begin + std::string(1U << 20U, 'x'));
+        run_until([&] { return served.bad_status != 0; });
+        CPPUNIT_ASSERT_EQUAL(431U, served.bad_status);
+        CPPUNIT_ASSERT(served.requests.empty());
+        return served.bad_reason;
+    }
+
+    // Guards against a process whose memory grows with a chunk line that a caller never ends.
+    void a_chunk_line_without_end_is_refused()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("a chunk line is larger than max_header_bytes, 16384"),
+            refusal_of_endless_request("2\r\nhi\r\n5;"));
+    }
+
+    // Guards against a process whose memory grows with a trailer that a caller never ends.
+    void a_trailer_without_end_is_refused()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("the trailer is larger than max_header_bytes, 16384"),
+            refusal_of_endless_request("2\r\nhi\r\n0\r\nX: "));
+    }
+
     // Guards against callers that are refused with 413 on a kept connection after operators have raised the limit.
     void changed_limits_apply_to_the_next_request_of_an_open_connection()
     {
--- a/tests/relay/scripted_server.h
+++ b/tests/relay/scripted_server.h
@@ -56,8 +56,12 @@
         }
 
     private:
-        void on_ready(readiness) override
+        void on_ready(readiness ready) override
         {
+            if (ready.is_writable && !m_socket.flush())
+                return m_socket.close();
+            if (!ready.is_readable && !ready.is_closed)
+                return;
             auto const [bytes, end] = m_socket.read();
             if (end != read_end::drained)
                 return m_socket.close();
