logging: A process that ends by itself says why on its last line

What on-call saw: nothing. A process that ended by an exception, a broken invariant or a signal wrote at most a line of no known format to its standard error, and the records of the users do not tell it from one that was killed.

Change: handlers write one line "process_ended" with the cause (exception, broken_invariant, signal, terminate), what it says and a number, without allocating. A planned stop ends with "stopped"; a process that the kernel or an operator kills has neither line, and its neighbours log peer_lost. So the three hypotheses of the incident leave three records.

--- a/base/verify.cpp
+++ b/base/verify.cpp
@@ -7,12 +7,22 @@
 
 namespace shedhill {
 
+namespace {
+
+invariant_handler g_handler = nullptr; // NOLINT: the handler belongs to the process
+
+} // namespace
+
 void verify(bool condition, char const* invariant, boost::source_location location)
 {
     if (condition)
         return;
     std::cerr << "broken invariant: " << invariant << " (" << location.file_name() << ':' << location.line() << ")\n";
+    if (g_handler != nullptr)
+        g_handler(invariant, location.file_name(), location.line());
     std::abort();
 }
 
+void set_invariant_handler(invariant_handler handler) { g_handler = handler; }
+
 } // namespace shedhill
--- a/services/shedhilld/main.cpp
+++ b/services/shedhilld/main.cpp
@@ -2,6 +2,7 @@
 // Starts the daemon: reads its settings, takes the role of a router or an endpoint process, and runs until it is
 // stopped.
 #include "libraries/logging/log.h"
+#include "libraries/logging/process_end.h"
 #include "libraries/net/address.h"
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/settings/setting_table.h"
@@ -213,6 +214,7 @@
         return EXIT_SUCCESS;
     }
     logging::open_log(values->text("vm"));
+    logging::log_process_end(values->text("vm"));
     net::process_io_context();
     daemon::process host;
     if (values->text("role") == "router") {
--- a/services/shedhilld/platform_main.cpp
+++ b/services/shedhilld/platform_main.cpp
@@ -2,6 +2,7 @@
 // Reads the settings, installs the signal handlers and runs the router with the platform's bindings.
 #include "services/shedhilld/platform_main.h"
 
+#include "libraries/logging/process_end.h"
 #include "platform/caller_binding.h"
 #include "platform/settings_file.h"
 #include "platform/table_binding.h"
@@ -59,6 +60,7 @@
         std::cout << "settings are valid\n";
         return EXIT_SUCCESS;
     }
+    logging::log_process_end(settings->vm.value());
     platform_router<platform_binding::caller_binding, platform_binding::table_binding> router(
         *settings, options.policy, [path] { return platform_binding::read_settings_file(path); });
     if (auto const opened = router.open(); !opened) {
