--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -86,6 +86,7 @@
         request.first_event_after = step.now - request.arrived;
         step.effects.emplace_back(timer_event { timer_kind::first_event, request.pool, request.first_event_after });
     }
+    request.is_answer_bound |= began.continuation == answer_continuation::impossible;
     record_answer_begun(request, step.now);
     blame_endpoints(request, answer_stage::begun, step);
     step.effects.emplace_back(
@@ -290,7 +291,7 @@
 {
     bool const is_proven_not_run
         = end == attempt_end::not_sent || end == attempt_end::not_run || end == attempt_end::wrong_endpoint;
-    if (request.has_answer_begun && request.retry != retry_mode::resumable)
+    if (request.has_answer_begun && (request.retry != retry_mode::resumable || request.is_answer_bound))
         return refusal_reason::answer_broken;
     if (!is_proven_not_run && request.retry == retry_mode::never)
         return refusal_reason::answer_unknown;
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -168,6 +168,8 @@
         token_count last_redundant_prefill { 0 };
         std::uint32_t events_forwarded { 0 };
         bool has_answer_begun { false };
+        // No other endpoint can continue the answer that has begun.
+        bool is_answer_bound { false };
         // The time from its arrival to its first event.
         milliseconds first_event_after { 0 };
         // An earlier attempt may have run, so a refusal no longer promises that the request did not run.
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -42,9 +42,13 @@
 };
 
 // The router forwarded the first event of a stream, or the head of an answer that is no stream.
+// Whether another endpoint can continue an answer that has begun, if it breaks off.
+enum class answer_continuation { possible, impossible };
+
 struct answer_began {
     request_number request {};
     attempt_number attempt {};
+    answer_continuation continuation { answer_continuation::possible };
 };
 
 struct attempt_ended {
--- a/libraries/framing/message_head.cpp
+++ b/libraries/framing/message_head.cpp
@@ -117,9 +117,10 @@
     return name + " \"" + error.value.substr(0, max_value) + "\" " + std::string(error.reason);
 }
 
-std::optional<std::size_t> head_size(std::string_view bytes)
+std::optional<std::size_t> head_size(std::string_view bytes, std::size_t searched)
 {
-    auto const end = bytes.find(head_end);
+    // The bytes that were searched may end within the empty line.
+    auto const end = bytes.find(head_end, searched - std::min(searched, head_end.size() - 1));
     if (end == std::string_view::npos)
         return std::nullopt;
     return end + head_end.size();
--- a/libraries/relay/buffer_limits.h
+++ b/libraries/relay/buffer_limits.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// The limits of what this process keeps of one peer's bytes. The limit of the sum over all peers is in buffered_bytes.h.
-// docs/CAPACITY.md has a table of all places.
+// The limits of what this process keeps of one peer's bytes. The limit of the sum over all peers is in
+// buffered_bytes.h. docs/CAPACITY.md has a table of all places.
 #pragma once
 
 #include <cstddef>
--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -3,6 +3,7 @@
 #include "libraries/relay/call_connection.h"
 
 #include "libraries/framing/message_head.h"
+#include "libraries/relay/buffer_limits.h"
 
 #include <charconv>
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr std::uint32_t max_header_bytes = 32768;
 // An idle connection counts as reusable for this percentage of the server's Keep-Alive timeout, so that no call is sent
 // while the server closes it.
 constexpr std::int64_t reuse_percent_of_timeout = 70;
@@ -36,6 +36,7 @@
 {
     m_listener = &listener;
     ++m_call_number;
+    m_unparsed.clear();
     begin_answer();
     // Bytes that arrived while no call was in progress answer nothing, and a closed connection accepts no call.
     if (m_phase == phase::idle && m_socket.has_input())
@@ -59,11 +60,12 @@
 
 void call_connection::begin_answer()
 {
-    m_unparsed.clear();
+    m_searched = 0;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->body_limit(boost::none);
-    m_parser->header_limit(max_header_bytes);
+    m_parser->header_limit(static_cast<std::uint32_t>(max_answer_head_bytes));
+    m_announced_length.reset();
     m_has_head = false;
     m_is_skipping = false;
     m_framing = dispatch::answer_framing::none;
@@ -73,8 +75,15 @@
 void call_connection::abandon()
 {
     m_listener = nullptr;
+    close_connection();
+}
+
+void call_connection::close_connection()
+{
     m_phase = phase::unconnected;
     m_socket.close();
+    m_unparsed.clear();
+    m_buffered.set(0);
 }
 
 void call_connection::on_ready(readiness ready)
@@ -106,31 +115,51 @@
 
 void call_connection::parse_bytes(std::string_view bytes)
 {
-    std::string joined;
-    if (!m_unparsed.empty()) {
-        joined = std::move(m_unparsed);
-        joined += bytes;
-        bytes = joined;
+    auto const call = m_call_number;
+    if (m_unparsed.empty()) {
+        auto const used = parse_all(bytes);
+        // The listener may have started another call already.
+        if (m_phase == phase::calling && m_call_number == call)
+            m_unparsed = bytes.substr(used);
+    } else {
+        // The bytes are moved out, because the listener may start another call.
+        auto joined = std::move(m_unparsed);
         m_unparsed.clear();
+        joined += bytes;
+        auto const used = parse_all(joined);
+        if (m_phase == phase::calling && m_call_number == call) {
+            joined.erase(0, used);
+            m_unparsed = std::move(joined);
+        }
     }
+    m_buffered.set(m_unparsed.size());
+}
+
+std::size_t call_connection::parse_all(std::string_view bytes)
+{
     auto const call = m_call_number;
-    while (!bytes.empty()) {
-        auto const used = parse_some(bytes);
-        // The listener may have started another call already.
+    std::size_t parsed = 0;
+    while (parsed < bytes.size()) {
+        auto const used = parse_some(bytes.substr(parsed));
         if (m_phase != phase::calling || m_call_number != call)
-            return;
-        if (used == 0)
             break;
-        bytes.remove_prefix(used);
+        parsed += used;
+        if (used != 0)
+            continue;
+        // The parser waits for the end of a chunk line or of a trailer, which may never come.
+        if (bytes.size() - parsed > max_answer_head_bytes)
+            break_call(dispatch::answer_stop::invalid);
+        break;
     }
-    m_unparsed = bytes;
+    return parsed;
 }
 
 std::size_t call_connection::parse_some(std::string_view bytes)
 {
     if (!m_has_head) {
-        auto const size = framing::head_size(bytes);
-        if (!size && bytes.size() <= max_header_bytes)
+        auto const size = framing::head_size(bytes, m_searched);
+        m_searched = size ? 0 : bytes.size();
+        if (!size && bytes.size() <= max_answer_head_bytes)
             return 0;
         // A head with a doubtful length does not show where the answer ends, and a part of it may look like another
         // one.
@@ -169,6 +198,8 @@
 {
     m_has_head = true;
     m_framing = framing_of_head();
+    if (auto const length = m_parser->content_length())
+        m_announced_length = *length;
     switch (m_listener->on_head(m_parser->get().base())) {
     case head_decision::accept:
         break;
@@ -235,8 +266,7 @@
 
 void call_connection::end_call(call_end end)
 {
-    m_phase = phase::unconnected;
-    m_socket.close();
+    close_connection();
     if (auto* const listener = std::exchange(m_listener, nullptr))
         listener->on_call_end(end);
 }
--- a/libraries/relay/call_connection.h
+++ b/libraries/relay/call_connection.h
@@ -48,6 +48,7 @@
     explicit call_connection(event_loop& loop)
         : m_loop(loop)
         , m_socket(loop, *this)
+        , m_buffered(loop.buffered(), buffer_place::unparsed)
     {
     }
 
@@ -56,6 +57,10 @@
     // Closes the connection without calling the listener.
     void abandon();
 
+    // Stops reading the answer, so that the server has to wait, or goes on.
+    void pause_reading() { m_socket.pause_reading(); }
+    void resume_reading() { m_socket.set_reading(true); }
+
     [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
     [[nodiscard]] bool is_idle() const { return m_phase == phase::idle && m_socket.is_open(); }
     [[nodiscard]] bool is_connecting() const { return m_phase == phase::connecting; }
@@ -64,6 +69,10 @@
     [[nodiscard]] instant reusable_until() const { return m_reusable_until; }
     // How the last call's answer was framed and what ended it; an answer that is still being received has not stopped.
     [[nodiscard]] dispatch::answer_ending ending() const { return { m_framing, m_stop }; }
+    // The length of the answer's body, if its head names one.
+    [[nodiscard]] std::optional<std::uint64_t> announced_length() const { return m_announced_length; }
+    // Ends the call because its answer is not valid, in a way that its head does not show.
+    void reject_answer() { break_call(dispatch::answer_stop::invalid); }
 
 private:
     enum class phase { unconnected, connecting, idle, calling };
@@ -71,12 +80,15 @@
 
     void on_ready(readiness ready) override;
     void parse_bytes(std::string_view bytes);
+    // Parses until the parser needs more input, and returns how many bytes were parsed.
+    std::size_t parse_all(std::string_view bytes);
     // Returns how many of the bytes were parsed; fewer than all if the parser needs more input.
     std::size_t parse_some(std::string_view bytes);
     void handle_end_of_input(read_end end);
     void handle_head();
     void finish_answer(call_end end, trailing_bytes trailing);
     void end_call(call_end end);
+    void close_connection();
     // Ends the call as broken.
     void break_call(dispatch::answer_stop stop);
     void begin_answer();
@@ -94,8 +106,13 @@
     dispatch::answer_stop m_stop { dispatch::answer_stop::none };
     // Counts the calls, which shows whether the listener has started another call during a callback.
     std::uint64_t m_call_number { 0 };
-    // Received bytes of the answer that the parser cannot consume yet.
+    std::optional<std::uint64_t> m_announced_length;
+    // Received bytes of the answer that the parser cannot consume yet. Invariant: at most max_answer_head_bytes, and as
+    // many as one read brings.
     std::string m_unparsed;
+    // How many of these bytes were searched for the end of the head.
+    std::size_t m_searched { 0 };
+    buffered_bytes m_buffered;
     instant m_idle_since {};
     instant m_reusable_until {};
 };
--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include "libraries/relay/caller_connection.h"
 
 #include "libraries/framing/message_head.h"
+#include "libraries/relay/buffer_limits.h"
 
 #include <algorithm>
 
@@ -13,10 +14,11 @@
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
-// Limit of the bytes that a caller may pipeline while an answer is in progress.
-constexpr std::size_t max_pipelined_bytes = 65536;
-// Limit of the bytes that may wait for a caller that does not read; beyond it the connection is closed.
-constexpr std::size_t max_unwritten_bytes = 1U << 20U;
+// Limit of the bytes that may wait for a caller that does not read; beyond it the connection is closed. It is what one
+// answer brings that is withheld until it is complete, or that is forwarded while its caller lags.
+constexpr std::size_t max_unwritten_bytes = max_withheld_bytes + max_event_bytes + 2 * max_lag_bytes;
+// For this time the rest of a refused request is discarded.
+constexpr milliseconds max_discarding_time { 1000 };
 
 unsigned status_of(boost::system::error_code failure)
 {
@@ -36,6 +38,7 @@
     , m_listener(listener)
     , m_limits(limits)
     , m_socket(loop, *this)
+    , m_received(loop.buffered(), buffer_place::incoming)
     , m_last_activity(loop.now())
 {
     begin_request();
@@ -74,9 +77,16 @@
         flush();
     if (m_is_closed || !(ready.is_readable || ready.is_closed))
         return;
+    if (m_is_discarding)
+        return discard_input();
     // A caller that has closed its connection accepts no answer, so requests that it sent before are not read.
     if (ready.is_closed)
         return disconnect();
+    read_input();
+}
+
+void caller_connection::read_input()
+{
     auto const [bytes, end] = m_socket.read();
     if (end != read_end::drained)
         return disconnect();
@@ -96,43 +106,63 @@
     if (m_is_parsing)
         return;
     m_is_parsing = true;
-    while (!m_is_answering && !m_is_closed && !m_input.empty()) {
+    while (!m_is_answering && !m_is_discarding && !m_is_closed && m_parsed < m_input.size()) {
         auto const used = parse_input();
         if (!used)
             break;
         if (!m_parser->is_done()) {
             if (m_parser->is_header_done() && field_of(m_parser->get().base(), "Expect") == "100-continue"
-                && m_input.empty() && m_parser->get().body().empty())
+                && m_parsed == m_input.size() && m_parser->get().body().empty())
                 out() += "HTTP/1.1 100 Continue\r\n\r\n";
-            if (*used == 0 || m_input.empty())
+            if (*used == 0 || m_parsed == m_input.size())
                 break;
             continue;
         }
         finish_request();
     }
+    m_input.erase(0, m_is_discarding ? m_input.size() : m_parsed);
+    m_parsed = 0;
     if (m_input.empty())
         clear_buffer(m_input);
+    record_received_bytes();
     m_is_parsing = false;
 }
 
+bool caller_connection::has_incomplete_body() const
+{
+    return m_parser && m_parser->is_header_done() && !m_parser->is_done() && !m_is_discarding;
+}
+
+std::size_t caller_connection::incomplete_body_size() const
+{
+    return has_incomplete_body() ? m_parser->get().body().size() : 0;
+}
+
+void caller_connection::record_received_bytes()
+{
+    m_received.set(m_is_closed || m_is_discarding ? 0 : m_input.size() + incomplete_body_size());
+}
+
 std::optional<std::size_t> caller_connection::parse_input()
 {
+    auto const input = unparsed_input();
     bool const had_head = m_parser->is_header_done();
     if (!had_head) {
         // The parser consumes a head line by line, so it gets nothing of one before all of it can be checked.
-        auto const size = framing::head_size(m_input);
-        if (!size && m_input.size() <= m_limits.header_bytes)
+        auto const size = framing::head_size(input, m_searched);
+        m_searched = size ? 0 : input.size();
+        if (!size && input.size() <= m_limits.header_bytes)
             return 0;
         if (!is_head_accepted(size))
             return std::nullopt;
         m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
         m_parser->body_limit(m_limits.body_bytes);
-    } else if (m_parser->chunked() && m_input.size() < framing::min_rest_of_chunks) {
+    } else if (m_parser->chunked() && input.size() < framing::min_rest_of_chunks) {
         return 0;
     }
     boost::system::error_code failure;
-    auto const used = m_parser->put(boost::asio::buffer(m_input), failure);
-    m_input.erase(0, used);
+    auto const used = m_parser->put(boost::asio::buffer(input.data(), input.size()), failure);
+    m_parsed += used;
     if (failure && failure != http::error::need_more) {
         refuse(status_of(failure), failure.message());
         return std::nullopt;
@@ -142,10 +172,62 @@
         m_parser->eager(true);
         if (m_parser->chunked())
             m_head = m_parser->get().base();
+        if (!is_body_accepted())
+            return std::nullopt;
     }
+    if (used == 0 && !is_framing_accepted())
+        return std::nullopt;
     return used;
 }
 
+bool caller_connection::is_body_accepted()
+{
+    auto const length = m_parser->content_length();
+    if (m_parser->is_done() || m_loop.buffered().has_room_for_request(length ? *length : 1))
+        return true;
+    refuse_unread();
+    return false;
+}
+
+void caller_connection::refuse_incomplete_body()
+{
+    if (m_is_closed || m_is_answering || !has_incomplete_body())
+        return;
+    m_input.clear();
+    refuse_unread();
+}
+
+void caller_connection::refuse_unread()
+{
+    auto const request = m_parser->release();
+    begin_request();
+    begin_refusal();
+    m_listener.on_body_refused(*this, request);
+}
+
+bool caller_connection::is_framing_accepted()
+{
+    auto input = unparsed_input();
+    if (input.size() <= m_limits.header_bytes)
+        return true;
+    // The end of a chunk precedes the line of the next one.
+    constexpr std::string_view line_end = "\r\n";
+    if (input.starts_with(line_end))
+        input.remove_prefix(line_end.size());
+    bool const is_trailer = input.find(line_end) != std::string_view::npos;
+    refuse(status_header_too_large,
+        std::string(is_trailer ? "the trailer" : "a chunk line") + " is larger than max_header_bytes, "
+            + std::to_string(m_limits.header_bytes));
+    return false;
+}
+
+void caller_connection::discard_input()
+{
+    auto const [bytes, end] = m_socket.read();
+    if (end != read_end::drained || has_discarded_enough())
+        disconnect();
+}
+
 bool caller_connection::is_head_accepted(std::optional<std::size_t> size)
 {
     if (!size || *size > m_limits.header_bytes) {
@@ -153,16 +235,25 @@
             "the head is larger than max_header_bytes, " + std::to_string(m_limits.header_bytes));
         return false;
     }
-    auto const error = framing::check_head(std::string_view(m_input).substr(0, *size));
+    auto const error = framing::check_head(unparsed_input().substr(0, *size));
     if (error)
         refuse(status_bad_request, to_text(*error));
     return !error;
 }
 
-void caller_connection::refuse(unsigned status, std::string reason)
+void caller_connection::begin_refusal()
 {
     m_is_answering = true;
     m_closes_after_answer = true;
+    m_is_discarding = true;
+    m_discards_until = m_loop.now() + max_discarding_time;
+    m_socket.set_reading(true);
+    record_received_bytes();
+}
+
+void caller_connection::refuse(unsigned status, std::string reason)
+{
+    begin_refusal();
     m_listener.on_bad_request(*this, { status, std::move(reason) });
 }
 
@@ -201,13 +292,31 @@
     m_last_activity = m_loop.now();
     if (!m_socket.flush() || m_socket.unwritten_size() > max_unwritten_bytes)
         return disconnect();
+    if (m_has_lagged && m_socket.unwritten_size() <= max_lag_bytes / 2) {
+        m_has_lagged = false;
+        m_listener.on_caller_caught_up(*this);
+    }
     if (!m_closes_after_answer || m_is_answering || m_socket.has_unwritten())
         return;
+    if (m_is_discarding && !m_is_aborted)
+        return end_refusal();
     if (!m_is_aborted)
         m_socket.set_reset_on_close(false);
     disconnect();
 }
 
+void caller_connection::end_refusal()
+{
+    if (!std::exchange(m_has_shut_down, true))
+        m_socket.shut_down_writing();
+}
+
+bool caller_connection::is_lagging()
+{
+    m_has_lagged |= unwritten_size() > max_lag_bytes;
+    return m_has_lagged;
+}
+
 void caller_connection::begin_unframed_answer()
 {
     m_closes_after_answer = true;
@@ -252,6 +361,7 @@
         return;
     m_is_closed = true;
     m_socket.close();
+    record_received_bytes();
     m_listener.on_caller_disconnected(*this);
 }
 
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -28,6 +28,10 @@
     virtual void on_request(caller_connection& connection, caller_request request) = 0;
     // The input is not a valid request. The listener answers, after which the connection is closed.
     virtual void on_bad_request(caller_connection& connection, bad_request const& refused) = 0;
+    // There is no memory for the body of this request. The listener answers, after which the connection is closed.
+    virtual void on_body_refused(caller_connection& connection, caller_request const& request) = 0;
+    // Most of the bytes that waited for this caller were written, after it had lagged behind.
+    virtual void on_caller_caught_up(caller_connection& connection) = 0;
     // The connection is closed. No further callback follows for it.
     virtual void on_caller_disconnected(caller_connection& connection) = 0;
 };
@@ -55,6 +59,12 @@
     // Returns whether received bytes are not parsed yet, such as an incomplete head or a pipelined request. The bytes
     // of an incomplete body are parsed as they arrive and do not count.
     [[nodiscard]] bool has_partial_request() const { return !m_input.empty(); }
+    // Returns the bytes that are kept of a request whose body is not complete yet.
+    [[nodiscard]] std::size_t incomplete_body_size() const;
+    // Refuses the request whose body is not complete yet, for lack of memory. The rest of it is discarded.
+    void refuse_incomplete_body();
+    // Returns whether the rest of a refused request has been discarded for long enough.
+    [[nodiscard]] bool has_discarded_enough() const { return m_is_discarding && m_loop.now() >= m_discards_until; }
     // Returns whether the connection closes after this answer, at the caller's or the router's request.
     [[nodiscard]] bool closes_after_answer() const { return m_closes_after_answer; }
     void close_after_answer() { m_closes_after_answer = true; }
@@ -77,6 +87,9 @@
     [[nodiscard]] bool has_unwritten() const { return !m_is_closed && m_socket.has_unwritten(); }
 
     [[nodiscard]] std::size_t unwritten_size() const { return m_is_closed ? 0 : m_socket.unwritten_size(); }
+    // Returns whether so many bytes wait for the caller that its answer should not be read any further. The listener is
+    // told when it has caught up.
+    [[nodiscard]] bool is_lagging();
     // Closes at once in the middle of an answer, for a caller that does not read. It sees an incomplete answer.
     void abort_connection() { disconnect(); }
 
@@ -87,6 +100,21 @@
     void on_ready(readiness ready) override;
     void measure_unread_time();
     void read_requests();
+    void read_input();
+    void record_received_bytes();
+    // Whether the parser keeps what it has read of a body.
+    [[nodiscard]] bool has_incomplete_body() const;
+    // Returns whether there is memory for a body of the announced length.
+    [[nodiscard]] bool is_body_accepted();
+    void refuse_unread();
+    // Begins the answer of a request whose rest is discarded.
+    void begin_refusal();
+    // Ends the connection once the refusal is written: the caller may still read it.
+    void end_refusal();
+    void discard_input();
+    [[nodiscard]] std::string_view unparsed_input() const { return std::string_view(m_input).substr(m_parsed); }
+    // Refuses a chunk line or a trailer that is longer than a head may be.
+    [[nodiscard]] bool is_framing_accepted();
     void begin_request();
     // Parses received bytes. Returns how many were used, or refuses the request and returns nothing.
     [[nodiscard]] std::optional<std::size_t> parse_input();
@@ -104,6 +132,11 @@
     read_limits m_limits;
     socket m_socket;
     std::string m_input;
+    // How many bytes of m_input were parsed, and how many of the rest were searched for the end of the head.
+    std::size_t m_parsed { 0 };
+    std::size_t m_searched { 0 };
+    // The bytes of m_input and of a body that is not complete.
+    buffered_bytes m_received;
     std::optional<http::request_parser<http::string_body>> m_parser;
     // The head of a chunked request, without the trailer fields that the parser adds to it.
     std::optional<request_head> m_head;
@@ -113,6 +146,13 @@
     bool m_is_flush_scheduled { false };
     bool m_is_parsing { false };
     bool m_is_closed { false };
+    // Whether the caller has lagged behind since on_caller_caught_up().
+    bool m_has_lagged { false };
+    // After a refusal, what the caller still sends is read and discarded for a while, since a close with unread bytes
+    // resets the connection and the refusal may be lost.
+    bool m_is_discarding { false };
+    bool m_has_shut_down { false };
+    instant m_discards_until {};
     instant m_last_activity {};
     milliseconds m_unread_time { 0 };
     // The time before which the first bytes cannot have arrived. Only the round after the accepting one reads bytes
--- a/libraries/relay/event_loop.cpp
+++ b/libraries/relay/event_loop.cpp
@@ -19,11 +19,13 @@
 
 std::uint32_t to_epoll(interest wanted)
 {
-    std::uint32_t events = EPOLLRDHUP;
-    if ((static_cast<std::uint32_t>(wanted) & static_cast<std::uint32_t>(interest::reading)) != 0)
+    std::uint32_t events = 0;
+    if (has_interest(wanted, interest::reading))
         events |= EPOLLIN;
-    if ((static_cast<std::uint32_t>(wanted) & static_cast<std::uint32_t>(interest::writing)) != 0)
+    if (has_interest(wanted, interest::writing))
         events |= EPOLLOUT;
+    if (has_interest(wanted, interest::closing))
+        events |= EPOLLRDHUP;
     return events;
 }
 
--- a/libraries/relay/event_loop.h
+++ b/libraries/relay/event_loop.h
@@ -17,14 +17,25 @@
 
 namespace shedhill::relay {
 
-// The events that the loop waits for on a socket.
+// The events that the loop waits for on a socket: bytes to read, room to write, and the end of what the peer sends. The
+// loop always reports a failed connection.
 enum class interest : std::uint32_t {
     nothing = 0,
     reading = 1,
     writing = 2,
-    reading_and_writing = 3,
+    closing = 4,
 };
 
+constexpr interest operator|(interest left, interest right)
+{
+    return static_cast<interest>(static_cast<std::uint32_t>(left) | static_cast<std::uint32_t>(right));
+}
+
+constexpr bool has_interest(interest wanted, interest part)
+{
+    return (static_cast<std::uint32_t>(wanted) & static_cast<std::uint32_t>(part)) != 0;
+}
+
 struct readiness {
     bool is_readable { false };
     bool is_writable { false };
--- a/libraries/relay/exchange.h
+++ b/libraries/relay/exchange.h
@@ -6,6 +6,7 @@
 #include "libraries/dispatch/effects.h"
 #include "libraries/dispatch/events.h"
 #include "libraries/relay/attempt_judgement.h"
+#include "libraries/relay/buffer_limits.h"
 #include "libraries/relay/call_connection.h"
 #include "libraries/relay/event_stream.h"
 #include "libraries/relay/protocol.h"
@@ -39,9 +40,9 @@
         , m_number(number)
         , m_request(std::move(request))
         , m_caller(std::move(caller))
-        , m_buffered(loop.buffered())
+        , m_buffered(loop.buffered(), buffer_place::exchanges)
     {
-        m_buffered.set(m_request.body().size());
+        record_buffered();
     }
     ~exchange() override { drop_attempt(); }
     exchange(exchange const&) = delete;
@@ -57,9 +58,13 @@
         m_attempt_events = 0;
         m_ending = {};
         m_is_stream = false;
-        m_body.clear();
-        m_buffered.set(m_request.body().size());
+        m_is_forwarded = false;
+        m_is_paused = false;
+        m_waits_for_caller = false;
+        m_waits_for_memory = false;
+        drop_body();
         m_stream.drop_partial();
+        record_buffered();
         m_started_at = m_loop.now();
         m_last_progress_at = m_started_at;
         m_has_stalled = false;
@@ -115,6 +120,9 @@
             }
             return;
         }
+        // The endpoint cannot send while this router does not read.
+        if (m_is_paused)
+            m_last_progress_at = now;
         if (m_has_stalled || now - m_last_progress_at < m_attempt.silence_limit)
             return;
         m_has_stalled = true;
@@ -122,6 +130,27 @@
             dispatch::attempt_stalled { m_number, m_attempt.attempt, m_is_head_sent, content_of(m_request) });
     }
 
+    // Reads on after the caller has caught up.
+    void resume()
+    {
+        m_waits_for_caller = false;
+        update_reading();
+    }
+
+    // Returns the bytes of the answer that are kept until it is complete.
+    [[nodiscard]] std::size_t withheld_size() const { return m_body.size(); }
+    // Lets the endpoint wait until there is memory for its answer.
+    void wait_for_memory()
+    {
+        m_waits_for_memory = true;
+        update_reading();
+    }
+    void continue_with_memory()
+    {
+        m_waits_for_memory = false;
+        update_reading();
+    }
+
 private:
     head_decision on_head(answer_head const& head) override
     {
@@ -140,9 +169,56 @@
         // A stream of which the caller has received a part can only be resumed by another stream.
         if (m_is_head_sent && !m_is_stream && m_kind == answer_kind::answer)
             return head_decision::reject;
+        auto const length = m_connection->announced_length();
+        bool const is_large = !m_is_stream && length && *length > max_withheld_bytes;
+        if (is_large && m_kind == answer_kind::answer && m_status < first_server_error)
+            begin_forwarding(*length);
         return head_decision::accept;
     }
 
+    // Forwards an answer as it arrives that is too large to be kept until it is complete. No other endpoint can
+    // continue it.
+    void begin_forwarding(std::uint64_t length)
+    {
+        m_is_forwarded = true;
+        m_is_head_sent = true;
+        append_head();
+        append_field(m_caller->out(), "Content-Length", std::to_string(length));
+        m_caller->out() += "\r\n";
+        m_owner.on_event(
+            dispatch::answer_began { m_number, m_attempt.attempt, dispatch::answer_continuation::impossible });
+    }
+
+    // Lets the endpoint wait while the caller lags.
+    void pause_if_lagging()
+    {
+        if (m_waits_for_caller || !m_connection || !m_caller->is_lagging())
+            return;
+        m_waits_for_caller = true;
+        update_reading();
+    }
+
+    void update_reading()
+    {
+        bool const is_paused = m_waits_for_caller || m_waits_for_memory;
+        if (!m_connection || m_connection->is_connecting() || std::exchange(m_is_paused, is_paused) == is_paused)
+            return;
+        m_last_progress_at = m_loop.now();
+        if (is_paused)
+            m_connection->pause_reading();
+        else
+            m_connection->resume_reading();
+    }
+
+    void record_buffered() { m_buffered.set(m_request.body().size() + m_body.size() + m_stream.partial().size()); }
+
+    void drop_body()
+    {
+        m_body.clear();
+        if (m_body.capacity() > max_idle_capacity)
+            m_body.shrink_to_fit();
+    }
+
     // Reports the endpoint's notice. The notice of an answer that is not forwarded or belongs to an earlier call counts
     // too, since the connection belongs to this endpoint instance alone. The notice of a wrong endpoint does not count,
     // since another endpoint sent it.
@@ -159,26 +235,40 @@
     {
         m_last_progress_at = m_loop.now();
         m_has_stalled = false;
-        if (!m_is_stream) {
-            m_body += data;
-            m_buffered.set(m_request.body().size() + m_body.size());
-            return;
+        if (m_is_stream)
+            feed_stream(data);
+        else
+            feed_plain(data);
+    }
+
+    void feed_plain(std::string_view data)
+    {
+        if (m_is_forwarded) {
+            m_caller->out() += data;
+            return pause_if_lagging();
         }
+        if (data.size() > max_withheld_bytes - m_body.size())
+            return m_connection->reject_answer();
+        m_body += data;
+        record_buffered();
+    }
+
+    void feed_stream(std::string_view data)
+    {
         m_whole_events.clear();
         auto const events = m_stream.feed(data, m_whole_events);
+        record_buffered();
+        if (m_stream.partial().size() > max_event_bytes || m_stream.has_gap())
+            return m_connection->reject_answer();
         if (events == 0)
             return;
-        if (m_stream.has_gap()) {
-            drop_attempt();
-            m_ending.stop = dispatch::answer_stop::invalid;
-            return end_attempt(dispatch::attempt_end::broken);
-        }
         bool const is_first = m_attempt_events == 0;
         m_attempt_events += events;
         begin_stream();
         forward_events(m_whole_events);
         if (is_first)
             m_owner.on_event(dispatch::answer_began { m_number, m_attempt.attempt });
+        pause_if_lagging();
     }
 
     void on_call_end(call_end end) override
@@ -244,7 +334,9 @@
 
     void finish_answer(dispatch::attempt_end end)
     {
-        if (m_is_stream) {
+        if (m_is_forwarded) {
+            m_caller->finish_answer();
+        } else if (m_is_stream) {
             begin_stream();
             forward_events(m_stream.partial());
             if (!m_is_unframed)
@@ -284,6 +376,7 @@
     }
 
     static constexpr std::uint16_t first_status_not_success = 300;
+    static constexpr std::uint16_t first_server_error = 500;
 
     event_loop& m_loop;
     exchange_owner& m_owner;
@@ -306,9 +399,15 @@
     dispatch::answer_ending m_ending;
     event_stream m_stream;
     std::string m_whole_events;
-    // The body of an answer that is not a stream, withheld until it is complete.
+    // The body of an answer that is not a stream, withheld until it is complete. Invariant: at most max_withheld_bytes.
     std::string m_body;
-    // Accounts for the bodies of the request and of the answer.
+    // Whether an answer that is not a stream is forwarded as it arrives.
+    bool m_is_forwarded { false };
+    // Why the answer is not read, and whether the connection was told.
+    bool m_waits_for_caller { false };
+    bool m_waits_for_memory { false };
+    bool m_is_paused { false };
+    // Accounts for the body of the request, the withheld answer and the incomplete event.
     buffered_bytes m_buffered;
     // Whether the answer's head was sent to the caller. Invariant: once true, no head is written again.
     bool m_is_head_sent { false };
--- a/libraries/relay/peer_mesh.cpp
+++ b/libraries/relay/peer_mesh.cpp
@@ -88,6 +88,7 @@
         : m_mesh(mesh)
         , m_number(number)
         , m_socket(mesh.m_loop, *this)
+        , m_buffered(mesh.m_loop.buffered(), buffer_place::routers)
     {
     }
 
@@ -123,13 +124,18 @@
         m_input.erase(0, used);
         if (m_input.empty())
             clear_buffer(m_input);
-        if (m_input.size() > peering::max_frame_size)
+        m_buffered.set(m_input.size());
+        // Reports and documents are sent again, so a large message gives way to requests.
+        bool const is_large = m_input.size() > event_loop::read_buffer_size;
+        if (m_input.size() > peering::max_frame_size || (is_large && m_mesh.m_loop.buffered().is_over_limit()))
             disconnect();
     }
 
     void disconnect()
     {
         m_socket.close();
+        m_input.clear();
+        m_buffered.set(0);
         m_mesh.m_loop.at_end_of_round([&mesh = m_mesh, number = m_number] { mesh.m_incoming.erase(number); });
     }
 
@@ -137,6 +143,7 @@
     std::uint64_t m_number;
     socket m_socket;
     std::string m_input;
+    buffered_bytes m_buffered;
     instant m_received_at {};
 };
 
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -76,7 +76,10 @@
     }
     m_descriptor = descriptor;
     m_is_connecting = true;
-    m_interest = interest::writing;
+    m_is_reading = true;
+    m_reports_close = true;
+    m_is_blocked = false;
+    m_interest = interest::writing | interest::closing;
     m_watch = m_loop.watch(descriptor, m_handler, m_interest);
     return true;
 }
@@ -85,7 +88,7 @@
 {
     set_common_options(descriptor);
     m_descriptor = descriptor;
-    m_interest = interest::reading;
+    m_interest = interest::reading | interest::closing;
     m_watch = m_loop.watch(descriptor, m_handler, m_interest);
 }
 
@@ -169,17 +172,32 @@
 void socket::set_reading(bool is_reading)
 {
     m_is_reading = is_reading;
+    m_reports_close = true;
     update_interest();
 }
 
+void socket::pause_reading()
+{
+    m_is_reading = false;
+    m_reports_close = false;
+    update_interest();
+}
+
+void socket::shut_down_writing()
+{
+    if (is_open())
+        ::shutdown(m_descriptor, SHUT_WR);
+}
+
 void socket::update_interest()
 {
     if (!is_open())
         return;
-    bool const is_writing = m_is_connecting || m_is_blocked;
-    auto wanted = m_is_reading ? interest::reading : interest::nothing;
-    if (is_writing)
-        wanted = m_is_reading && !m_is_connecting ? interest::reading_and_writing : interest::writing;
+    auto wanted = m_reports_close ? interest::closing : interest::nothing;
+    if (m_is_connecting || m_is_blocked)
+        wanted = wanted | interest::writing;
+    if (m_is_reading && !m_is_connecting)
+        wanted = wanted | interest::reading;
     if (wanted == m_interest)
         return;
     m_interest = wanted;
@@ -193,6 +211,8 @@
     m_loop.unwatch(m_watch, m_descriptor);
     ::close(m_descriptor);
     m_descriptor = -1;
+    clear_buffer(m_out);
+    m_written = 0;
     m_buffered.set(0);
 }
 
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -40,7 +40,7 @@
     socket(event_loop& loop, io_handler& handler)
         : m_loop(loop)
         , m_handler(handler)
-        , m_buffered(loop.buffered())
+        , m_buffered(loop.buffered(), buffer_place::unwritten)
     {
     }
     ~socket() { close(); }
@@ -72,7 +72,12 @@
 
     // Returns whether bytes or the end of the connection wait to be read. It asks the system and reads nothing.
     [[nodiscard]] bool has_input() const;
+    // Determines whether the loop reports bytes to read. The end of what the peer sends is still reported.
     void set_reading(bool is_reading);
+    // Stops reporting bytes to read and their end until set_reading(true), so that the peer has to wait.
+    void pause_reading();
+    // Ends what this process sends, after which the peer may still read all of it.
+    void shut_down_writing();
     [[nodiscard]] bool is_open() const { return m_descriptor >= 0; }
     // Closes in an orderly way.
     void close();
@@ -90,6 +95,8 @@
     watch_id m_watch;
     interest m_interest { interest::nothing };
     bool m_is_reading { true };
+    // Whether the end of what the peer sends is reported while nothing is read.
+    bool m_reports_close { true };
     bool m_is_connecting { false };
     bool m_was_refused { false };
     bool m_is_blocked { false };
--- a/libraries/relay/status_server.cpp
+++ b/libraries/relay/status_server.cpp
@@ -4,6 +4,12 @@
 
 namespace shedhill::relay {
 
+namespace {
+
+constexpr unsigned status_unavailable = 503;
+
+} // namespace
+
 void status_server::accept(int descriptor)
 {
     auto const number = ++m_last_number;
@@ -24,6 +30,11 @@
     answer(connection, { refused.status, "bad request: " + refused.reason + "\n" });
 }
 
+void status_server::on_body_refused(caller_connection& connection, caller_request const&)
+{
+    answer(connection, { status_unavailable, "no memory for a body\n" });
+}
+
 void status_server::answer(caller_connection& connection, status_answer const& response)
 {
     auto& out = connection.out();
--- a/libraries/relay/status_server.h
+++ b/libraries/relay/status_server.h
@@ -32,6 +32,8 @@
     void accept(int descriptor);
     void on_request(caller_connection& connection, caller_request request) override;
     void on_bad_request(caller_connection& connection, bad_request const& refused) override;
+    void on_body_refused(caller_connection& connection, caller_request const& request) override;
+    void on_caller_caught_up(caller_connection&) override { }
     void on_caller_disconnected(caller_connection& connection) override { m_connections.erase(connection.number()); }
     static void answer(caller_connection& connection, status_answer const& response);
 
--- a/libraries/relay/store_session.cpp
+++ b/libraries/relay/store_session.cpp
@@ -2,6 +2,8 @@
 // Implements calls whose answers are collected whole.
 #include "libraries/relay/store_session.h"
 
+#include "libraries/relay/buffer_limits.h"
+
 #include <algorithm>
 
 namespace shedhill::relay {
@@ -11,6 +13,7 @@
     m_is_calling = true;
     m_status = 0;
     m_body.clear();
+    m_buffered.set(0);
     m_limit = limit;
     m_started_at = m_loop.now();
     m_received_at = m_started_at;
@@ -38,6 +41,8 @@
     m_connection->abandon();
     m_connection.reset();
     m_is_calling = false;
+    m_body.clear();
+    m_buffered.set(0);
     m_done(0, {});
 }
 
@@ -50,13 +55,17 @@
 void buffered_call::on_data(std::string_view data)
 {
     m_received_at = m_loop.now();
+    if (data.size() > max_store_answer_bytes - m_body.size())
+        return m_connection->reject_answer();
     m_body += data;
+    m_buffered.set(m_body.size());
 }
 
 void buffered_call::on_call_end(call_end end)
 {
     m_is_calling = false;
     auto const body = std::exchange(m_body, {});
+    m_buffered.set(0);
     // A JSON document that is cut off is not valid, so an answer without a length needs no other proof.
     bool const has_answer = end == call_end::complete || end == call_end::closed;
     m_done(has_answer ? m_status : 0, body);
--- a/libraries/relay/store_session.h
+++ b/libraries/relay/store_session.h
@@ -22,6 +22,7 @@
         : m_loop(loop)
         , m_address(std::move(address))
         , m_done(std::move(done))
+        , m_buffered(loop.buffered(), buffer_place::store)
     {
     }
     ~buffered_call() override
@@ -61,7 +62,9 @@
     instant m_started_at {};
     instant m_received_at {};
     unsigned m_status { 0 };
+    // Invariant: at most max_store_answer_bytes.
     std::string m_body;
+    buffered_bytes m_buffered;
 };
 
 // Reads and watches one table of the store.
--- a/services/shedhilld/caller_table.cpp
+++ b/services/shedhilld/caller_table.cpp
@@ -3,8 +3,6 @@
 // the table.
 #include "services/shedhilld/caller_table.h"
 
-#include "libraries/relay/slow_readers.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -38,7 +36,7 @@
     for (auto const& [number, caller] : m_callers) {
         auto const idle_time = now - caller->last_activity();
         auto const limit = caller->has_partial_request() ? limits.header_timeout : limits.idle_timeout;
-        if (!caller->is_answering() && idle_time > limit)
+        if ((!caller->is_answering() && idle_time > limit) || caller->has_discarded_enough())
             idle.push_back(caller);
     }
     for (auto const& caller : idle)
@@ -61,19 +59,31 @@
         [](auto const& entry) { return entry.second->has_partial_request() || entry.second->has_unwritten(); });
 }
 
-std::vector<caller_table::disconnected_reader> caller_table::disconnect_slow_readers()
+template <typename Size>
+std::vector<relay::buffer_holder> caller_table::callers_to_release(std::size_t limit, Size&& size) const
 {
-    auto const& buffered = m_loop.buffered();
-    std::vector<relay::slow_reader> readers;
+    std::vector<relay::buffer_holder> holders;
     for (auto const& [number, caller] : m_callers)
-        readers.push_back({ number, caller->unwritten_size() });
-    std::vector<disconnected_reader> disconnected;
-    for (auto const number : relay::readers_to_disconnect(std::move(readers), buffered.bytes(), buffered.limit())) {
-        auto const caller = m_callers.at(number);
-        disconnected.push_back({ caller->unwritten_size() });
-        caller->abort_connection();
-    }
-    return disconnected;
+        holders.push_back({ number, size(*caller) });
+    return relay::holders_to_release(std::move(holders), m_loop.buffered().bytes(), limit);
+}
+
+std::vector<relay::buffer_holder> caller_table::refuse_incomplete_bodies()
+{
+    auto released = callers_to_release(m_loop.buffered().request_limit(),
+        [](relay::caller_connection const& caller) { return caller.incomplete_body_size(); });
+    for (auto const& holder : released)
+        m_callers.at(holder.number)->refuse_incomplete_body();
+    return released;
+}
+
+std::vector<relay::buffer_holder> caller_table::disconnect_slow_readers()
+{
+    auto released = callers_to_release(m_loop.buffered().limit(),
+        [](relay::caller_connection const& caller) { return caller.unwritten_size(); });
+    for (auto const& holder : released)
+        m_callers.at(holder.number)->abort_connection();
+    return released;
 }
 
 } // namespace shedhill::daemon
--- a/services/shedhilld/caller_table.h
+++ b/services/shedhilld/caller_table.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "libraries/dispatch/types.h"
+#include "libraries/relay/buffer_relief.h"
 #include "libraries/relay/caller_connection.h"
 #include "libraries/relay/event_loop.h"
 
@@ -36,15 +37,18 @@
     void close_idle();
     [[nodiscard]] bool has_unfinished_exchange() const;
 
-    // Describes a caller that was disconnected because it read too slowly.
-    struct disconnected_reader {
-        // Bytes of answers that were still to be written to it.
-        std::size_t unread { 0 };
-    };
-    // Disconnects the callers with the most unread bytes until the bytes buffered for peers are within their limit.
-    std::vector<disconnected_reader> disconnect_slow_readers();
+    // The functions below release bytes until those that are buffered for all peers are within their limit, and return
+    // the callers that they have released.
+
+    // Refuses the largest requests whose bodies are not complete yet, down to the limit for requests.
+    std::vector<relay::buffer_holder> refuse_incomplete_bodies();
+    // Disconnects the callers with the most unread bytes.
+    std::vector<relay::buffer_holder> disconnect_slow_readers();
 
 private:
+    template <typename Size>
+    [[nodiscard]] std::vector<relay::buffer_holder> callers_to_release(std::size_t limit, Size&& size) const;
+
     relay::event_loop& m_loop;
     std::uint64_t m_last_number { 0 };
     relay::read_limits m_limits {};
--- a/services/shedhilld/exchange_table.h
+++ b/services/shedhilld/exchange_table.h
@@ -29,6 +29,13 @@
         return found == m_exchanges.end() ? nullptr : found->second.get();
     }
 
+    // Returns the exchange that the caller's connection waits for, if any.
+    [[nodiscard]] Exchange* find_of_caller(caller_number caller)
+    {
+        auto const found = m_request_of_caller.find(caller);
+        return found == m_request_of_caller.end() ? nullptr : find(found->second);
+    }
+
     // Removes a caller that has disconnected. Returns the request that it waited for, if any, whose exchange is marked
     // as finished.
     std::optional<request_number> remove_caller(caller_number caller)
@@ -62,7 +69,7 @@
     void for_each(Action&& action)
     {
         for (auto const& [number, exchange] : m_exchanges)
-            action(*exchange);
+            action(number, *exchange);
     }
 
     [[nodiscard]] std::size_t size() const { return m_exchanges.size(); }
--- /dev/null
+++ b/services/shedhilld/memory_watch.h
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Reports the growth of the process's peak memory, so that the log of a process that was killed shows how it got there.
+#pragma once
+
+#include "base/units.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace shedhill::daemon {
+
+class memory_watch {
+public:
+    // Returns the greatest resident memory of this process so far, in KiB.
+    static std::int64_t peak_kib();
+
+    // Returns the peak in KiB if it has grown noticeably since it was last returned. The system is asked once a second.
+    std::optional<std::int64_t> take_growth(instant now);
+    // As take_growth(), with the peak given.
+    std::optional<std::int64_t> record_peak(std::int64_t peak_kib);
+
+private:
+    instant m_checked_at {};
+    std::int64_t m_reported_kib { 0 };
+};
+
+} // namespace shedhill::daemon
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -19,6 +19,7 @@
 #include "services/shedhilld/exchange_table.h"
 #include "services/shedhilld/fleet_view.h"
 #include "services/shedhilld/log_levels.h"
+#include "services/shedhilld/memory_watch.h"
 #include "services/shedhilld/round_meter.h"
 #include "services/shedhilld/router_gauges.h"
 
@@ -91,6 +92,7 @@
     {
         while (!m_has_ended) {
             m_loop.run_once(max_round_wait);
+            limit_buffers();
             auto const now = m_loop.now();
             if (now - m_ticked_at >= tick_interval) {
                 auto const since = now - std::exchange(m_ticked_at, now);
@@ -225,6 +227,17 @@
         connection.finish_answer();
     }
 
+    void on_body_refused(relay::caller_connection& connection, relay::caller_request const& request) override
+    {
+        refuse_unparsed(connection, request, dispatch::refusal_reason::memory_full, dispatch::default_retry_delay);
+    }
+
+    void on_caller_caught_up(relay::caller_connection& connection) override
+    {
+        if (auto* const open_exchange = m_exchanges.find_of_caller(connection.number()))
+            open_exchange->resume();
+    }
+
     void on_caller_disconnected(relay::caller_connection& connection) override
     {
         auto const number = connection.number();
@@ -370,6 +383,8 @@
         process_events();
         auto const draw = m_random();
         m_fleet_view.tick(now, draw);
+        if (auto const peak = m_memory.take_growth(now))
+            log_memory(*peak);
         if (now - m_traffic_logged_at >= traffic_log_interval) {
             m_traffic_logged_at = now;
             log(logging::event_level::debug, "peer_traffic", peer_traffic_fields(m_fleet_view.traffic()));
@@ -383,32 +398,97 @@
 
     void check_timeouts(instant now)
     {
-        m_exchanges.for_each([now](exchange& open_exchange) { open_exchange.check_timeouts(now, connect_timeout); });
+        m_exchanges.for_each(
+            [now](request_number, exchange& open_exchange) { open_exchange.check_timeouts(now, connect_timeout); });
         m_probes.check_timeouts(now);
         process_events();
         m_connections.close_expired(now);
-        if (m_loop.buffered().is_over_limit())
-            disconnect_slow_readers();
         if (now - m_idle_callers_checked_at >= idle_caller_check_interval) {
             m_idle_callers_checked_at = now;
             m_callers.close_timed_out(m_reducer.routes().current().limits, now);
         }
     }
 
-    void disconnect_slow_readers()
+    // Keeps the bytes that are buffered for peers within their limit. Bodies of requests that are not accepted yet are
+    // refused first, then slow readers are disconnected, then all endpoints but one have to wait.
+    void limit_buffers()
+    {
+        auto const& buffered = m_loop.buffered();
+        if (buffered.is_over_request_limit() && buffered.bytes_at(relay::buffer_place::incoming) > 0)
+            log_released(
+                "body_given_up", "received", "shedhill_bodies_given_up_total", m_callers.refuse_incomplete_bodies());
+        if (buffered.is_over_limit())
+            log_released("slow_reader_ended", "unread", "shedhill_slow_readers_ended_total",
+                m_callers.disconnect_slow_readers());
+        if (buffered.is_over_limit())
+            pause_withheld_answers();
+        else if (m_are_answers_paused)
+            resume_withheld_answers();
+    }
+
+    // Reads only the largest answer of those that are withheld until they are complete: it is the first to end, by its
+    // end or by its limit.
+    void pause_withheld_answers()
+    {
+        exchange* largest = nullptr;
+        m_exchanges.for_each([&](request_number, exchange& open_exchange) {
+            if (largest == nullptr || open_exchange.withheld_size() > largest->withheld_size())
+                largest = &open_exchange;
+        });
+        m_exchanges.for_each([&](request_number, exchange& open_exchange) {
+            if (&open_exchange != largest)
+                open_exchange.wait_for_memory();
+        });
+        if (largest != nullptr)
+            largest->continue_with_memory();
+        if (std::exchange(m_are_answers_paused, true))
+            return;
+        m_metrics.add("shedhill_answers_paused_total");
+        log(logging::event_level::warning, "answers_paused",
+            dispatch::log_fields()
+                .add("held", m_loop.buffered().bytes())
+                .add("limit", m_loop.buffered().limit())
+                .add("requests", m_exchanges.size())
+                .add("largest", largest == nullptr ? 0 : largest->withheld_size())
+                .take());
+    }
+
+    void resume_withheld_answers()
     {
-        auto const buffered = m_loop.buffered().bytes();
-        for (auto const& reader : m_callers.disconnect_slow_readers()) {
-            log(logging::event_level::warning, "slow_reader_ended",
+        m_are_answers_paused = false;
+        m_exchanges.for_each([](request_number, exchange& open_exchange) { open_exchange.continue_with_memory(); });
+    }
+
+    void log_released(std::string_view event, std::string_view bytes_name, std::string const& counter,
+        std::vector<relay::buffer_holder> const& released)
+    {
+        auto const& buffered = m_loop.buffered();
+        for (auto const& holder : released) {
+            log(logging::event_level::warning, event,
                 dispatch::log_fields()
-                    .add("unread", reader.unread)
-                    .add("held", buffered)
-                    .add("limit", m_loop.buffered().limit())
+                    .add(bytes_name, holder.bytes)
+                    .add("held", buffered.bytes())
+                    .add("limit", buffered.limit())
                     .take());
-            m_metrics.add("shedhill_slow_readers_ended_total");
+            m_metrics.add(counter);
         }
     }
 
+    void log_memory(std::int64_t peak_kib)
+    {
+        auto const& buffered = m_loop.buffered();
+        log_state("memory_grew",
+            dispatch::log_fields()
+                .add("peak_kib", peak_kib)
+                .add("vm_kib", m_settings.memory_bytes / bytes_per_kib)
+                .add("held", buffered.bytes())
+                .add("held_peak", buffered.peak())
+                .add("limit", buffered.limit())
+                .add("callers", m_callers.size())
+                .add("requests", m_exchanges.size())
+                .take());
+    }
+
     void begin_stop(instant now)
     {
         m_stop.begin(now);
@@ -467,12 +547,15 @@
         set_dispatch_gauges(m_metrics, m_reducer, m_loop.now());
         set_peer_gauges(m_metrics, m_fleet_view.traffic());
         m_metrics.set("shedhill_held_bytes", static_cast<double>(m_loop.buffered().bytes()));
+        set_buffer_gauges(m_metrics, m_loop.buffered());
+        m_metrics.set("shedhill_resident_peak_kib", static_cast<double>(memory_watch::peak_kib()));
         m_metrics.set("shedhill_held_bytes_limit", static_cast<double>(m_loop.buffered().limit()));
         set_log_gauges(m_metrics, m_log.counts());
         return m_metrics.to_text() + engines_text(m_reducer.engines())
             + held_endpoints_text(m_reducer.held_endpoints(m_loop.now()));
     }
 
+    static constexpr std::size_t bytes_per_kib = 1024;
     static constexpr std::uint16_t status_bad_request = 400;
     static constexpr std::uint16_t status_unavailable = 503;
     // A caller refused by a stopping router may retry almost immediately, because another router accepts the request.
@@ -484,6 +567,7 @@
     std::mt19937_64 m_random;
     logging::event_log m_log;
     metrics::registry m_metrics;
+    memory_watch m_memory;
     round_meter m_rounds { [this] { return m_loop.time_ns(); } };
     dispatch::dispatch_reducer m_reducer;
     endpoint_connections m_connections;
@@ -500,6 +584,8 @@
     std::deque<dispatch::event_body> m_events;
     bool m_is_processing_scheduled { false };
 
+    // Whether the answers of some endpoints are not read for lack of memory.
+    bool m_are_answers_paused { false };
     bool m_is_ready { false };
     // When this router began to send callers away because it is overloaded; the zero instant while it does
     // not.
--- a/services/shedhilld/router_gauges.cpp
+++ b/services/shedhilld/router_gauges.cpp
@@ -75,6 +75,16 @@
     return fields.take();
 }
 
+void set_buffer_gauges(metrics::registry& registry, relay::buffer_meter const& buffered)
+{
+    for (std::size_t index = 0; index < static_cast<std::size_t>(relay::buffer_place::count); ++index) {
+        auto const place = static_cast<relay::buffer_place>(index);
+        registry.set("shedhill_buffered_bytes{place=\"" + std::string(name_of(place)) + "\"}",
+            static_cast<double>(buffered.bytes_at(place)));
+    }
+    registry.set("shedhill_buffered_bytes_peak", static_cast<double>(buffered.peak()));
+}
+
 void set_log_gauges(metrics::registry& registry, logging::event_log_counts const& counts)
 {
     registry.set("shedhill_log_lines_taken", static_cast<double>(counts.accepted));
--- a/services/shedhilld/router_gauges.h
+++ b/services/shedhilld/router_gauges.h
@@ -5,6 +5,7 @@
 #include "libraries/dispatch/dispatch_reducer.h"
 #include "libraries/logging/event_log.h"
 #include "libraries/metrics/registry.h"
+#include "libraries/relay/buffered_bytes.h"
 #include "libraries/relay/peer_traffic.h"
 
 namespace shedhill::daemon {
@@ -20,6 +21,8 @@
 void set_peer_gauges(metrics::registry& registry, relay::peer_traffic const& traffic);
 // Returns the same counts as fields of a log line.
 std::string peer_traffic_fields(relay::peer_traffic const& traffic);
+// Sets the bytes that are buffered for peers, by place.
+void set_buffer_gauges(metrics::registry& registry, relay::buffer_meter const& buffered);
 void set_log_gauges(metrics::registry& registry, logging::event_log_counts const& counts);
 
 } // namespace shedhill::daemon
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -200,6 +200,18 @@
     m_id = 0;
 }
 
+std::int64_t child_process::peak_memory_kib() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        constexpr std::string_view peak_field = "VmHWM:";
+        if (line.starts_with(peak_field))
+            return std::stoll(line.substr(peak_field.size()));
+    }
+    return 0;
+}
+
 std::string program_path(std::string const& name) { return std::string(SHEDHILL_BINARY_DIR) + "/" + name; }
 
 } // namespace shedhill::harness
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -5,6 +5,7 @@
 #include "base/error.h"
 
 #include <csignal>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <sys/types.h>
@@ -37,6 +38,8 @@
     // Tells whether the process has ended.
     bool has_ended();
     void kill();
+    // Returns the greatest resident memory of the process so far, in KiB; 0 if it has ended.
+    [[nodiscard]] std::int64_t peak_memory_kib() const;
     [[nodiscard]] bool is_running() const { return m_id > 0; }
 
 private:
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -132,6 +132,8 @@
             json::object { { "grace_s", 8 }, { "retry_budget_ratio", m_options.retry_ratio },
                 { "retry_slack", m_options.retry_slack }, { "cold_overage", cold_overage },
                 { "cold_start_slack", cold_start_slack } } } };
+    if (m_options.memory_mb > 0)
+        settings["limits"] = json::object { { "memory_mb", m_options.memory_mb } };
     if (!seed.empty())
         settings["seed_nodes"] = json::array { json::value(seed) };
     auto const path = m_folder / ("router-" + std::to_string(index) + ".json");
@@ -274,6 +276,15 @@
     return net::fetch(m_routers.at(router).address("callers"), request, fetch_timeout);
 }
 
+result<net::http_response> hosted_fleet::send_body(
+    std::size_t router, std::string const& target, std::string const& id, std::size_t body_size) const
+{
+    net::http_request request { "POST", target, {}, std::string(body_size, 'x') };
+    request.headers = { { "Host", "shop.example" }, { "Shedhill-Request-Id", id }, { "Shedhill-Deadline-Ms", "6000" },
+        { "Authorization", "Bearer key-1" } };
+    return net::fetch(m_routers.at(router).address("callers"), request, fetch_timeout);
+}
+
 result<net::http_response> hosted_fleet::resume_stream(std::size_t router, std::string const& target,
     std::string const& id, std::string const& first_request, int last_event) const
 {
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -35,6 +35,8 @@
     int retry_slack { 500 };
     // Requests a second that a replica sustains while it is cold; 0 if replicas are never cold.
     int cold_per_second { 0 };
+    // Memory of a router's VM in MB; 0 if the settings do not name it.
+    int memory_mb { 0 };
     // Software versions of the replicas, which take turns. A replica that restarts has the next one.
     std::vector<std::string> versions { "v1" };
     // Time that a replica is cold after a restart.
@@ -100,6 +102,9 @@
     // Sends a request whose prompt consists of these parts, each as ID:TOKENS with the id in hexadecimal.
     [[nodiscard]] result<net::http_response> send_prompt(
         std::size_t router, std::string const& target, std::string const& id, std::string const& parts) const;
+    // Sends a request with a body of this many bytes.
+    [[nodiscard]] result<net::http_response> send_body(
+        std::size_t router, std::string const& target, std::string const& id, std::size_t body_size) const;
     // Sends a request of a caller that resumes a stream after this event.
     [[nodiscard]] result<net::http_response> resume_stream(std::size_t router, std::string const& target,
         std::string const& id, std::string const& first_request, int last_event) const;
--- a/tests/relay/answer_relay.h
+++ b/tests/relay/answer_relay.h
@@ -6,6 +6,7 @@
 #include "platform/caller_binding.h"
 #include "tests/relay/scripted_server.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,16 +48,21 @@
     }
 
     // Sends the caller's request and returns the answer; empty if the answer has not ended after a few seconds.
-    std::optional<received_answer> run()
+    std::optional<received_answer> run(int rounds = max_rounds)
     {
         caller client(m_loop, "127.0.0.1:" + std::to_string(m_listener.port()));
-        for (int round = 0; round < max_rounds && !client.is_over(); ++round)
-            m_loop.run_once(milliseconds(5));
+        for (int round = 0; round < rounds && !client.is_over(); ++round) {
+            m_loop.run_once(milliseconds(rounds == max_rounds ? 5 : 0));
+            m_after_round();
+        }
         if (!client.is_over())
             return std::nullopt;
         return client.answer();
     }
 
+    // Sets what is called after each round of the loop.
+    void set_after_round(std::function<void()> action) { m_after_round = std::move(action); }
+
     [[nodiscard]] std::vector<dispatch::attempt_ended> const& attempts() const { return m_attempts; }
 
 private:
@@ -138,6 +144,12 @@
         start_attempt();
     }
     void on_bad_request(caller_connection&, bad_request const&) override { }
+    void on_body_refused(caller_connection&, caller_request const&) override { }
+    void on_caller_caught_up(caller_connection&) override
+    {
+        if (m_exchange)
+            m_exchange->resume();
+    }
     void on_caller_disconnected(caller_connection&) override { }
 
     void start_attempt()
@@ -179,6 +191,7 @@
     void on_exchange_finished(request_number) override { }
 
     event_loop& m_loop;
+    std::function<void()> m_after_round { [] {} };
     listener_socket m_listener;
     std::vector<std::unique_ptr<scripted_server>> m_endpoints;
     std::shared_ptr<caller_connection> m_connection;
--- a/tests/relay/slow_readers_test.cpp
+++ b/tests/relay/buffer_relief_test.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Tests that the bytes buffered for peers that do not read are counted, and which callers are disconnected at the
-// limit.
-#include "libraries/relay/slow_readers.h"
+// Tests that the bytes buffered for peers are counted, and whose bytes are released at the limit.
+#include "libraries/relay/buffer_relief.h"
 
 #include "libraries/relay/buffered_bytes.h"
 #include "libraries/relay/socket.h"
@@ -12,13 +11,13 @@
 
 namespace shedhill::relay {
 
-class slow_readers_test : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(slow_readers_test);
+class buffer_relief_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(buffer_relief_test);
     CPPUNIT_TEST(unread_bytes_of_a_peer_are_counted);
     CPPUNIT_TEST(destroyed_owners_release_their_bytes);
     CPPUNIT_TEST(without_a_limit_nothing_exceeds_it);
-    CPPUNIT_TEST(the_slowest_are_disconnected_first_and_no_more_than_needed);
-    CPPUNIT_TEST(callers_with_few_unread_bytes_are_never_disconnected);
+    CPPUNIT_TEST(the_largest_are_released_first_and_no_more_than_needed);
+    CPPUNIT_TEST(holders_of_few_bytes_are_never_released);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t megabyte = 1U << 20U;
@@ -52,14 +51,18 @@
         buffer_meter meter;
         meter.set_limit(megabyte);
         {
-            buffered_bytes first(meter);
-            buffered_bytes second(meter);
+            buffered_bytes first(meter, buffer_place::exchanges);
+            buffered_bytes second(meter, buffer_place::incoming);
             first.set(megabyte);
             CPPUNIT_ASSERT(!meter.is_over_limit());
             second.set(1);
             CPPUNIT_ASSERT(meter.is_over_limit());
             first.set(megabyte / 2);
             CPPUNIT_ASSERT_EQUAL(megabyte / 2 + 1, meter.bytes());
+            CPPUNIT_ASSERT_EQUAL(megabyte / 2, meter.bytes_at(buffer_place::exchanges));
+            first.set(megabyte / 4);
+            CPPUNIT_ASSERT(!meter.has_room_for_request(megabyte / 4));
+            CPPUNIT_ASSERT(meter.has_room_for_request(megabyte / 4 - 1));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, meter.bytes());
     }
@@ -67,28 +70,35 @@
     void without_a_limit_nothing_exceeds_it()
     {
         buffer_meter meter;
-        buffered_bytes buffered(meter);
+        buffered_bytes buffered(meter, buffer_place::exchanges);
         buffered.set(100 * megabyte);
         CPPUNIT_ASSERT(!meter.is_over_limit());
+        CPPUNIT_ASSERT(meter.has_room_for_request(megabyte));
     }
 
-    void the_slowest_are_disconnected_first_and_no_more_than_needed()
+    static std::vector<std::uint64_t> released(std::vector<buffer_holder> const& holders, std::size_t limit)
     {
-        std::vector<slow_reader> const readers { { 1, megabyte }, { 2, 3 * megabyte }, { 3, 2 * megabyte } };
-        CPPUNIT_ASSERT(readers_to_disconnect(readers, 6 * megabyte, 6 * megabyte).empty());
-        CPPUNIT_ASSERT(
-            (readers_to_disconnect(readers, 6 * megabyte, 4 * megabyte) == std::vector<std::uint64_t> { 2 }));
-        CPPUNIT_ASSERT(
-            (readers_to_disconnect(readers, 6 * megabyte, 2 * megabyte) == std::vector<std::uint64_t> { 2, 3 }));
+        std::vector<std::uint64_t> numbers;
+        for (auto const& holder : holders_to_release(holders, 6 * megabyte, limit))
+            numbers.push_back(holder.number);
+        return numbers;
     }
 
-    void callers_with_few_unread_bytes_are_never_disconnected()
+    void the_largest_are_released_first_and_no_more_than_needed()
     {
-        std::vector<slow_reader> const readers { { 1, 1000 }, { 2, megabyte } };
-        CPPUNIT_ASSERT((readers_to_disconnect(readers, 9 * megabyte, megabyte) == std::vector<std::uint64_t> { 2 }));
+        std::vector<buffer_holder> const holders { { 1, megabyte }, { 2, 3 * megabyte }, { 3, 2 * megabyte } };
+        CPPUNIT_ASSERT(released(holders, 6 * megabyte).empty());
+        CPPUNIT_ASSERT((released(holders, 4 * megabyte) == std::vector<std::uint64_t> { 2 }));
+        CPPUNIT_ASSERT((released(holders, 2 * megabyte) == std::vector<std::uint64_t> { 2, 3 }));
+    }
+
+    void holders_of_few_bytes_are_never_released()
+    {
+        std::vector<buffer_holder> const holders { { 1, 1000 }, { 2, megabyte } };
+        CPPUNIT_ASSERT((released(holders, megabyte) == std::vector<std::uint64_t> { 2 }));
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(slow_readers_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(buffer_relief_test);
 
 } // namespace shedhill::relay
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -110,6 +110,12 @@
             from.out() += "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
             from.finish_answer();
         }
+        void on_body_refused(caller_connection& from, caller_request const&) override
+        {
+            from.out() += "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            from.finish_answer();
+        }
+        void on_caller_caught_up(caller_connection&) override { }
         void on_caller_disconnected(caller_connection&) override { is_disconnected = true; }
 
         bool answers_immediately { true };
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -116,6 +116,8 @@
     headers.push_back({ "Shedhill-Server-Signature", "signed-by-" + m_incarnation });
     if (request.target.find("/aborting/") != std::string::npos)
         return exchange.abort_stream();
+    if (request.target.find("/endless/") != std::string::npos)
+        return answer_without_end(exchange, headers);
     if (m_mode == "fail" || request.target.find("/failing/") != std::string::npos) {
         (void)exchange.respond({ 500, headers, "text/plain", "failed\n" });
         return;
@@ -176,6 +178,22 @@
         record_event("over", request);
 }
 
+void hosted_replica::answer_without_end(
+    net::http_exchange& exchange, std::vector<net::http_header> const& headers)
+{
+    constexpr std::size_t piece_size = 65536;
+    // A limit keeps a test from running on if the router never closes the connection.
+    constexpr int max_pieces = 8192;
+    auto const& target = exchange.request().target;
+    bool const is_failure = target.find("/failing/") != std::string::npos;
+    auto const* const type = target.find("/event/") != std::string::npos ? "text/event-stream" : "text/plain";
+    std::string const piece(piece_size, 'x');
+    if (!exchange.start_stream(is_failure ? 500 : 200, type, headers, framing_of(exchange.request())))
+        return;
+    for (int sent = 0; sent < max_pieces && exchange.write_chunk(piece); ++sent) { }
+    exchange.abort_stream();
+}
+
 void hosted_replica::stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers)
 {
     auto const last = exchange.request().header("Last-Event-Id");
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -32,7 +32,8 @@
     // is set; one with /crash/ ends the process soon after the run has started (with
     // /inside/ or /between/ after it has sent a stream's first event without framing, inside the second event or before
     // it), one with /unframed/ is answered with neither a length nor chunks, one with /failing/ is answered with
-    // status 500, and one with /aborting/ breaks off. In the mode "busy" the replica rejects all requests as not
+    // status 500, one with /aborting/ breaks off, and one with /endless/ is answered without end (a stream with /event/:
+    // with one event without end) until its connection is closed. In the mode "busy" the replica rejects all requests as not
     // executed, in "cut" it aborts the connection before the answer is complete, in "mute" it does so after 20 seconds
     // without sending anything, and in "fail" it answers with status 500. In the mode "rest" the replica rejects all
     // requests and asks for a back-off of two seconds; in "rest_once" it does so for one request. After "leaving" all
@@ -53,6 +54,8 @@
     [[nodiscard]] static bool is_harmful(net::http_request const& request);
     // Sends the start of a stream that only the end of its connection marks.
     void begin_unframed_stream(net::http_exchange& exchange);
+    // Answers until the connection is closed.
+    static void answer_without_end(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
     void stream(net::http_exchange& exchange, std::vector<net::http_header> const& headers);
 
     static constexpr int events_per_stream = 10;
