dispatch, daemon: Streams go on after all routers have ended at once

What callers saw: after all routers were killed during a roll-out, nearly every stream that its caller took up again was refused with 503 unknown_version, though endpoints of its version served.

Cause: the record of which version began a stream lived in the memory of routers only. With two versions in service a stream of unknown version must be refused, and is.

Change: while several versions serve, the first router of each failure domain writes the records of the whole domain to the platform's store, at most every 250 ms and only if there are new ones: rows of 320 records in turn, so that a write costs 6 kB and the rows hold what the directory holds. A router that starts reads them once, and a resumption of unknown version waits for that, a second at the most. Whatever is not recorded is refused as before, never guessed.

--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -262,6 +262,8 @@
 
 void dispatch_reducer::handle(tick const& ticked, step_context& step)
 {
+    if (m_started_at == instant {})
+        m_started_at = step.now;
     m_overload.record_tick({ ticked.lag, ticked.busy_fraction, ticked.link_fraction });
     record_list_age(ticked.list_age, step.now);
     if (m_overload.update_overload_state(load_of_fleet(), step.now))
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -41,6 +41,8 @@
     milliseconds default_deadline { 15000 };
     // The age up to which the list of endpoints is relied on, as the fleet's routers agree.
     milliseconds list_staleness_bound { 2000 };
+    // Whether the records of streams are read from the store at the start.
+    bool restores_streams { false };
     dispatch_policy policy;
 };
 
@@ -91,6 +93,8 @@
     // Returns the software versions that this router stores, so that they outlive its process.
     [[nodiscard]] std::vector<stored_version> stored_versions(instant now) const { return m_versions.stored(now); }
     [[nodiscard]] std::size_t remembered_streams() const { return m_streams.size(); }
+    // The records of streams, which one router of each failure domain stores so that they outlive all processes.
+    [[nodiscard]] stream_directory const& streams() const { return m_streams; }
 
 private:
     enum class phase { waiting, running };
@@ -213,6 +217,7 @@
     void handle(endpoint_probed const& probed, step_context& step);
     void handle(quarantines_loaded const& loaded, step_context& step);
     void handle(versions_restored const& restored, step_context& step);
+    void handle(streams_restored const& restored, step_context& step);
     void handle(configuration_received& received, step_context& step);
     void handle(domains_evacuated const& evacuated, step_context& step);
     void handle(endpoints_listed const& listed, step_context& step);
@@ -306,6 +311,8 @@
     // Otherwise the request awaits the next reports of the other routers.
     void admit_resumption(request_number number, active_request request, route const& served_by, step_context& step);
     // Admits the requests whose streams have become known, and refuses those that have waited too long.
+    // Returns whether the stored records of streams, which are read at the start, may still arrive.
+    [[nodiscard]] bool awaits_stored_streams(instant now);
     void admit_awaited_resumptions(step_context& step);
     // Binds the request to the version that began the stream, in whichever of the route's pools has it, and counts how
     // the version is known. Returns the reason if the request is to be refused.
@@ -430,6 +437,10 @@
     version_history m_versions;
     pool_changes m_pool_changes;
     stream_directory m_streams;
+    // The stored records of streams were read.
+    bool m_has_restored_streams { false };
+    // The time of the first tick or resumption.
+    instant m_started_at {};
     // A request that resumes a stream of unknown version, until another router reports the stream.
     struct awaited_version {
         route served_by;
--- a/libraries/dispatch/dispatch_streams.cpp
+++ b/libraries/dispatch/dispatch_streams.cpp
@@ -25,6 +25,8 @@
 // The records that a router receives from all other failure domains in one report interval of 100 ms: 6 kB a second,
 // while several versions serve. Streams beyond that are known in the failure domain where they began.
 constexpr std::size_t max_domain_streams = 40;
+// Within this time after its start a router has read the stored records of streams, unless the store does not answer.
+constexpr milliseconds max_restoring_time { 1000 };
 constexpr std::uint16_t status_unavailable = 503;
 
 } // namespace
@@ -39,6 +41,27 @@
             .take() });
 }
 
+void dispatch_reducer::handle(streams_restored const& restored, step_context& step)
+{
+    m_has_restored_streams = true;
+    for (auto const& record : restored.streams)
+        m_streams.record(record.stream, record.software, step.now + m_versions.stream_lifetime());
+    step.effects.emplace_back(log_line { severity::info, "streams_restored",
+        log_fields()
+            .add("streams", restored.streams.size())
+            .add("awaited", m_awaited_versions.size())
+            .add("after_ms", m_started_at == instant {} ? 0 : (step.now - m_started_at).count())
+            .take() });
+    admit_awaited_resumptions(step);
+}
+
+bool dispatch_reducer::awaits_stored_streams(instant now)
+{
+    if (m_started_at == instant {})
+        m_started_at = now;
+    return m_options.restores_streams && !m_has_restored_streams && now - m_started_at < max_restoring_time;
+}
+
 stream_key dispatch_reducer::stream_of(active_request const& request)
 {
     return key_of_stream(request.account, request.resumption ? request.resumption->first_request : request.caller_id);
@@ -48,8 +71,10 @@
     request_number number, active_request request, route const& served_by, step_context& step)
 {
     bool const is_known = m_streams.find(stream_of(request), step.now) || only_version_of(served_by, step.now);
-    if (!is_known && other_routers() > 0) {
-        m_awaited_versions.insert_or_assign(number, awaited_version { served_by, step.now + max_report_delay });
+    bool const is_awaited = other_routers() > 0 || awaits_stored_streams(step.now);
+    if (!is_known && is_awaited) {
+        auto const until = other_routers() > 0 ? step.now + max_report_delay : step.now;
+        m_awaited_versions.insert_or_assign(number, awaited_version { served_by, until });
         m_requests.insert_or_assign(number, std::move(request));
         return;
     }
@@ -70,7 +95,8 @@
             continue;
         }
         auto& request = found->second;
-        if (!m_streams.find(stream_of(request), step.now) && step.now < next->second.until) {
+        bool const is_over = step.now >= next->second.until && !awaits_stored_streams(step.now);
+        if (!is_over && !m_streams.find(stream_of(request), step.now)) {
             ++next;
             continue;
         }
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -101,6 +101,11 @@
     stored_history history;
 };
 
+// The router read which streams the store held when it started.
+struct streams_restored {
+    std::vector<stream_record> streams;
+};
+
 // The router received a configuration from the store or from another router.
 struct configuration_received {
     configuration declared;
@@ -213,9 +218,10 @@
     milliseconds list_age { 0 };
 };
 
-using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
-    endpoint_notice_received, endpoint_probed, quarantines_loaded, versions_restored, configuration_received,
-    domains_evacuated, endpoints_listed, routers_listed, peer_report, peer_lost, drain_requested, tick>;
+using event_body
+    = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled, endpoint_notice_received,
+        endpoint_probed, quarantines_loaded, versions_restored, streams_restored, configuration_received,
+        domains_evacuated, endpoints_listed, routers_listed, peer_report, peer_lost, drain_requested, tick>;
 
 // Returns the event's name for the log.
 [[nodiscard]] std::string_view name_of(event_body const& body);
--- a/libraries/dispatch/store/store_watchers.cpp
+++ b/libraries/dispatch/store/store_watchers.cpp
@@ -49,7 +49,7 @@
         return "endpoints";
     case table_name::routers:
         return "routers";
-    case table_name::count:
+    case table_name::watched_count:
         break;
     }
     return "none";
@@ -150,7 +150,7 @@
         auto const& state = state_of(table);
         return !state.is_calling && should_watch(state);
     });
-    return idle == all_tables.end() ? table_name::count : *idle;
+    return idle == all_tables.end() ? table_name::watched_count : *idle;
 }
 
 table_watcher::page_outcome store_watchers::apply_page(table_name table,
--- a/libraries/dispatch/store/store_watchers.h
+++ b/libraries/dispatch/store/store_watchers.h
@@ -119,7 +119,7 @@
     [[nodiscard]] std::optional<call_terms> terms_for_probe(table_name table, instant now) const;
     // Whether this router watches the table: if it is a watcher, or if it has no rows of the table yet.
     [[nodiscard]] bool should_watch(table_state const& state) const;
-    // Returns the table that probes next while the store does not answer; table_name::count if there is none.
+    // Returns the table that probes next while the store does not answer; table_name::watched_count if there is none.
     [[nodiscard]] table_name next_probe() const;
     enum class which_calls { long_polls, all };
     void abandon_other_calls(table_name table, which_calls which);
--- a/libraries/dispatch/store/watch_terms.h
+++ b/libraries/dispatch/store/watch_terms.h
@@ -11,7 +11,7 @@
 
 namespace shedhill::dispatch {
 
-constexpr std::size_t table_count = static_cast<std::size_t>(table_name::count);
+constexpr std::size_t table_count = static_cast<std::size_t>(table_name::watched_count);
 
 // The conditions that the terms depend on.
 struct watch_situation {
--- a/libraries/dispatch/streams/stream_directory.cpp
+++ b/libraries/dispatch/streams/stream_directory.cpp
@@ -14,6 +14,7 @@
         return false;
     }
     m_order.push_back(stream);
+    ++m_recorded;
     if (m_order.size() > max_records) {
         m_streams.erase(m_order.front());
         m_order.pop_front();
@@ -58,4 +59,15 @@
     return result;
 }
 
+std::vector<stream_record> stream_directory::since(std::uint64_t number, std::size_t max_count, instant now) const
+{
+    std::vector<stream_record> result;
+    auto const first = std::max(number, oldest()) - oldest();
+    for (auto index = first; index < m_order.size() && result.size() < max_count; ++index) {
+        auto const& [software, until, precedences] = m_streams.at(m_order[index]);
+        result.push_back({ m_order[index], software, std::max(until - now, milliseconds(0)) });
+    }
+    return result;
+}
+
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/streams/stream_directory.h
+++ b/libraries/dispatch/streams/stream_directory.h
@@ -7,6 +7,7 @@
 #include "base/identifiers.h"
 #include "base/units.h"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <unordered_map>
@@ -38,6 +39,12 @@
     void forget_old(instant now);
 
     [[nodiscard]] std::size_t size() const { return m_streams.size(); }
+    // Returns how many streams were ever recorded, which numbers them in their order.
+    [[nodiscard]] std::uint64_t recorded() const { return m_recorded; }
+    // Returns the number of the oldest record that is still there; recorded() if there is none.
+    [[nodiscard]] std::uint64_t oldest() const { return m_recorded - m_order.size(); }
+    // Returns the records from this number on, the oldest first and at most this many.
+    [[nodiscard]] std::vector<stream_record> since(std::uint64_t number, std::size_t max_count, instant now) const;
     // Returns the newest records, at most this many, for a router that has just started.
     [[nodiscard]] std::vector<stream_record> newest(std::size_t max_count, instant now) const;
 
@@ -52,6 +59,7 @@
     std::unordered_map<stream_key, entry> m_streams;
     // The streams in the order in which they were recorded.
     std::deque<stream_key> m_order;
+    std::uint64_t m_recorded { 0 };
 };
 
 } // namespace shedhill::dispatch
--- a/libraries/dispatch/types.h
+++ b/libraries/dispatch/types.h
@@ -18,8 +18,8 @@
 using token_count = std::int64_t;
 constexpr token_count generated_token_weight = 2;
 
-// The tables of the store that a router watches.
-enum class table_name { configuration, endpoints, routers, count };
+// The tables of the store. A router watches those before watched_count, and reads the others when it starts.
+enum class table_name { configuration, endpoints, routers, watched_count, streams = watched_count };
 
 // Says whether a request may be sent again after an attempt that may have run.
 enum class retry_mode {
--- a/libraries/peering/watch_assignment.cpp
+++ b/libraries/peering/watch_assignment.cpp
@@ -53,6 +53,11 @@
     return count_preceding(now, [](router_state const&) { return true; }) < watchers_per_domain;
 }
 
+bool watch_assignment::is_first(instant now) const
+{
+    return count_preceding(now, [](router_state const&) { return true; }) == 0;
+}
+
 bool watch_assignment::is_shared(instant now) const
 {
     auto const live_routers
--- a/libraries/peering/watch_assignment.h
+++ b/libraries/peering/watch_assignment.h
@@ -26,6 +26,8 @@
     // Returns whether this router would be a watcher regardless of the age of the others' confirmations. While the
     // store answers none of them, only these routers probe whether it is back.
     [[nodiscard]] bool is_outage_prober(instant now) const;
+    // Returns whether this router has the lowest rank of the live routers of its failure domain.
+    [[nodiscard]] bool is_first(instant now) const;
     // Returns whether the failure domain has more live routers than watchers.
     [[nodiscard]] bool is_shared(instant now) const;
 
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -17,6 +17,7 @@
 #include "services/shedhilld/fleet_reports.h"
 #include "services/shedhilld/routers_table.h"
 #include "services/shedhilld/store_log_lines.h"
+#include "services/shedhilld/streams_table.h"
 
 #include <algorithm>
 #include <array>
@@ -81,6 +82,9 @@
               [this](dispatch::stored_history history) {
                   m_host.handle_event(dispatch::versions_restored { std::move(history) });
               })
+        , m_streams(loop, settings, [this](std::vector<dispatch::stream_record> streams) {
+            m_host.handle_event(dispatch::streams_restored { std::move(streams) });
+        })
     {
         static_assert(fleet_view_host<Host>);
     }
@@ -108,6 +112,7 @@
         m_configuration.tick(now, draw);
         m_endpoints.tick(now, draw);
         m_routers.tick(now, draw);
+        m_streams.tick(m_host.reducer().streams(), is_writing_streams(now), now);
         continue_loading();
         for (auto const& event : m_watchers.take_events())
             log_store_event(event);
@@ -148,6 +153,8 @@
     // Returns the time since the store last answered this router, for any table.
     [[nodiscard]] milliseconds time_since_store_answer() const { return m_loop.now() - m_watchers.answered_at(); }
 
+    [[nodiscard]] std::uint64_t written_stream_rows() const { return m_streams.written_rows(); }
+
     // Returns whether this router watches the store. Otherwise it receives changes from the watchers of its failure
     // domain.
     [[nodiscard]] bool is_watching_store() const { return m_is_watching_store; }
@@ -250,6 +257,13 @@
         return list.min_interval + list.wait;
     }
 
+    // Returns whether this router writes the records of streams for its failure domain. A router that has just started
+    // does not know the others yet.
+    [[nodiscard]] bool is_writing_streams(instant now) const
+    {
+        return now - m_started_at >= watch_start_delay && m_watch_assignment.is_first(now);
+    }
+
     void update_watch_terms(instant now)
     {
         if (m_started_at == instant {})
@@ -593,6 +607,7 @@
     relay::table_session<TableBinding> m_configuration;
     relay::table_session<TableBinding> m_endpoints;
     routers_table<TableBinding> m_routers;
+    streams_table<TableBinding> m_streams;
 
     // The version of the configuration's row that was read last, or is being read.
     std::uint64_t m_configuration_row_version { 0 };
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -163,6 +163,7 @@
         options.cold = { settings.cold_overage, settings.cold_slack };
         options.share_window = settings.share_window;
         options.list_staleness_bound = settings.leaving_bound;
+        options.restores_streams = true;
         options.policy = policy;
         return options;
     }
@@ -543,6 +544,7 @@
         m_metrics.set("shedhill_configuration_age_ms", static_cast<double>(m_fleet_view.configuration_age().count()));
         m_metrics.set("shedhill_endpoint_list_age_ms", static_cast<double>(m_fleet_view.endpoint_list_age().count()));
         m_metrics.set("shedhill_stored_quarantines", static_cast<double>(m_fleet_view.stored_quarantines()));
+        m_metrics.set("shedhill_stream_rows_written", static_cast<double>(m_fleet_view.written_stream_rows()));
         m_metrics.set("shedhill_store_unheard_ms", static_cast<double>(m_fleet_view.time_since_store_answer().count()));
         set_dispatch_gauges(m_metrics, m_reducer, m_loop.now());
         set_peer_gauges(m_metrics, m_fleet_view.traffic());
--- a/tests/dispatch/stream_simulation.cpp
+++ b/tests/dispatch/stream_simulation.cpp
@@ -138,11 +138,11 @@
         return;
     std::vector<std::size_t> others;
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
-        if (is_up(index) && (index != caller.router || m_routers.size() == 1))
+        if (is_up(index) && (index != caller.router || m_routers.size() == 1 || m_is_returning))
             others.push_back(index);
     }
     if (others.empty())
-        return;
+        return m_returning.push_back(stream);
     ++caller.resumptions;
     ++m_outcome.resumed;
     caller.is_resumed = true;
@@ -174,12 +174,32 @@
     }
 }
 
+void stream_simulation::kill_all_routers()
+{
+    // No caller finds a router that is up only for a moment longer.
+    for (auto& router : m_routers)
+        router.reducer.reset();
+    for (std::size_t index = 0; index < m_routers.size(); ++index)
+        kill_router(index);
+}
+
+void stream_simulation::start_all_routers()
+{
+    for (std::size_t index = 0; index < m_routers.size(); ++index)
+        start_router(index);
+    m_is_returning = true;
+    for (auto const stream : std::exchange(m_returning, {}))
+        resume(stream);
+    m_is_returning = false;
+}
+
 void stream_simulation::start_router(std::size_t router)
 {
     auto& started = m_routers.at(router);
     auto settings = dispatch_driver::options();
     settings.vm = vm_name("router-" + std::to_string(router));
     settings.domain = domain_of(router);
+    settings.restores_streams = m_options.stores_streams;
     settings.retries = { 1, milliseconds(10000), 10000, static_cast<std::uint32_t>(m_options.routers) };
     started = {};
     started.reducer = std::make_unique<dispatch_reducer>(settings);
@@ -191,6 +211,11 @@
     }
     deliver(router, endpoints_listed { std::move(entries) });
     deliver(router, versions_restored { stored_history() });
+    streams_restored restored;
+    for (auto const& [domain, streams] : m_stored_streams)
+        restored.streams.insert(restored.streams.end(), streams.begin(), streams.end());
+    if (m_options.stores_streams)
+        started.inbox.push_back({ m_now + m_options.delay, std::move(restored) });
     connect(router);
 }
 
@@ -203,6 +228,21 @@
     return history;
 }
 
+void stream_simulation::store_streams()
+{
+    if (!m_options.stores_streams || m_now - m_streams_stored_at < stream_write_interval)
+        return;
+    m_streams_stored_at = m_now;
+    // The first router of each failure domain that reaches the store writes.
+    std::set<failure_domain> written;
+    for (std::size_t index = 0; index < m_routers.size(); ++index) {
+        auto const& writer = m_routers[index];
+        if (!writer.reducer || writer.is_cut_off || !written.insert(domain_of(index)).second)
+            continue;
+        m_stored_streams[domain_of(index)] = writer.reducer->streams().since(0, stream_directory::max_records, m_now);
+    }
+}
+
 void stream_simulation::write_rows()
 {
     m_rows.resize(m_routers.size());
@@ -431,6 +471,7 @@
     }
     exchange_reports();
     write_rows();
+    store_streams();
 }
 
 void stream_simulation::wait(milliseconds time)
--- a/tests/dispatch/stream_simulation.h
+++ b/tests/dispatch/stream_simulation.h
@@ -28,6 +28,8 @@
         // Number of streams that an endpoint runs at once.
         std::uint32_t slots { 64 };
         std::uint64_t seed { 1 };
+        // Whether the store keeps the records of streams, and a router that starts reads them.
+        bool stores_streams { true };
     };
 
     // Counts the streams by what became of them.
@@ -65,6 +67,9 @@
     // While a router is cut off, callers and endpoints reach it, but neither the store nor other routers do.
     void cut_off(std::size_t router);
     void end_cut(std::size_t router);
+    // Kills all routers at once, and starts them again, after which the callers whose streams broke off come back.
+    void kill_all_routers();
+    void start_all_routers();
     void wait(milliseconds time);
     // Asks for this many streams a second for the time.
     void stream(std::size_t per_second, milliseconds time);
@@ -121,6 +126,7 @@
     static constexpr milliseconds step { 10 };
     static constexpr milliseconds report_interval { 50 };
     static constexpr milliseconds row_interval { 1500 };
+    static constexpr milliseconds stream_write_interval { 250 };
     static constexpr milliseconds first_event_time { 20 };
     static constexpr milliseconds event_interval { 40 };
     static constexpr std::size_t events_per_stream { 30 };
@@ -134,6 +140,7 @@
     void write_rows();
     // Exchanges what connected routers tell each other first.
     void connect(std::size_t router);
+    void store_streams();
     void greet(std::size_t sender, std::size_t receiver);
     void deliver(std::size_t router, event_body body);
     void carry_out(std::size_t router, effect_list const& effects);
@@ -155,6 +162,12 @@
     std::vector<router> m_routers;
     // The software versions in each router's row of the store.
     std::vector<std::vector<stored_version>> m_rows;
+    // The records of streams that the store holds, by failure domain, and when they were written.
+    std::map<failure_domain, std::vector<stream_record>> m_stored_streams;
+    instant m_streams_stored_at {};
+    // Callers that wait until a router is up to resume their streams.
+    std::vector<std::size_t> m_returning;
+    bool m_is_returning { false };
     std::vector<caller_stream> m_streams;
     std::vector<run> m_runs;
     outcome m_outcome;
--- a/tests/dispatch/stream_versions_test.cpp
+++ b/tests/dispatch/stream_versions_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(a_broken_answer_ends_if_no_endpoint_of_its_version_is_left);
     CPPUNIT_TEST(a_stream_resumed_by_its_caller_is_never_mixed);
     CPPUNIT_TEST(a_stream_whose_router_was_killed_is_never_mixed);
+    CPPUNIT_TEST(streams_go_on_after_all_routers_ended_at_once);
     CPPUNIT_TEST(a_stream_resumed_in_another_failure_domain_goes_on);
     CPPUNIT_TEST(a_stream_of_unknown_version_is_refused_at_once);
     CPPUNIT_TEST(a_pool_with_one_version_resumes_every_stream);
@@ -114,6 +115,31 @@
         check_that_streams_go_on(fleet);
     }
 
+    // Guards against callers whose streams are refused, or go on at another version, after all routers were killed at
+    // once.
+    void streams_go_on_after_all_routers_ended_at_once()
+    {
+        for (std::size_t const domains : { std::size_t { 1 }, std::size_t { 2 } }) {
+            stream_simulation::options settings;
+            settings.routers = 4;
+            settings.domains = domains;
+            auto fleet = with_versions(two_versions(), settings);
+            for (int index = 0; index < 4; ++index) {
+                fleet.stream(streams_per_second, milliseconds(1500));
+                fleet.kill_all_routers();
+                fleet.wait(milliseconds(1000));
+                fleet.start_all_routers();
+            }
+            fleet.wait(milliseconds(2000));
+            auto const& result = fleet.result();
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, result.mixed);
+            CPPUNIT_ASSERT(result.resumed >= 100);
+            // A stream lasts 1.2 s here; those that began in the last 0.3 s are not stored yet.
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(result.continued) + " of " + std::to_string(result.resumed),
+                result.continued * 100 >= result.resumed * 70);
+        }
+    }
+
     void a_stream_resumed_in_another_failure_domain_goes_on()
     {
         stream_simulation::options settings;
