peering, wire: A message is read from an address that is aligned for it

What was seen: a build with UndefinedBehaviorSanitizer ended each router of two at its first report (a reference to a Sighting at an address that is not a multiple of eight).

Cause: FlatBuffers verifies and reads a message relative to its beginning, and takes that to be aligned. A received message begins behind a frame header, anywhere in its connection's buffer. The product's own frames had the same fault.

Change: the bytes are copied if they are not aligned.

Test: a_message_is_decoded_wherever_it_begins, which a sanitizer ends without the copy.

--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -2,6 +2,7 @@
 // Encodes and decodes the messages between routers. Received bytes are verified before they are decoded.
 #include "libraries/peering/peer_message.h"
 
+#include "base/aligned_bytes.h"
 #include "libraries/peering/generated/peer_message_generated.h"
 
 #include <algorithm>
@@ -309,11 +310,10 @@
 
 result<peer_message> decode_body(std::string_view body)
 {
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): FlatBuffers reads unsigned bytes
-    auto const* bytes = reinterpret_cast<std::uint8_t const*>(body.data());
-    if (flatbuffers::Verifier verifier(bytes, body.size()); !fbs::VerifyMessageBuffer(verifier))
+    aligned_bytes const bytes(body);
+    if (flatbuffers::Verifier verifier(bytes.data(), bytes.size()); !fbs::VerifyMessageBuffer(verifier))
         return fail("decode peer message", {}, "the body is not a valid FlatBuffers message");
-    auto const* message = fbs::GetMessage(bytes);
+    auto const* message = fbs::GetMessage(bytes.data());
     if (message->state() != nullptr)
         return peer_message(TRY(decode(*message->state())));
     if (auto const* document = message->document())
--- a/libraries/wire/codec.cpp
+++ b/libraries/wire/codec.cpp
@@ -2,6 +2,7 @@
 // Converts typed messages to FlatBuffers tables and back, with one pair of functions for each message type.
 #include "libraries/wire/codec.h"
 
+#include "base/aligned_bytes.h"
 #include "libraries/wire/generated/messages_generated.h"
 
 #include <algorithm>
@@ -387,10 +388,11 @@
 
 result<message> decode(std::string_view buffer)
 {
-    flatbuffers::Verifier verifier(reinterpret_cast<std::uint8_t const*>(buffer.data()), buffer.size());
+    aligned_bytes const bytes(buffer);
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
     if (!schema::VerifyFrameBuffer(verifier))
         return fail("decode frame", "", "the buffer is not a valid FlatBuffers frame");
-    auto const* frame = schema::GetFrame(buffer.data());
+    auto const* frame = schema::GetFrame(bytes.data());
     // NOTE: The verifier accepts a payload that has a type but no table.
     if (frame->payload() == nullptr)
         return fail("decode frame", "", "the frame has no payload");
--- a/tests/peering/peer_message_test.cpp
+++ b/tests/peering/peer_message_test.cpp
@@ -2,6 +2,7 @@
 // Tests that messages between routers are decoded as they were encoded, and when an unreachable router is retried.
 #include "libraries/peering/peer_message.h"
 
+#include "base/aligned_bytes.h"
 #include "base/hash.h"
 #include "libraries/peering/peer_directory.h"
 
@@ -13,9 +14,29 @@
     CPPUNIT_TEST_SUITE(peer_message_test);
     CPPUNIT_TEST(peer_messages_round_trip);
     CPPUNIT_TEST(records_of_streams_round_trip);
+    CPPUNIT_TEST(a_message_is_decoded_wherever_it_begins);
     CPPUNIT_TEST(peers_are_retried_with_back_off_and_removed);
     CPPUNIT_TEST_SUITE_END();
 
+    // Guards against undefined behaviour, which a sanitizer reports: a message begins anywhere in a connection's
+    // buffer.
+    void a_message_is_decoded_wherever_it_begins()
+    {
+        state_message state;
+        state.report.peer = vm_name("edge-1");
+        state.report.versions = { { pool_key(1), software_key(2), milliseconds(3), milliseconds(4) } };
+        auto const body = encode_frame(state).substr(frame_header_size);
+        for (std::size_t offset = 0; offset < sizeof(std::uint64_t); ++offset) {
+            auto const received = std::string(offset, ' ') + body;
+            auto const bytes = std::string_view(received).substr(offset);
+            CPPUNIT_ASSERT_EQUAL(std::uintptr_t { 0 },
+                reinterpret_cast<std::uintptr_t>(aligned_bytes(bytes).data()) % alignof(std::uint64_t));
+            auto const decoded = decode_body(bytes);
+            CPPUNIT_ASSERT(decoded.has_value());
+            CPPUNIT_ASSERT(std::get<state_message>(*decoded).report.versions.at(0).software == software_key(2));
+        }
+    }
+
     void records_of_streams_round_trip()
     {
         state_message state;
