relay, daemon: A confirmation of the list that a network held up does not look recent

Another operator reports a router that was out of step for some seconds during a release. Here, a router continues a stream of unknown version at the only version that it lists, if the store confirmed that list less than drain_ms ago; others begin streams at a new version half a second after that.

Cause: the age of a confirmation was counted from its arrival. An answer of the store, or another router's report, that the network held up for longer than the half second looked recent, and so did the list without the new version.

Change: the store writes its steady clock into its answers. The fastest answers of the last minute relate it to a router's own clock, so that an answer counts from when it was written. Reports name the store's time of a confirmation beside its age, which needs no clock of the sender; the older of both counts. A store without the field, and routers of earlier versions, are taken as before; a clock that begins anew is followed after a minute.

No play of real routers has shown a mixed stream by this: it was found by reading.

--- a/libraries/peering/peer_message.cpp
+++ b/libraries/peering/peer_message.cpp
@@ -132,7 +132,7 @@
         documents.push_back(fbs::CreateDocumentVersion(builder, static_cast<std::uint8_t>(document.kind),
             document.version, static_cast<std::uint64_t>(document.age.count()),
             document.returned_ago ? static_cast<std::uint64_t>(document.returned_ago->count()) + 1 : 0,
-            document.digest.value_or(0)));
+            document.digest.value_or(0), document.store_time.value_or(0)));
     std::vector<std::string> members;
     for (auto const& member : state.members)
         members.push_back(to_text(member));
@@ -199,6 +199,8 @@
                 version.returned_ago = to_milliseconds(document->returned_ago_ms() - 1);
             if (document->rows_digest() > 0)
                 version.digest = document->rows_digest();
+            if (document->store_time_ms() != 0)
+                version.store_time = document->store_time_ms();
             decoded.documents.push_back(version);
         }
     }
--- a/libraries/peering/peer_message.h
+++ b/libraries/peering/peer_message.h
@@ -32,6 +32,8 @@
     std::optional<milliseconds> returned_ago {};
     // The hash of the document's rows, which most messages omit.
     std::optional<std::uint64_t> digest {};
+    // When the store last confirmed the document to the sender, by the store's clock in milliseconds.
+    std::optional<std::int64_t> store_time {};
 };
 
 struct state_message {
--- a/libraries/relay/store_session.h
+++ b/libraries/relay/store_session.h
@@ -74,11 +74,12 @@
     using changed_function = std::function<void()>;
 
     table_session(event_loop& loop, std::string store, table_name table, dispatch::store_watchers& watchers,
-        changed_function on_changed)
+        store_clock& clock, changed_function on_changed)
         : m_loop(loop)
         , m_store(std::move(store))
         , m_table(table)
         , m_watchers(watchers)
+        , m_clock(clock)
         , m_on_changed(std::move(on_changed))
         , m_call(loop, m_store, [this](unsigned status, std::string const& body) { handle_answer(status, body); })
     {
@@ -126,8 +127,10 @@
         rows.reserve(page.rows.size());
         for (auto& row : page.rows)
             rows.push_back({ std::move(row.key), std::move(row.value), row.version, row.is_gone });
-        // An answer that arrived during a pause of this router says nothing about the time since.
-        auto const arrived_at = m_loop.now() - m_loop.pause_before_round();
+        // An answer that arrived during a pause of this router, or that was held up, says nothing about the time since.
+        auto arrived_at = m_loop.now() - m_loop.pause_before_round();
+        if (page.store_time)
+            arrived_at = m_clock.record_answer(*page.store_time, arrived_at);
         if (m_watchers.apply_page(m_table, rows, page.version, page.has_more, arrived_at)
             == watcher::page_outcome::changed)
             m_on_changed();
@@ -137,6 +140,7 @@
     std::string m_store;
     table_name m_table;
     dispatch::store_watchers& m_watchers;
+    store_clock& m_clock;
     changed_function m_on_changed;
     buffered_call m_call;
     std::uint64_t m_draw { 0 };
--- a/libraries/relay/table_access.h
+++ b/libraries/relay/table_access.h
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "base/units.h"
 #include "libraries/dispatch/types.h"
+#include "libraries/relay/store_clock.h"
 
 #include <concepts>
 #include <cstdint>
@@ -29,6 +30,8 @@
     // The newest version of the store that the rows include.
     std::uint64_t version { 0 };
     bool has_more { false };
+    // When the store wrote the answer, by its own clock, if it says so.
+    std::optional<store_milliseconds> store_time {};
 };
 
 enum class store_verdict {
--- a/services/shedhilld/fleet_view.h
+++ b/services/shedhilld/fleet_view.h
@@ -65,16 +65,16 @@
         , m_reports(loop, settings, *this)
         , m_watch_assignment(settings.vm)
         , m_watchers(dispatch::make_watch_terms({ settings.leaving_bound }))
-        , m_configuration(loop, settings.store_address, relay::table_name::configuration, m_watchers,
+        , m_configuration(loop, settings.store_address, relay::table_name::configuration, m_watchers, m_store_clock,
               [this] {
                   apply_configuration_rows({ "store", milliseconds(0) });
               })
-        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, m_watchers,
+        , m_endpoints(loop, settings.store_address, relay::table_name::endpoints, m_watchers, m_store_clock,
               [this] {
                   apply_endpoint_rows({ "store", milliseconds(0) });
               })
         , m_routers(
-              loop, settings, m_reports.directory(), m_watchers,
+              loop, settings, m_reports.directory(), m_watchers, m_store_clock,
               [this] { m_host.count("shedhill_store_write_failures_total"); },
               [this](std::vector<dispatch::crash_record> records) {
                   m_host.handle_event(dispatch::quarantines_loaded { std::move(records) });
@@ -180,9 +180,10 @@
             return has_digests ? std::optional(watcher.digest()) : std::nullopt;
         };
         return { { document_kind::configuration, configuration.changed_version(), now - configuration.confirmed_at(),
-                     std::nullopt, digest_of(configuration) },
+                     std::nullopt, digest_of(configuration),
+                     m_store_clock.to_store_time(configuration.confirmed_at()) },
             { document_kind::endpoints, endpoints.changed_version(), now - endpoints.confirmed_at(), returned_ago,
-                digest_of(endpoints) } };
+                digest_of(endpoints), m_store_clock.to_store_time(endpoints.confirmed_at()) } };
     }
 
     void apply_document_versions(peering::state_message const& state, instant now)
@@ -191,7 +192,7 @@
         // A message that arrived during a pause of this router is that much older.
         auto const sent_at = now - m_loop.pause_before_round();
         for (auto const& document : state.documents) {
-            auto const confirmed_at = sent_at - document.age;
+            auto const confirmed_at = confirmation_time(document, sent_at);
             if (document.kind == document_kind::endpoints)
                 record_list_confirmation(document, state, sent_at);
             if (watcher_of(document.kind).has_same_rows(document.version, document.digest))
@@ -500,10 +501,21 @@
         m_host.handle_event(dispatch::routers_listed { std::move(routers), m_reports.self().address });
     }
 
+    // Returns when the store confirmed the document to the sender of a report that arrived at this time. A report that
+    // the network held up is older than it looks.
+    [[nodiscard]] instant confirmation_time(peering::document_version const& reported, instant arrived_at) const
+    {
+        auto const looks_confirmed_at = arrived_at - reported.age;
+        if (!reported.store_time)
+            return looks_confirmed_at;
+        return std::min(
+            looks_confirmed_at, m_store_clock.to_own_time(*reported.store_time).value_or(looks_confirmed_at));
+    }
+
     void record_list_confirmation(
         peering::document_version const& reported, peering::state_message const& state, instant sent_at)
     {
-        auto const confirmed_at = sent_at - reported.age;
+        auto const confirmed_at = confirmation_time(reported, sent_at);
         m_outages.record_peer_confirmation(
             confirmed_at, reported.returned_ago ? sent_at - *reported.returned_ago : instant {});
         bool const is_domain_peer
@@ -591,7 +603,7 @@
         if (reported.kind == document_kind::configuration && m_reports.is_receiving_document(now))
             return;
         if (!m_published_documents.try_request(
-                reported.kind, { state.report.peer, reported.version, now - reported.age }, now))
+                reported.kind, { state.report.peer, reported.version, confirmation_time(reported, now) }, now))
             return;
         m_reports.send(state.address,
             peering::encode_frame(peering::document_request {
@@ -604,6 +616,7 @@
     fleet_reports<fleet_view> m_reports;
     peering::watch_assignment m_watch_assignment;
     dispatch::store_watchers m_watchers;
+    relay::store_clock m_store_clock;
     relay::table_session<TableBinding> m_configuration;
     relay::table_session<TableBinding> m_endpoints;
     routers_table<TableBinding> m_routers;
--- a/services/shedhilld/routers_table.h
+++ b/services/shedhilld/routers_table.h
@@ -31,15 +31,15 @@
     using versions_function = std::function<void(dispatch::stored_history history)>;
 
     routers_table(relay::event_loop& loop, relay::deployment_settings const& settings,
-        peering::peer_directory& directory, dispatch::store_watchers& watchers, failed_function on_failed,
-        quarantined_function on_quarantined, versions_function on_versions)
+        peering::peer_directory& directory, dispatch::store_watchers& watchers, relay::store_clock& clock,
+        failed_function on_failed, quarantined_function on_quarantined, versions_function on_versions)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_on_failed(std::move(on_failed))
         , m_on_quarantined(std::move(on_quarantined))
         , m_on_versions(std::move(on_versions))
-        , m_rows(loop, settings.store_address, relay::table_name::routers, watchers, [this] { apply_rows(); })
+        , m_rows(loop, settings.store_address, relay::table_name::routers, watchers, clock, [this] { apply_rows(); })
         , m_writer(loop, settings.store_address,
               [this](unsigned status, std::string const&) { handle_write_result(status); })
     {
