relay: A caller waits for its answer only once the system accepts no more of it

Cause: the new check for callers that do not read took the time since the last write. An answer that is forwarded within a tick is written at the end of the next round, and the check ran between the two: on a kept connection whose last answer was more than 8 s ago, it took the caller for one that reads nothing.

Change: the time counts from when the system first accepted nothing more, as its answer to a write says.

Test: an_answer_that_was_not_written_yet_does_not_wait_for_its_caller fails with the check as it was, passes now.

--- a/libraries/framing/message_head.h
+++ b/libraries/framing/message_head.h
@@ -25,8 +25,8 @@
 // Returns the error as a sentence that names the field, the beginning of its value, and the reason.
 [[nodiscard]] std::string to_text(head_error const& error);
 
-// Returns the size of the head that the bytes begin with, including the empty line; empty if it is incomplete. The first
-// `searched` bytes were searched before, so that a head that arrives in pieces is searched once.
+// Returns the size of the head that the bytes begin with, including the empty line; empty if it is incomplete. The
+// first `searched` bytes were searched before, so that a head that arrives in pieces is searched once.
 [[nodiscard]] std::optional<std::size_t> head_size(std::string_view bytes, std::size_t searched = 0);
 
 // Returns the first error of a complete head: a line that does not end with CR and LF, a folded line, a blank before
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -95,7 +95,7 @@
     // Returns for how long the caller has accepted nothing of what waits for it; 0 if nothing waits.
     [[nodiscard]] milliseconds unread_answer_time() const
     {
-        return has_unwritten() ? m_loop.now() - m_socket.last_written_at() : milliseconds(0);
+        return m_is_closed ? milliseconds(0) : m_socket.blocked_time();
     }
     // Returns whether the caller's host acknowledges nothing any more. The system is asked only while an answer is
     // under way of which something was sent.
--- a/libraries/relay/socket.cpp
+++ b/libraries/relay/socket.cpp
@@ -156,7 +156,8 @@
         if (count < 0) {
             if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
                 return false;
-            m_is_blocked = true;
+            if (!std::exchange(m_is_blocked, true))
+                m_blocked_since = m_loop.now();
             update_interest();
             if (m_written > compaction_threshold) {
                 m_out.erase(0, m_written);
@@ -167,6 +168,7 @@
         }
         m_written += static_cast<std::size_t>(count);
         m_written_at = m_loop.now();
+        m_blocked_since = m_written_at;
         m_loop.link().record_sent(static_cast<std::size_t>(count));
     }
     clear_buffer(m_out);
--- a/libraries/relay/socket.h
+++ b/libraries/relay/socket.h
@@ -61,6 +61,11 @@
     [[nodiscard]] bool is_peer_silent() const;
     // Returns when bytes were last written, as far as the system accepted them.
     [[nodiscard]] instant last_written_at() const { return m_written_at; }
+    // Returns for how long the system has accepted none of the bytes to write; 0 if it was not asked or accepted some.
+    [[nodiscard]] milliseconds blocked_time() const
+    {
+        return m_is_blocked ? m_loop.now() - m_blocked_since : milliseconds(0);
+    }
     // Completes connect() when the socket is first writable. Returns whether the connection was established.
     [[nodiscard]] bool finish_connect();
     // Returns whether the last attempt to connect was refused, because nothing listens at the address.
@@ -113,6 +118,8 @@
     // How many bytes of m_out were written. Invariant: at most m_out.size().
     std::size_t m_written { 0 };
     instant m_written_at {};
+    // When the system last accepted a part of the bytes, or first accepted none; used only while m_is_blocked is set.
+    instant m_blocked_since {};
     // The unwritten bytes when the socket was last flushed.
     buffered_bytes m_buffered;
 };
--- a/tests/relay/caller_connection_test.cpp
+++ b/tests/relay/caller_connection_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(only_whole_events_are_forwarded);
     CPPUNIT_TEST(repeated_events_are_omitted);
     CPPUNIT_TEST(a_missing_event_is_detected);
+    CPPUNIT_TEST(an_answer_that_was_not_written_yet_does_not_wait_for_its_caller);
     CPPUNIT_TEST(a_connection_after_a_calm_time_has_not_waited);
     CPPUNIT_TEST_SUITE_END();
 
@@ -468,6 +469,27 @@
 
     static constexpr milliseconds long_time { 400 };
 
+    // Guards against a kept connection that is closed before its answer is written, because the one before was long
+    // ago.
+    void an_answer_that_was_not_written_yet_does_not_wait_for_its_caller()
+    {
+        event_loop loop { test_time };
+        server tested(loop);
+        client caller(loop, tested.address());
+        caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        run_some(loop);
+        tested.answers_immediately = false;
+        s_time += milliseconds(60000);
+        caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        run_some(loop);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, tested.requests.size());
+        // The answer is written at the end of the loop's next round.
+        server::answer(*tested.connection);
+        CPPUNIT_ASSERT(tested.connection->has_unwritten());
+        CPPUNIT_ASSERT(tested.connection->unread_answer_time() == milliseconds(0));
+        CPPUNIT_ASSERT(!tested.connection->is_caller_silent());
+    }
+
     // Sixteen connections are accepted at once, and a caller connects much later, while the loop looks all the time.
     void a_connection_after_a_calm_time_has_not_waited()
     {
