--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -178,8 +178,7 @@
         record_event("over", request);
 }
 
-void hosted_replica::answer_without_end(
-    net::http_exchange& exchange, std::vector<net::http_header> const& headers)
+void hosted_replica::answer_without_end(net::http_exchange& exchange, std::vector<net::http_header> const& headers)
 {
     constexpr std::size_t piece_size = 65536;
     // A limit keeps a test from running on if the router never closes the connection.
