--- a/libraries/relay/call_connection.h
+++ b/libraries/relay/call_connection.h
@@ -110,7 +110,7 @@
     // Received bytes of the answer that the parser cannot consume yet. Invariant: at most max_answer_head_bytes, and as
     // many as one read brings.
     std::string m_unparsed;
-    // How many of these bytes were searched for the end of the head.
+    // The number of these bytes that were searched for the end of the head.
     std::size_t m_searched { 0 };
     buffered_bytes m_buffered;
     instant m_idle_since {};
--- a/libraries/relay/caller_connection.cpp
+++ b/libraries/relay/caller_connection.cpp
@@ -17,7 +17,7 @@
 // Limit of the bytes that may wait for a caller that does not read; beyond it the connection is closed. It is what one
 // answer brings that is withheld until it is complete, or that is forwarded while its caller lags.
 constexpr std::size_t max_unwritten_bytes = max_withheld_bytes + max_event_bytes + 2 * max_lag_bytes;
-// For this time the rest of a refused request is discarded.
+// The time for which the rest of a refused request is read and discarded.
 constexpr milliseconds max_discarding_time { 1000 };
 
 unsigned status_of(boost::system::error_code failure)
--- a/libraries/relay/caller_connection.h
+++ b/libraries/relay/caller_connection.h
@@ -146,7 +146,7 @@
     read_limits m_limits;
     socket m_socket;
     std::string m_input;
-    // How many bytes of m_input were parsed, and how many of the rest were searched for the end of the head.
+    // The number of bytes of m_input that were parsed, and of the rest that were searched for the end of the head.
     std::size_t m_parsed { 0 };
     std::size_t m_searched { 0 };
     // The bytes of m_input and of a body that is not complete.
--- a/services/shedhilld/memory_watch.h
+++ b/services/shedhilld/memory_watch.h
@@ -20,7 +20,7 @@
 
     // Returns the peak in KiB if it has grown noticeably since it was last returned. The system is asked once a second.
     std::optional<std::int64_t> take_growth(instant now);
-    // As take_growth(), with the peak given.
+    // Does the same for a peak that the caller has read.
     std::optional<std::int64_t> record_peak(std::int64_t peak_kib);
 
 private:
