relay, framing: An answer whose status is out of range is not forwarded

What callers saw: a replica in trouble answered with the status 000. The caller got it as an answer, and not even one of HTTP: the router wrote the number as it was parsed, "HTTP/1.1 0 OK". Answers with 600 and 999 were passed on as they were.

Cause: the parser takes any three digits for a status, and neither the call nor the binding looked at the number before the answer was forwarded.

Change: the check of a complete head has a part for answers, which requires a status from 100 to 599 (RFC 9110, 15). A call whose answer fails it ends as broken and its connection is closed, as for a head of doubtful length.

Why this works: every answer over a call_connection, from endpoints and from the store, is checked before the parser gets it, so that no status out of range reaches a listener.

Already handled before, tests kept: status lines of another form, a byte in a field's name that is not one of a token (all bytes, at the start, inside and at the end), such a byte in the name of a length or a coding, and a control byte in a value or in the reason phrase.

--- a/libraries/framing/message_head.cpp
+++ b/libraries/framing/message_head.cpp
@@ -37,6 +37,19 @@
     return failure == std::errc() && end == last && !value.empty();
 }
 
+// Returns the status of an answer whose head begins with this line; empty if the line has no status.
+std::optional<unsigned> status_of(std::string_view start_line)
+{
+    auto const space = start_line.find(' ');
+    if (space == std::string_view::npos)
+        return std::nullopt;
+    unsigned status = 0;
+    auto const* const last = start_line.data() + start_line.size();
+    if (std::from_chars(start_line.data() + space + 1, last, status).ec != std::errc())
+        return std::nullopt;
+    return status;
+}
+
 // Checks the lines of one head in order.
 class head_checker {
 public:
@@ -141,4 +154,15 @@
     return std::nullopt;
 }
 
+std::optional<head_error> check_answer_head(std::string_view head)
+{
+    constexpr unsigned min_status = 100;
+    constexpr unsigned max_status = 599;
+    auto const start_line = head.substr(0, head.find(line_end));
+    auto const status = status_of(start_line);
+    if (!status || *status < min_status || *status > max_status)
+        return head_error { {}, std::string(start_line), "has no status from 100 to 599" };
+    return check_head(head);
+}
+
 } // namespace shedhill::framing
--- a/libraries/framing/message_head.h
+++ b/libraries/framing/message_head.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Checks the head of an HTTP/1.1 message before a parser reads it. A head that leaves the length of its body in doubt
 // is refused, because the next server may find the end of the body elsewhere and take a part of it for another message.
+// An answer whose status is not one of HTTP is refused too, because its recipient cannot tell what it means.
 #pragma once
 
 #include <cstddef>
@@ -14,7 +15,7 @@
 // less of the last chunk: it asserts that it has these bytes when it looks at the chunk again.
 constexpr std::size_t min_rest_of_chunks = 5;
 
-// A line of a head that leaves the length of the message in doubt.
+// A line of a head for which the message is refused.
 struct head_error {
     // The field's name; empty if the line is not that of a field.
     std::string field;
@@ -34,4 +35,8 @@
 // and 6.3), or one beside a Content-Length or in a message of HTTP/1.0.
 [[nodiscard]] std::optional<head_error> check_head(std::string_view head);
 
+// Returns the first error of a complete head of an answer: a status that is not from 100 to 599 (RFC 9110, 15), or an
+// error that check_head() finds.
+[[nodiscard]] std::optional<head_error> check_answer_head(std::string_view head);
+
 } // namespace shedhill::framing
--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -163,7 +163,7 @@
             return 0;
         // A head with a doubtful length does not show where the answer ends, and a part of it may look like another
         // one.
-        if (!size || framing::check_head(bytes.substr(0, *size))) {
+        if (!size || framing::check_answer_head(bytes.substr(0, *size))) {
             break_call(dispatch::answer_stop::invalid);
             return 0;
         }
--- a/tests/framing/message_head_test.cpp
+++ b/tests/framing/message_head_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(a_doubtful_coding_is_refused);
     CPPUNIT_TEST(a_doubtful_length_is_refused);
     CPPUNIT_TEST(a_malformed_line_is_refused);
+    CPPUNIT_TEST(a_status_out_of_range_is_refused);
     CPPUNIT_TEST(an_error_names_the_field_and_the_value);
     CPPUNIT_TEST(a_head_ends_with_an_empty_line);
     CPPUNIT_TEST_SUITE_END();
@@ -64,6 +65,23 @@
         CPPUNIT_ASSERT(!is_accepted("", "GET / HTTP/1.1\nContent-Length: 4"));
     }
 
+    static bool is_answer_accepted(std::string const& status_line)
+    {
+        return !check_answer_head(status_line + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    void a_status_out_of_range_is_refused()
+    {
+        for (auto const* const status_line :
+            { "HTTP/1.1 100 Continue", "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 404 Not Found", "HTTP/1.1 599 " })
+            CPPUNIT_ASSERT_MESSAGE(status_line, is_answer_accepted(status_line));
+        for (auto const* const status_line :
+            { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2000 OK",
+                "HTTP/1.1 99999999999999999999 OK", "HTTP/1.1 20 OK", "HTTP/1.1 -200 OK", "HTTP/1.1 OK", "HTTP/1.1" })
+            CPPUNIT_ASSERT_MESSAGE(status_line, !is_answer_accepted(status_line));
+        CPPUNIT_ASSERT(check_answer_head("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n").has_value());
+    }
+
     void an_error_names_the_field_and_the_value()
     {
         auto const coding = check_head("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n");
@@ -73,6 +91,9 @@
             std::string("the field Content-Length \"4, 4\" is not a length in bytes"), to_text(*length));
         auto const folded = check_head("POST / HTTP/1.1\r\nHost: x\r\n y\r\n\r\n");
         CPPUNIT_ASSERT_EQUAL(std::string("the line \" y\" is a folded line"), to_text(*folded));
+        auto const status = check_answer_head("HTTP/1.1 000 OK\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("the line \"HTTP/1.1 000 OK\" has no status from 100 to 599"), to_text(*status));
     }
 
     void a_head_ends_with_an_empty_line()
