relay, framing: An interim answer is not forwarded as the final one

What callers saw: an endpoint answered with a status from 100 to 199. The caller got it as the answer and waited for another one that never came; a client that gets 101 takes its connection for one of another protocol. The final answer that followed an interim one was lost.

Cause: the parser reports an interim answer as a complete message, and the call ended with it.

Change: a call skips interim answers and goes on with the next answer. One that switches protocols, which no call asks for, or announces a body is invalid (RFC 9110, 8.6 and 15.2.2). The interim answers to one call share the limit of an answer's head, so that an endpoint which sends nothing else does not hold a request until its deadline.

Evidence, each failed on and passes now: an_interim_status_is_never_final ("Expected 200, Actual 100"), the_answer_after_interim_answers_is_served (502), only_a_final_status_reaches_the_caller (each status from 000 to 999 with six framings), a_stream_is_resumed_by_a_final_answer_only. interim_answers_without_end_are_tried_elsewhere guards the limit; its earlier form, without the limit, passed before.

The stand-in's router in answer_relay tries every attempt again that is no answer, not only broken ones: the statuses 408, 421, 429 and 503 were left without a decision.

replicas_that_answer_with_an_odd_status_are_ejected runs a real router with two of six replicas that answer 000.

Why this works: what ends a call is the first answer whose status is from 200 to 599; whatever else the endpoint sends ends in a broken call.

--- a/libraries/framing/message_head.cpp
+++ b/libraries/framing/message_head.cpp
@@ -53,6 +53,24 @@
 // Checks the lines of one head in order.
 class head_checker {
 public:
+    std::optional<head_error> check(std::string_view head)
+    {
+        for (bool is_start = true; !head.empty(); is_start = false) {
+            auto const end = head.find(line_end);
+            auto const line = head.substr(0, end);
+            if (line.empty())
+                break;
+            if (auto error = is_start ? check_start_line(line) : check_field_line(line))
+                return error;
+            head.remove_prefix(end == std::string_view::npos ? head.size() : end + line_end.size());
+        }
+        return std::nullopt;
+    }
+
+    // Returns whether a field of the checked head frames a body.
+    [[nodiscard]] bool announces_body() const { return m_has_length || m_has_coding; }
+
+private:
     std::optional<head_error> check_start_line(std::string_view line)
     {
         m_is_old_version = line.starts_with("HTTP/1.0") || line.ends_with("HTTP/1.0");
@@ -80,7 +98,6 @@
         return std::nullopt;
     }
 
-private:
     static std::optional<head_error> check_characters(std::string_view line)
     {
         if (line.find_first_of(line_end) == std::string_view::npos)
@@ -139,30 +156,26 @@
     return end + head_end.size();
 }
 
-std::optional<head_error> check_head(std::string_view head)
-{
-    head_checker checker;
-    for (bool is_start = true; !head.empty(); is_start = false) {
-        auto const end = head.find(line_end);
-        auto const line = head.substr(0, end);
-        if (line.empty())
-            break;
-        if (auto error = is_start ? checker.check_start_line(line) : checker.check_field_line(line))
-            return error;
-        head.remove_prefix(end == std::string_view::npos ? head.size() : end + line_end.size());
-    }
-    return std::nullopt;
-}
+std::optional<head_error> check_head(std::string_view head) { return head_checker().check(head); }
 
 std::optional<head_error> check_answer_head(std::string_view head)
 {
     constexpr unsigned min_status = 100;
+    constexpr unsigned switching_protocols = 101;
     constexpr unsigned max_status = 599;
     auto const start_line = head.substr(0, head.find(line_end));
+    auto const error = [&](std::string_view reason) { return head_error { {}, std::string(start_line), reason }; };
     auto const status = status_of(start_line);
     if (!status || *status < min_status || *status > max_status)
-        return head_error { {}, std::string(start_line), "has no status from 100 to 599" };
-    return check_head(head);
+        return error("has no status from 100 to 599");
+    if (*status == switching_protocols)
+        return error("switches to a protocol that was not requested");
+    head_checker checker;
+    if (auto found = checker.check(head))
+        return found;
+    if (is_interim_status(*status) && checker.announces_body())
+        return error("is interim and announces a body");
+    return std::nullopt;
 }
 
 } // namespace shedhill::framing
--- a/libraries/framing/message_head.h
+++ b/libraries/framing/message_head.h
@@ -35,8 +35,16 @@
 // and 6.3), or one beside a Content-Length or in a message of HTTP/1.0.
 [[nodiscard]] std::optional<head_error> check_head(std::string_view head);
 
-// Returns the first error of a complete head of an answer: a status that is not from 100 to 599 (RFC 9110, 15), or an
-// error that check_head() finds.
+// Returns whether an answer with this status is only interim, so that the final answer to the same request follows it.
+[[nodiscard]] constexpr bool is_interim_status(unsigned status)
+{
+    constexpr unsigned first_final_status = 200;
+    return status < first_final_status;
+}
+
+// Returns the first error of a complete head of an answer to a request that asks for no other protocol: a status that
+// is not from 100 to 599 (RFC 9110, 15), an interim answer that switches protocols or announces a body (RFC 9110, 8.6
+// and 15.2.2), or an error that check_head() finds.
 [[nodiscard]] std::optional<head_error> check_answer_head(std::string_view head);
 
 } // namespace shedhill::framing
--- a/libraries/relay/call_connection.cpp
+++ b/libraries/relay/call_connection.cpp
@@ -37,6 +37,7 @@
     m_listener = &listener;
     ++m_call_number;
     m_unparsed.clear();
+    m_interim_bytes = 0;
     begin_answer();
     // Bytes that arrived while no call was in progress answer nothing, and a closed connection accepts no call.
     if (m_phase == phase::idle && m_socket.has_input())
@@ -177,6 +178,10 @@
         return used;
     }
     if (!m_has_head && m_parser->is_header_done()) {
+        if (framing::is_interim_status(m_parser->get().result_int())) {
+            skip_interim_answer(used);
+            return used;
+        }
         handle_head();
         if (m_phase != phase::calling)
             return used;
@@ -194,6 +199,14 @@
     return used;
 }
 
+void call_connection::skip_interim_answer(std::size_t size)
+{
+    m_interim_bytes += size;
+    if (m_interim_bytes > max_answer_head_bytes)
+        return break_call(dispatch::answer_stop::invalid);
+    begin_answer();
+}
+
 void call_connection::handle_head()
 {
     m_has_head = true;
--- a/libraries/relay/call_connection.h
+++ b/libraries/relay/call_connection.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // A connection to an HTTP server, an endpoint or the store, that carries one call at a time. It reports separately
-// whether a failed call was sent at all, and can skip answers that belong to an earlier call.
+// whether a failed call was sent at all. It skips interim answers, and can skip answers that belong to an earlier call.
 #pragma once
 
 #include "libraries/dispatch/answer_ending.h"
@@ -86,6 +86,8 @@
     std::size_t parse_some(std::string_view bytes);
     void handle_end_of_input(read_end end);
     void handle_head();
+    // Discards an interim answer, which consists of a head of this size, and waits for the next answer.
+    void skip_interim_answer(std::size_t size);
     void finish_answer(call_end end, trailing_bytes trailing);
     void end_call(call_end end);
     void close_connection();
@@ -112,6 +114,9 @@
     std::string m_unparsed;
     // The number of these bytes that were searched for the end of the head.
     std::size_t m_searched { 0 };
+    // The size of the interim answers to this call. Invariant: at most max_answer_head_bytes during a call, so that an
+    // endpoint that sends nothing else does not hold the call until its deadline.
+    std::size_t m_interim_bytes { 0 };
     buffered_bytes m_buffered;
     instant m_idle_since {};
     instant m_reusable_until {};
--- a/tests/framing/message_head_test.cpp
+++ b/tests/framing/message_head_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_doubtful_length_is_refused);
     CPPUNIT_TEST(a_malformed_line_is_refused);
     CPPUNIT_TEST(a_status_out_of_range_is_refused);
+    CPPUNIT_TEST(an_interim_answer_without_a_body_is_accepted);
     CPPUNIT_TEST(an_error_names_the_field_and_the_value);
     CPPUNIT_TEST(a_head_ends_with_an_empty_line);
     CPPUNIT_TEST_SUITE_END();
@@ -73,7 +74,7 @@
     void a_status_out_of_range_is_refused()
     {
         for (auto const* const status_line :
-            { "HTTP/1.1 100 Continue", "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 404 Not Found", "HTTP/1.1 599 " })
+            { "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 404 Not Found", "HTTP/1.1 599 " })
             CPPUNIT_ASSERT_MESSAGE(status_line, is_answer_accepted(status_line));
         for (auto const* const status_line :
             { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2000 OK",
@@ -82,6 +83,15 @@
         CPPUNIT_ASSERT(check_answer_head("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n").has_value());
     }
 
+    void an_interim_answer_without_a_body_is_accepted()
+    {
+        CPPUNIT_ASSERT(!check_answer_head("HTTP/1.1 100 Continue\r\n\r\n"));
+        CPPUNIT_ASSERT(!check_answer_head("HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"));
+        CPPUNIT_ASSERT(check_answer_head("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n").has_value());
+        CPPUNIT_ASSERT(check_answer_head("HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n").has_value());
+        CPPUNIT_ASSERT(check_answer_head("HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n").has_value());
+    }
+
     void an_error_names_the_field_and_the_value()
     {
         auto const coding = check_head("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n");
--- a/tests/processes/hosted_failure_test.cpp
+++ b/tests/processes/hosted_failure_test.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Tests, with real routers and stand-ins of replicas, that requests which fail at each replica eject none of them.
+// Tests, with real routers and stand-ins of replicas, that requests which fail at each replica eject none of them, and
+// that replicas which fail each request are ejected.
 #include "tests/harness/hosted_fleet.h"
 #include "tests/harness/parallel.h"
 
@@ -13,6 +14,7 @@
     CPPUNIT_TEST(a_request_that_every_replica_breaks_off_ejects_none);
     CPPUNIT_TEST(a_failing_request_with_another_target_each_time_ejects_none);
     CPPUNIT_TEST(a_replica_that_fails_everything_is_ejected_beside_a_failing_request);
+    CPPUNIT_TEST(replicas_that_answer_with_an_odd_status_are_ejected);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t routers = 3;
@@ -92,6 +94,33 @@
             std::size_t { 0 }, send_rounds(fleet, [](std::string const&) { return "/look/failing/a"; }));
         CPPUNIT_ASSERT(ejections(fleet) > 0);
     }
+
+    // Guards against a replica that draws all requests because its malformed answers come quickly.
+    void replicas_that_answer_with_an_odd_status_are_ejected()
+    {
+        constexpr std::size_t odd_replicas = 2;
+        constexpr std::size_t orders = 60;
+        hosted_fleet_options options;
+        options.replicas = 6;
+        auto fleet = hosted_fleet::start(options);
+        CPPUNIT_ASSERT_MESSAGE(fleet ? "" : fleet.error().to_string(), fleet.has_value());
+        for (std::size_t index = 0; index < odd_replicas; ++index)
+            fleet->control_replica(index, "odd_status");
+        std::size_t sent = 0;
+        // A request that both of them received has no attempts left.
+        CPPUNIT_ASSERT(wait_until([&] {
+            auto const id = "early-" + std::to_string(++sent);
+            auto const answer = fleet->send_request(0, "/look/" + id, id);
+            CPPUNIT_ASSERT_MESSAGE(id, answer && (answer->status == 200 || answer->status == 502));
+            return fleet->metric(0, "shedhill_ejections_total") >= odd_replicas;
+        }));
+        // An ejected replica gets no request that may run only once.
+        for (std::size_t index = 0; index < orders; ++index) {
+            auto const id = "order-" + std::to_string(index);
+            auto const answer = fleet->send_request(0, "/order/" + id, id);
+            CPPUNIT_ASSERT_MESSAGE(id, answer && answer->status == 200);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(hosted_failure_test);
--- a/tests/relay/answer_relay.h
+++ b/tests/relay/answer_relay.h
@@ -177,7 +177,7 @@
     {
         if (ended.end == dispatch::attempt_end::failed)
             return m_exchange->forward_withheld_answer();
-        if (ended.end != dispatch::attempt_end::broken)
+        if (dispatch::is_answer(ended.end))
             return;
         if (m_attempts.size() < m_endpoints.size())
             return start_attempt();
--- a/tests/relay/malformed_answers_test.cpp
+++ b/tests/relay/malformed_answers_test.cpp
@@ -28,6 +28,11 @@
 class malformed_answers_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(malformed_answers_test);
     CPPUNIT_TEST(a_status_out_of_range_is_tried_elsewhere);
+    CPPUNIT_TEST(an_interim_status_is_never_final);
+    CPPUNIT_TEST(the_answer_after_interim_answers_is_served);
+    CPPUNIT_TEST(interim_answers_without_end_are_tried_elsewhere);
+    CPPUNIT_TEST(only_a_final_status_reaches_the_caller);
+    CPPUNIT_TEST(a_stream_is_resumed_by_a_final_answer_only);
     CPPUNIT_TEST(a_status_line_of_another_form_is_tried_elsewhere);
     CPPUNIT_TEST(a_byte_that_no_field_name_contains_is_tried_elsewhere);
     CPPUNIT_TEST(a_malformed_name_does_not_frame_the_body);
@@ -55,6 +60,88 @@
             check_tried_elsewhere(answer_of("HTTP/1.1 " + std::string(status) + " OK", "", "bad"));
     }
 
+    // Guards against callers that take an interim answer for the end, or 101 for a connection of another protocol.
+    void an_interim_status_is_never_final()
+    {
+        for (auto const* const status : { "100", "101", "102", "103", "199" })
+            check_tried_elsewhere(answer_of("HTTP/1.1 " + std::string(status) + " Name", "", "bad"));
+        check_tried_elsewhere("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+        check_tried_elsewhere("HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    }
+
+    void the_answer_after_interim_answers_is_served()
+    {
+        answer_relay relay(m_loop);
+        relay.add_endpoint("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nShedhill-Request-Id: r1\r\n\r\n"
+                + answer_of("HTTP/1.1 200 OK", "", "good"),
+            after_reply::stay);
+        auto const answer = relay.run();
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+        CPPUNIT_ASSERT_EQUAL(std::string("good"), answer->body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, relay.attempts().size());
+    }
+
+    // Guards against an endpoint that holds a request until its deadline.
+    void interim_answers_without_end_are_tried_elsewhere()
+    {
+        std::string interim;
+        for (int count = 0; count < 10'000; ++count)
+            interim += "HTTP/1.1 100 Continue\r\n\r\n";
+        check_tried_elsewhere(interim);
+    }
+
+    static bool is_final(unsigned status) { return status >= 200 && status <= 599; }
+
+    static std::string with_three_digits(unsigned status)
+    {
+        constexpr unsigned four_digits = 1000;
+        return std::to_string(four_digits + status).substr(1);
+    }
+
+    // Each status with each framing: of one that is not final the caller sees nothing.
+    void only_a_final_status_reaches_the_caller()
+    {
+        constexpr unsigned max_status = 999;
+        std::string const ids = "Shedhill-Request-Id: r1\r\nShedhill-Server-Signature: s\r\n";
+        std::string const event = "id: 1\ndata: a\n\n";
+        std::string const type = "Content-Type: text/event-stream\r\n";
+        for (auto const& rest :
+            { ids + "Content-Length: 3\r\n\r\nbad", ids + "Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+                ids + "\r\nbad", ids + type + "Content-Length: 15\r\n\r\n" + event,
+                ids + type + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n\r\n",
+                ids + type + "\r\n" + event })
+            for (unsigned status = 0; status <= max_status; ++status) {
+                answer_relay relay(m_loop);
+                auto const line = "HTTP/1.1 " + with_three_digits(status) + " Name";
+                relay.add_endpoint(line + "\r\n" + rest, after_reply::close);
+                relay.add_endpoint(answer_of("HTTP/1.1 200 OK", "", "good"), after_reply::stay);
+                auto const answer = relay.run();
+                CPPUNIT_ASSERT_MESSAGE(line, answer.has_value());
+                bool const is_next = answer->status == 200 && answer->body == "good";
+                CPPUNIT_ASSERT_MESSAGE(line + "\n" + rest, is_next || (is_final(status) && answer->status == status));
+            }
+    }
+
+    void a_stream_is_resumed_by_a_final_answer_only()
+    {
+        std::string const type = "Content-Type: text/event-stream\r\n";
+        auto const stream_of = [&](std::string const& status, std::string const& events) {
+            return "HTTP/1.1 " + status + " Name\r\nShedhill-Request-Id: r1\r\nShedhill-Server-Signature: s\r\n" + type
+                + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + events + "\r\n";
+        };
+        for (auto const* const status : { "000", "099", "100", "101", "199", "600", "999" }) {
+            answer_relay relay(m_loop);
+            relay.add_endpoint(stream_of("200", "id: 1\ndata: a\n\n"), after_reply::reset);
+            relay.add_endpoint(stream_of(status, "id: 2\ndata: x\n\n") + "0\r\n\r\n", after_reply::close);
+            relay.add_endpoint(stream_of("200", "id: 2\ndata: b\n\n") + "0\r\n\r\n", after_reply::stay);
+            auto const answer = relay.run();
+            CPPUNIT_ASSERT_MESSAGE(status, answer.has_value());
+            CPPUNIT_ASSERT_MESSAGE(status, answer->view == caller_view::framed_as_complete);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), answer->body);
+        }
+    }
+
     void a_status_line_of_another_form_is_tried_elsewhere()
     {
         for (auto const* const status_line :
--- a/tests/stand_ins/hosted_replica.cpp
+++ b/tests/stand_ins/hosted_replica.cpp
@@ -122,6 +122,10 @@
         (void)exchange.respond({ 500, headers, "text/plain", "failed\n" });
         return;
     }
+    if (m_mode == "odd_status") {
+        (void)exchange.respond({ 0, headers, "text/plain", "odd\n" });
+        return;
+    }
     if (request.target.starts_with("/stream/"))
         return stream(exchange, headers);
     boost::this_fiber::sleep_for(m_interval);
--- a/tests/stand_ins/hosted_replica.h
+++ b/tests/stand_ins/hosted_replica.h
@@ -26,16 +26,16 @@
     hosted_replica(std::string incarnation, std::chrono::milliseconds interval, std::string const& runs_file,
         cold_start cold, std::string software);
 
-    // Serves POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail" | "rest" | "rest_once" | "leaving"} and GET
-    // /counts (the number of runs by request id). Any other path is a request: under /stream/ ten events are streamed,
-    // a path with /own/ puts the request's id into each event, followed by "@" and the version of the software if one
-    // is set; one with /crash/ ends the process soon after the run has started (with
-    // /inside/ or /between/ after it has sent a stream's first event without framing, inside the second event or before
-    // it), one with /unframed/ is answered with neither a length nor chunks, one with /failing/ is answered with
-    // status 500, one with /aborting/ breaks off, and one with /endless/ is answered without end (a stream with
-    // /event/: with one event without end) until its connection is closed. In the mode "busy" the replica rejects all
-    // requests as not executed, in "cut" it aborts the connection before the answer is complete, in "mute" it does so
-    // after 20 seconds without sending anything, and in "fail" it answers with status 500. In the mode "rest" the
+    // Serves POST /control {"mode": "ok" | "busy" | "cut" | "mute" | "fail" | "odd_status" | "rest" | "rest_once" |
+    // "leaving"} and GET /counts (the number of runs by request id). Any other path is a request: under /stream/ ten
+    // events are streamed, a path with /own/ puts the request's id into each event, followed by "@" and the version of
+    // the software if one is set; one with /crash/ ends the process soon after the run has started (with /inside/ or
+    // /between/ after it has sent a stream's first event without framing, inside the second event or before it), one
+    // with /unframed/ is answered with neither a length nor chunks, one with /failing/ is answered with status 500, one
+    // with /aborting/ breaks off, and one with /endless/ is answered without end (a stream with /event/: with one event
+    // without end) until its connection is closed. In the mode "busy" the replica rejects all requests as not executed,
+    // in "cut" it aborts the connection before the answer is complete, in "mute" it does so after 20 seconds without
+    // sending anything, in "fail" it answers with status 500, and in "odd_status" with 000. In the mode "rest" the
     // replica rejects all requests and asks for a back-off of two seconds; in "rest_once" it does so for one request.
     // After "leaving" all its answers announce that it leaves.
     void serve(net::http_exchange& exchange);
