net, framing: The client of the product's own interface checks answers

What callers saw: on the product's own interface an engine's answer with the status 000, 600 or 199 reached them as an answer, and so did one whose length is in doubt: with a transfer coding other than chunked, a repeated or folded length, or a length beside a coding. The process beside an engine ended by itself at a legal answer, an empty chunked body that arrives in pieces, and operators' tools and routers ended at an announced length that no memory has.

Cause: the client left reading to the library's own loops. They give the parser what arrives, unchecked, in pieces smaller than it asserts, and its string body reserves whatever length the peer announces. The checks that the platform's calls and the server have were never applied here.

Change: one reader serves both kinds of call. It checks a complete head before the parser gets it, skips interim answers, leaves trailer fields out of the head and reserves nothing. The functions that it shares with the server move to http_input, the body type that it shares with the platform's calls to framing.

Why this works: no answer reaches a caller, an engine's process or a tool but through this reader or a call_connection, and both apply check_answer_head() first.

--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -2,12 +2,11 @@
 // HTTP client calls. Each call opens its own connection, so that it can distinguish a request that was not sent from
 // one that may have been sent.
 #include "libraries/net/address.h"
+#include "libraries/net/answer_reader.h"
 #include "libraries/net/await.h"
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/net/http.h"
 
-#include <array>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -20,8 +19,6 @@
 namespace http = beast::http;
 
 constexpr std::chrono::milliseconds max_connect_time { 2000 };
-// The size in bytes of the buffer for one part of an answer.
-constexpr std::size_t read_buffer_size = 16384;
 
 http::request<http::string_body> to_message(std::string const& address, http_request const& sent)
 {
@@ -62,7 +59,7 @@
         auto const message = to_message(address, sent);
         if (await_io([&](auto handler) { http::async_write(m_stream, message, std::move(handler)); }).failure)
             return failure_outcome();
-        return read_answer(head, data);
+        return read_answer(address, head, data);
     }
 
     void cancel() override
@@ -77,32 +74,23 @@
         return m_is_cancelled ? http_call_outcome::cancelled : http_call_outcome::interrupted;
     }
 
-    http_call_outcome read_answer(on_head const& head, on_data const& data)
+    http_call_outcome read_answer(std::string const& address, on_head const& head, on_data const& data)
     {
-        beast::flat_buffer buffer;
-        http::response_parser<http::buffer_body> parser;
-        parser.body_limit(boost::none);
-        if (await_io([&](auto handler) {
-                http::async_read_header(m_stream, buffer, parser, std::move(handler));
-            }).failure)
+        detail::answer_reader reader(m_stream, address);
+        if (!reader.read_head())
             return failure_outcome();
-        head(static_cast<std::uint16_t>(parser.get().result_int()),
-            std::string(parser.get()[http::field::content_type]));
-        std::array<char, read_buffer_size> read_buffer {};
-        while (!parser.is_done()) {
-            parser.get().body().data = read_buffer.data();
-            parser.get().body().size = read_buffer.size();
-            auto const outcome
-                = await_io([&](auto handler) { http::async_read_some(m_stream, buffer, parser, std::move(handler)); });
-            if (outcome.failure && outcome.failure != http::error::need_buffer)
+        head(static_cast<std::uint16_t>(reader.head().result_int()),
+            std::string(reader.head()[http::field::content_type]));
+        while (true) {
+            auto const part = reader.read_part();
+            if (!part)
                 return failure_outcome();
             if (m_is_cancelled)
                 return http_call_outcome::cancelled;
-            auto const filled = read_buffer.size() - parser.get().body().size;
-            if (filled > 0)
-                data(std::string_view(read_buffer.data(), filled));
+            if (part->empty())
+                return http_call_outcome::complete;
+            data(*part);
         }
-        return http_call_outcome::complete;
     }
 
     beast::tcp_stream m_stream;
@@ -125,19 +113,15 @@
     outcome = await_io([&](auto handler) { http::async_write(stream, message, std::move(handler)); });
     if (outcome.failure)
         return fail("send request", address, outcome.failure.message());
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
-    outcome = await_io([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
-    if (outcome.failure)
-        return fail("read answer", address, outcome.failure.message());
-    auto received = parser.release();
+    detail::answer_reader reader(stream, address);
+    TRY_VOID(reader.read_head());
     http_response response;
-    response.status = static_cast<std::uint16_t>(received.result_int());
-    response.content_type = std::string(received[http::field::content_type]);
-    for (auto const& field : received)
+    response.status = static_cast<std::uint16_t>(reader.head().result_int());
+    response.content_type = std::string(reader.head()[http::field::content_type]);
+    for (auto const& field : reader.head())
         response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    response.body = std::move(received.body());
+    for (auto part = TRY(reader.read_part()); !part.empty(); part = TRY(reader.read_part()))
+        response.body += part;
     return response;
 }
 
--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include "libraries/net/fiber_scheduler.h"
 #include "libraries/net/fibers.h"
 #include "libraries/net/http.h"
+#include "libraries/net/http_input.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -190,38 +191,6 @@
     (void)exchange.respond(refusal);
 }
 
-std::string_view view_of(beast::flat_buffer const& buffer)
-{
-    return { static_cast<char const*>(buffer.data().data()), buffer.size() };
-}
-
-// Adds the next received bytes to the buffer.
-boost::system::error_code receive(beast::tcp_stream& stream, beast::flat_buffer& buffer)
-{
-    constexpr std::size_t read_size = 16384;
-    auto const [failure, size]
-        = await_io([&](auto handler) { stream.async_read_some(buffer.prepare(read_size), std::move(handler)); });
-    buffer.commit(size);
-    if (failure == asio::error::eof)
-        return http::error::partial_message;
-    return failure;
-}
-
-// Reads until the buffer holds a complete head.
-boost::system::error_code read_head(beast::tcp_stream& stream, beast::flat_buffer& buffer, std::size_t max_bytes)
-{
-    while (!framing::head_size(view_of(buffer))) {
-        if (buffer.size() > max_bytes)
-            return http::error::header_limit;
-        auto const failure = receive(stream, buffer);
-        if (failure == http::error::partial_message && buffer.size() == 0)
-            return http::error::end_of_stream;
-        if (failure)
-            return failure;
-    }
-    return {};
-}
-
 // Reads the rest of the request whose head the buffer holds, without the trailer fields of a chunked body.
 boost::system::error_code read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
     http::request_parser<http::string_body>& parser, http::request_header<>& head)
@@ -238,7 +207,7 @@
         if (buffer.size() >= min_size)
             buffer.consume(parser.put(buffer.data(), failure));
         if (failure == http::error::need_more)
-            failure = receive(stream, buffer);
+            failure = detail::receive(stream, buffer);
         if (failure)
             return failure;
     }
@@ -256,8 +225,8 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(limits.body_bytes);
         stream.expires_after(limits.read_timeout);
-        auto failure = read_head(stream, buffer, limits.header_bytes);
-        auto const head_error = failure ? std::nullopt : framing::check_head(view_of(buffer));
+        auto failure = detail::read_head(stream, buffer, limits.header_bytes);
+        auto const head_error = failure ? std::nullopt : framing::check_head(detail::view_of(buffer));
         http::request_header<> head;
         if (!failure && !head_error)
             failure = read_message(stream, buffer, parser, head);
--- a/libraries/relay/http_message.h
+++ b/libraries/relay/http_message.h
@@ -2,6 +2,8 @@
 // HTTP heads as Boost.Beast parses them, and functions that write heads and chunked bodies.
 #pragma once
 
+#include "libraries/framing/streamed_body.h"
+
 #include <boost/beast/http.hpp>
 #include <string>
 #include <string_view>
@@ -32,39 +34,6 @@
 void append_chunk(std::string& out, std::string_view data);
 void append_last_chunk(std::string& out);
 
-// A Beast body type that collects bytes as they arrive, so that they can be consumed before the body is complete.
-struct streamed_body {
-    struct value_type {
-        std::string content;
-    };
-
-    class reader {
-    public:
-        template <bool IsRequest, typename Fields>
-        reader(http::header<IsRequest, Fields>&, value_type& value)
-            : m_value(value)
-        {
-        }
-
-        void init(boost::optional<std::uint64_t> const&, boost::system::error_code& failure) { failure = {}; }
-
-        template <typename ConstBufferSequence>
-        std::size_t put(ConstBufferSequence const& buffers, boost::system::error_code& failure)
-        {
-            failure = {};
-            std::size_t copied = 0;
-            for (auto const& buffer : boost::beast::buffers_range_ref(buffers)) {
-                m_value.content.append(static_cast<char const*>(buffer.data()), buffer.size());
-                copied += buffer.size();
-            }
-            return copied;
-        }
-
-        void finish(boost::system::error_code& failure) { failure = {}; }
-
-    private:
-        value_type& m_value;
-    };
-};
+using framing::streamed_body;
 
 } // namespace shedhill::relay
