net: What the client keeps of an answer without end is limited

What was seen: a server that sent a body, a chunk line or a trailer without end to a call of the product's own interface was read until the time limit of the call, and the process kept all of it: each of the three cases took the 128 MB that the test's server offers at the most.

Cause: fetch() set no limit for a body, and the buffer of what the parser cannot consume yet had none either.

Change: fetch() reads at most 32 MiB of a body, and a chunk line or a trailer has the limit of the heads, 32 KiB. The call then fails with the limit that was exceeded. A streamed call passes its body on in parts of one read and has no limit of its own.

Evidence: a_body_without_end_is_not_kept, a_chunk_line_without_end_is_not_kept and a_trailer_without_end_is_not_kept failed before this change. A head without end was limited before, and a streamed body taken in parts; the tests are kept.

Why this works: all bytes that a call keeps are in the buffer, in the head or in fetch()'s body, and each of them has a limit now.

--- a/libraries/net/answer_reader.cpp
+++ b/libraries/net/answer_reader.cpp
@@ -55,8 +55,12 @@
         boost::system::error_code failure = http::error::need_more;
         if (m_buffer.size() >= min_size)
             failure = parse_input();
-        if (failure == http::error::need_more && content.empty())
+        if (failure == http::error::need_more && content.empty()) {
+            // The parser waits for the end of a chunk line or of a trailer, which may never come.
+            if (m_buffer.size() > max_answer_head_bytes)
+                return broken("a chunk line or a trailer exceeds " + std::to_string(max_answer_head_bytes) + " bytes");
             failure = receive_more();
+        }
         if (failure && failure != http::error::need_more)
             return broken(failure.message());
     }
--- a/libraries/net/answer_reader.h
+++ b/libraries/net/answer_reader.h
@@ -42,6 +42,8 @@
 
     boost::beast::tcp_stream& m_stream;
     std::string m_peer;
+    // Received bytes that the parser cannot consume yet. Invariant: at most max_answer_head_bytes, and as many as one
+    // read brings.
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     boost::beast::http::response_header<> m_head;
--- a/libraries/net/http.h
+++ b/libraries/net/http.h
@@ -105,7 +105,11 @@
     virtual void cancel() = 0;
 };
 
-// Sends a request and returns the complete answer. The time limit applies to the whole call. Suspends the fiber.
+// The largest body that fetch() reads: a page of 512 rows of the store, each of at most 64 KiB.
+constexpr std::size_t max_fetched_body_bytes = std::size_t { 32 } << 20;
+
+// Sends a request and returns the complete answer, unless its body exceeds max_fetched_body_bytes. The time limit
+// applies to the whole call. Suspends the fiber.
 result<http_response> fetch(std::string const& address, http_request const& sent, std::chrono::milliseconds limit);
 
 } // namespace shedhill::net
--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -120,8 +120,12 @@
     response.content_type = std::string(reader.head()[http::field::content_type]);
     for (auto const& field : reader.head())
         response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    for (auto part = TRY(reader.read_part()); !part.empty(); part = TRY(reader.read_part()))
+    for (auto part = TRY(reader.read_part()); !part.empty(); part = TRY(reader.read_part())) {
+        if (part.size() > max_fetched_body_bytes - response.body.size())
+            return fail(
+                "read answer", address, "the body exceeds " + std::to_string(max_fetched_body_bytes) + " bytes");
         response.body += part;
+    }
     return response;
 }
 
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -18,14 +18,16 @@
 
 namespace {
 
+constexpr std::size_t megabyte = 1U << 20U;
 constexpr std::chrono::milliseconds call_limit { 10'000 };
 
-// Answers one call with the pieces and closes the connection.
+// Answers one call with the pieces, then repeats a unit until the client closes, and closes the connection.
 class scripted_answer {
 public:
-    explicit scripted_answer(std::vector<std::string> pieces)
+    explicit scripted_answer(std::vector<std::string> pieces, std::string repeated_unit = {})
         : m_acceptor(*open_acceptor("127.0.0.1:0"))
         , m_pieces(std::move(pieces))
+        , m_repeated_unit(std::move(repeated_unit))
         , m_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
         , m_fiber([this] { serve(); })
     {
@@ -35,8 +37,17 @@
     ~scripted_answer() { m_fiber.join(); }
 
     [[nodiscard]] std::string const& address() const { return m_address; }
+    // Waits until the connection is over and returns the bytes of repeated units that were sent.
+    std::size_t repeated_bytes()
+    {
+        m_is_over.wait();
+        return m_repeated_bytes;
+    }
 
 private:
+    // A limit keeps a test from running on if the client never closes.
+    static constexpr std::size_t max_repeated_bytes = 128 * megabyte;
+
     void serve()
     {
         boost::beast::tcp_stream stream(process_io_context());
@@ -48,6 +59,9 @@
             (void)send(stream, piece);
             boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
         }
+        while (!m_repeated_unit.empty() && m_repeated_bytes < max_repeated_bytes && send(stream, m_repeated_unit))
+            m_repeated_bytes += m_repeated_unit.size();
+        m_is_over.set();
     }
 
     static bool send(boost::beast::tcp_stream& stream, std::string const& bytes)
@@ -59,7 +73,10 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<std::string> m_pieces;
+    std::string m_repeated_unit;
     std::string m_address;
+    std::size_t m_repeated_bytes { 0 };
+    fiber_event m_is_over;
     boost::fibers::fiber m_fiber;
 };
 
@@ -77,6 +94,11 @@
     CPPUNIT_TEST(trailer_fields_are_no_header_fields);
     CPPUNIT_TEST(an_empty_chunked_answer_may_arrive_in_pieces);
     CPPUNIT_TEST(a_length_beyond_the_memory_ends_only_the_call);
+    CPPUNIT_TEST(a_body_without_end_is_not_kept);
+    CPPUNIT_TEST(a_head_without_end_is_not_kept);
+    CPPUNIT_TEST(a_chunk_line_without_end_is_not_kept);
+    CPPUNIT_TEST(a_trailer_without_end_is_not_kept);
+    CPPUNIT_TEST(a_streamed_call_takes_a_body_without_end_in_parts);
     CPPUNIT_TEST_SUITE_END();
 
     static result<http_response> fetch_from(scripted_answer const& server)
@@ -215,6 +237,58 @@
         CPPUNIT_ASSERT(!fetch_answer({ "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\nhi" }));
         CPPUNIT_ASSERT(!fetch_answer({ "HTTP/1.1 200 OK\r\nContent-Length: 90000000000000\r\n\r\nhi" }));
     }
+
+    // What the system buffers for the two ends of a connection.
+    static constexpr std::size_t max_buffered_bytes = 16 * megabyte;
+
+    static void check_is_not_kept(std::string const& beginning, std::string const& unit, std::size_t max_kept_bytes)
+    {
+        scripted_answer server({ beginning }, unit);
+        CPPUNIT_ASSERT_MESSAGE(beginning, !fetch_from(server));
+        CPPUNIT_ASSERT_MESSAGE(beginning, server.repeated_bytes() < max_kept_bytes + max_buffered_bytes);
+    }
+
+    void a_body_without_end_is_not_kept()
+    {
+        std::string const unit(65536, 'x');
+        check_is_not_kept("HTTP/1.1 200 OK\r\n\r\n", unit, max_fetched_body_bytes);
+        check_is_not_kept("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + unit + "\r\n",
+            max_fetched_body_bytes);
+    }
+
+    void a_head_without_end_is_not_kept()
+    {
+        check_is_not_kept("HTTP/1.1 200 OK\r\n", "Name: " + std::string(65536, 'x') + "\r\n", 0);
+        check_is_not_kept("HTTP/1.1 200 OK\r\nName: ", std::string(65536, 'x'), 0);
+    }
+
+    void a_chunk_line_without_end_is_not_kept()
+    {
+        check_is_not_kept("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", std::string(65536, 'x'), 0);
+    }
+
+    void a_trailer_without_end_is_not_kept()
+    {
+        check_is_not_kept(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nName: ", std::string(65536, 'x'), 0);
+    }
+
+    // The limit of a fetched body is no limit of a streamed one.
+    void a_streamed_call_takes_a_body_without_end_in_parts()
+    {
+        scripted_answer server({ "HTTP/1.1 200 OK\r\n\r\n" }, std::string(65536, 'x'));
+        std::size_t taken = 0;
+        std::size_t largest = 0;
+        auto const outcome = http_call::create()->run(
+            server.address(), { "GET", "/", {}, {} }, call_limit, [](std::uint16_t, std::string const&) {},
+            [&](std::string_view data) {
+                taken += data.size();
+                largest = std::max(largest, data.size());
+            });
+        CPPUNIT_ASSERT(outcome == http_call_outcome::complete);
+        CPPUNIT_ASSERT_EQUAL(server.repeated_bytes(), taken);
+        CPPUNIT_ASSERT(largest < megabyte);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
