endpoint: An answer without a body keeps its status

What callers saw: on the product's own interface an engine's or a service's answer without a body, such as 204 or an empty 404, reached its caller with the status 000.

Cause: the process beside an endpoint sends the status with the first chunk of the answer, and an answer without a body has no chunk. The router then answered with the status that it had, 0.

Change: the end of a complete answer of which nothing was sent yet is preceded by an empty chunk, which carries the head.

Why this works: a router takes a status only from the first chunk, and now each complete answer has one.

--- a/libraries/endpoint/endpoint_reducer.cpp
+++ b/libraries/endpoint/endpoint_reducer.cpp
@@ -83,15 +83,20 @@
         return;
     auto& running = found->second;
     auto const service = running.is_model_call ? data.service : service_units((m_now - running.started_at).count());
-    wire::chunk sent { running.request, running.number, running.next_sequence, 0, {}, data.data, service };
+    if (service > running.charged)
+        charge(running, service);
+    send_chunk(running, data.data, service);
+}
+
+void endpoint_reducer::send_chunk(attempt& running, std::string data, service_units service)
+{
+    wire::chunk sent { running.request, running.number, running.next_sequence, 0, {}, std::move(data), service };
     if (!running.has_sent_head) {
         sent.status = running.status;
         sent.content_type = running.content_type;
         running.has_sent_head = true;
     }
     running.next_sequence = chunk_sequence(running.next_sequence.value() + 1);
-    if (service > running.charged)
-        charge(running, service);
     send(running.connection, std::move(sent));
 }
 
@@ -105,6 +110,9 @@
     auto const spent = running.is_model_call ? ended.service : service_units((m_now - running.started_at).count());
     auto const service = ended.end == engine_end::not_sent ? service_units() : spent;
     charge(running, service);
+    // The first chunk carries the head, also that of an answer without a body.
+    if (ended.end == engine_end::whole && !running.has_sent_head && !running.is_abandoned)
+        send_chunk(running, {}, service);
     wire::finished sent { running.request, running.number, running.next_sequence, wire::run_outcome::unknown,
         wire::reason::engine_cut, service, m_board.is_empty() ? free_slots() : 0 };
     switch (ended.end) {
--- a/libraries/endpoint/endpoint_reducer.h
+++ b/libraries/endpoint/endpoint_reducer.h
@@ -97,6 +97,8 @@
     void grant_free_slots();
     // Announces the free slots to a few routers if there are any and no router has an offer.
     void announce_if_idle();
+    // Sends the next part of the answer to the router. The first one carries the head.
+    void send_chunk(attempt& running, std::string data, service_units service);
     void charge(attempt& running, service_units actual);
     void stop_if_drained();
     [[nodiscard]] wire::endpoint_state state() const;
--- a/tests/endpoint/endpoint_reducer_test.cpp
+++ b/tests/endpoint/endpoint_reducer_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_drain_waits_for_outstanding_grants);
     CPPUNIT_TEST(a_router_with_a_stale_revision_is_refused);
     CPPUNIT_TEST(an_unreachable_engine_is_not_run);
+    CPPUNIT_TEST(an_answer_without_a_body_has_its_status);
     CPPUNIT_TEST(a_lost_router_cancels_only_repeatable_requests);
     CPPUNIT_TEST(the_least_served_account_gets_the_slot);
     CPPUNIT_TEST(the_meter_counts_events_until_usage_is_reported);
@@ -184,6 +185,21 @@
         CPPUNIT_ASSERT(!sent<wire::grant>(endpoint.post(tick {})).empty());
     }
 
+    void an_answer_without_a_body_has_its_status()
+    {
+        fixture endpoint;
+        endpoint.offer(5, 1);
+        endpoint.run(1, 1);
+        endpoint.post(engine_head { call_number(1), 404, "text/plain" });
+        auto const ended = endpoint.post(engine_ended { call_number(1), engine_end::whole, service_units(1) });
+        auto const chunks = sent<wire::chunk>(ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, chunks.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 404 }, chunks.front().status);
+        CPPUNIT_ASSERT_EQUAL(std::string("text/plain"), chunks.front().content_type);
+        CPPUNIT_ASSERT_EQUAL(std::string(), chunks.front().data);
+        CPPUNIT_ASSERT(sent<wire::finished>(ended).front().sequence == chunk_sequence(1));
+    }
+
     void a_lost_router_cancels_only_repeatable_requests()
     {
         fixture endpoint;
--- a/tests/processes/fleet_test.cpp
+++ b/tests/processes/fleet_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(fleet_test);
     CPPUNIT_TEST(two_hundred_streams_over_both_deployments_are_whole_and_match_their_callers);
     CPPUNIT_TEST(an_unstreamed_answer_arrives_whole);
+    CPPUNIT_TEST(an_answer_without_a_body_keeps_its_status);
     CPPUNIT_TEST(a_killed_endpoint_ends_streams_visibly_and_orders_run_once);
     CPPUNIT_TEST(a_frozen_endpoint_does_not_block_callers);
     CPPUNIT_TEST(a_planned_stop_of_router_and_endpoint_cuts_no_request_off);
@@ -90,6 +91,20 @@
         CPPUNIT_ASSERT(answer->body.find("menu#7 ") != std::string::npos);
     }
 
+    // Guards against answers with the status 000: an answer without a body has no chunk that could carry its status.
+    void an_answer_without_a_body_keeps_its_status()
+    {
+        auto const running = start(small_shape());
+        for (std::uint16_t const status : { 200, 204, 404, 500 }) {
+            auto const target = "/services/catalogue/empty/" + std::to_string(status);
+            auto const answer = call_service(running.http(0), key(0), target, "x", {});
+            CPPUNIT_ASSERT_MESSAGE(target, answer.has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(target, status, answer->status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(target, std::string("ran"), header_of(*answer, "x-shedhill-outcome"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(target, std::string(), answer->body);
+        }
+    }
+
     void a_killed_endpoint_ends_streams_visibly_and_orders_run_once()
     {
         auto shape = small_shape();
--- a/tests/stand_ins/service.cpp
+++ b/tests/stand_ins/service.cpp
@@ -37,6 +37,12 @@
         exchange.abort_stream();
         return;
     }
+    constexpr std::string_view empty_path = "/empty/";
+    if (auto const found = request.target.rfind(empty_path); found != std::string::npos) {
+        auto const status = std::stoi(request.target.substr(found + empty_path.size()));
+        (void)exchange.respond({ static_cast<std::uint16_t>(status), {}, {}, {} });
+        return;
+    }
     boost::json::object const answer { { "path", request.target }, { "echo", request.body }, { "run", count } };
     (void)exchange.respond({ 200, {}, "application/json", boost::json::serialize(answer) });
 }
--- a/tests/stand_ins/service.h
+++ b/tests/stand_ins/service.h
@@ -19,8 +19,8 @@
     }
 
     // Serves GET /runs (the number of runs by key) and POST /control {"mode": "ok" | "cut" | "slow", "delay_ms": N};
-    // any other request is a run. In the mode "cut" the connection is aborted after the run; "delay_ms" lengthens each
-    // run in every mode.
+    // any other request is a run. One whose path ends with /empty/N is answered with status N and no body. In the mode
+    // "cut" the connection is aborted after the run; "delay_ms" lengthens each run in every mode.
     void serve(net::http_exchange& exchange);
 
 private:
