tests: Heads and store answers without end

Report of other operators: a faulty replica sent bytes that were no answer, without end, and the machine that had called it ran out of memory.

--- a/tests/relay/endless_answers_test.cpp
+++ b/tests/relay/endless_answers_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(an_event_without_end_is_tried_elsewhere);
     CPPUNIT_TEST(comments_without_end_are_tried_elsewhere);
     CPPUNIT_TEST(empty_lines_without_end_are_tried_elsewhere);
+    CPPUNIT_TEST(a_head_without_end_is_tried_elsewhere);
+    CPPUNIT_TEST(bytes_that_are_no_answer_are_tried_elsewhere);
     CPPUNIT_TEST(a_large_answer_of_known_length_is_served_whole);
     CPPUNIT_TEST(a_large_answer_that_breaks_off_does_not_look_whole);
     CPPUNIT_TEST_SUITE_END();
@@ -111,6 +113,20 @@
         check_stream_tried_elsewhere(head_of("200 OK", chunked_stream) + unfinished_chunk(repeat("\n")));
     }
 
+    void a_head_without_end_is_tried_elsewhere()
+    {
+        check_plain_tried_elsewhere("HTTP/1.1 200 OK\r\n" + repeat("Name: value\r\n"));
+        check_plain_tried_elsewhere("HTTP/1.1 200 OK\r\nName: " + repeat("x"));
+        check_plain_tried_elsewhere("HTTP/1.1 200 " + repeat("OK"));
+    }
+
+    void bytes_that_are_no_answer_are_tried_elsewhere()
+    {
+        for (std::string const unit : { "x", "\r\n", "\n", "\r", "no answer\r\n", "GET / HTTP/1.1\r\n\r\n" })
+            check_plain_tried_elsewhere(repeat(unit));
+        check_plain_tried_elsewhere(repeat(std::string(1, '\0')));
+    }
+
     // Guards against answers that are cut off because of their size, though their callers read at once.
     void a_large_answer_of_known_length_is_served_whole()
     {
--- a/tests/relay/store_transfer_test.cpp
+++ b/tests/relay/store_transfer_test.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Tests how long a call to the store may last: as long as its answer arrives, but not in silence.
 #include "libraries/relay/store_session.h"
+
+#include "libraries/relay/buffer_limits.h"
 #include "tests/relay/scripted_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,6 +14,7 @@
     CPPUNIT_TEST(an_answer_that_arrives_slowly_is_not_given_up);
     CPPUNIT_TEST(an_answer_that_stops_arriving_is_given_up);
     CPPUNIT_TEST(an_answer_that_trickles_is_given_up);
+    CPPUNIT_TEST(an_answer_without_end_is_given_up);
     CPPUNIT_TEST(a_long_poll_whose_answer_stops_is_given_up_soon);
     CPPUNIT_TEST_SUITE_END();
 
@@ -98,6 +101,22 @@
         CPPUNIT_ASSERT(tested.status == 0U);
     }
 
+    // Guards against a process whose memory grows for as long as the store sends.
+    void an_answer_without_end_is_given_up()
+    {
+        constexpr std::size_t piece_size = 1'000'000;
+        slow_call tested;
+        tested.start(1000 * piece_size);
+        std::size_t sent = 0;
+        while (!tested.status && sent < 1000 * piece_size) {
+            tested.send(piece_size);
+            sent += piece_size;
+            CPPUNIT_ASSERT(tested.call.received_bytes() <= max_store_answer_bytes);
+        }
+        CPPUNIT_ASSERT(tested.status == 0U);
+        CPPUNIT_ASSERT(!tested.call.is_calling());
+    }
+
     void a_long_poll_whose_answer_stops_is_given_up_soon()
     {
         slow_call tested;
