net, daemon: An engine that streams without end waits for the router

What callers saw: on the product's own interface, streams of other callers broke off while an engine of the same endpoint streamed without end.

Cause: the process beside the engine read as fast as the engine sent and queued all of it for the router. At 64 MiB the queue aborts its connection, and with it all that this router runs at the endpoint.

Change: a call reads no more of its answer while over 1 MiB is unsent on the connection to its router, up to the time that the request has left. The limit of 64 MiB stays.

Why this works: what a call adds to the queue after it has to wait is one read of the engine's connection, so that the queue stays near 1 MiB whatever the engine sends, and the engine is held up by its own connection.

--- a/libraries/endpoint/endpoint_reducer.cpp
+++ b/libraries/endpoint/endpoint_reducer.cpp
@@ -255,7 +255,7 @@
     running.is_model_call = run.is_model_call;
     running.is_repeatable = run.is_repeatable;
     charge(running, run.expected_cost);
-    m_effects.emplace_back(start_call { call, run });
+    m_effects.emplace_back(start_call { call, from, run });
 }
 
 void endpoint_reducer::release_grant(grant_number number, pending_grant const& unused)
--- a/libraries/endpoint/events.h
+++ b/libraries/endpoint/events.h
@@ -92,6 +92,8 @@
 // Sends the request to the engine or service.
 struct start_call {
     call_number call {};
+    // The connection to the router that receives the answer.
+    connection_id connection {};
     wire::run request;
 };
 
--- a/libraries/net/frame_connection.cpp
+++ b/libraries/net/frame_connection.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t read_size = 16384;
 // The limit of unsent bytes in a connection's queue. A connection whose peer reads too slowly is aborted.
 constexpr std::size_t max_queued_bytes = std::size_t { 64 } << 20;
+// While more bytes than this are unsent, senders without end wait. It is far below the limit above, so that the answers
+// of all slots together stay below that limit too.
+constexpr std::size_t max_unsent_bytes = std::size_t { 1 } << 20;
 constexpr std::chrono::milliseconds handshake_limit { 3000 };
 constexpr std::size_t max_handshake_frame_size = 4096;
 
@@ -159,13 +162,23 @@
         abort();
         return;
     }
+    if (!has_space())
+        m_has_space.reset();
     if (!m_is_writing)
         write_next();
 }
 
+bool frame_connection::has_space() const { return m_is_closing || m_queued_bytes <= max_unsent_bytes; }
+
+bool frame_connection::wait_for_space(std::chrono::milliseconds limit)
+{
+    return has_space() || m_has_space.wait_for(limit);
+}
+
 void frame_connection::close()
 {
     m_is_closing = true;
+    m_has_space.set();
     if (!m_is_writing)
         abort();
 }
@@ -173,6 +186,7 @@
 void frame_connection::abort()
 {
     m_is_closing = true;
+    m_has_space.set();
     boost::system::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
@@ -188,6 +202,8 @@
         self->m_is_writing = false;
         self->m_queued_bytes -= self->m_queue.front().size();
         self->m_queue.pop_front();
+        if (self->has_space())
+            self->m_has_space.set();
         if (failure) {
             self->m_queue.clear();
             self->abort();
--- a/libraries/net/frame_connection.h
+++ b/libraries/net/frame_connection.h
@@ -3,6 +3,7 @@
 // sides by the fleet's key. No other message of an unauthenticated peer is read.
 #pragma once
 
+#include "libraries/net/await.h"
 #include "libraries/wire/codec.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -49,6 +50,10 @@
     // Queues a message without suspending the fiber. Aborts the connection if more than 64 MiB are queued.
     void send(wire::message const& message);
 
+    // Suspends the fiber while so much is queued that a sender without end has to wait. Returns false if that has not
+    // changed within the time limit.
+    bool wait_for_space(std::chrono::milliseconds limit);
+
     // Closes the connection after the queued messages are sent.
     void close();
     // Closes the connection immediately and discards the queued messages.
@@ -61,6 +66,7 @@
 
 private:
     void write_next();
+    [[nodiscard]] bool has_space() const;
 
     boost::asio::ip::tcp::socket m_socket;
     std::string m_peer;
@@ -70,6 +76,8 @@
     std::size_t m_input_used { 0 };
     std::deque<std::string> m_queue;
     std::size_t m_queued_bytes { 0 };
+    // Set while there is space in the queue, and once the connection is closing.
+    fiber_event m_has_space;
     bool m_is_writing { false };
     bool m_is_closing { false };
 };
--- a/services/shedhilld/endpoint_daemon.cpp
+++ b/services/shedhilld/endpoint_daemon.cpp
@@ -75,7 +75,8 @@
     auto call = net::http_call::create();
     m_calls[effect.call] = call;
     net::start_fiber(
-        [this, number = effect.call, request = std::move(effect.request), call] { make_call(number, request, *call); });
+        [this, number = effect.call, request = std::move(effect.request), call,
+            answered = m_connections.at(effect.connection)] { make_call(number, request, *call, answered); });
 }
 
 void endpoint_daemon::run(endpoint::cancel_call& effect)
@@ -126,8 +127,10 @@
     post(endpoint::connection_down { id });
 }
 
-void endpoint_daemon::make_call(endpoint::call_number number, wire::run const& request, net::http_call& call)
+void endpoint_daemon::make_call(endpoint::call_number number, wire::run const& request, net::http_call& call,
+    std::shared_ptr<net::frame_connection> const& answered)
 {
+    auto const ends_at = m_host.now() + request.time_left;
     endpoint::service_meter meter(m_settings.options.weights, request.body.size());
     auto const outcome = call.run(
         m_settings.engine_address, to_http(request), request.time_left,
@@ -138,6 +141,8 @@
         [&](std::string_view data) {
             meter.consume(data);
             post(endpoint::engine_data { number, std::string(data), meter.service() });
+            if (!answered->wait_for_space(std::max(ends_at - m_host.now(), milliseconds(0))))
+                call.cancel();
         });
     m_calls.erase(number);
     post(endpoint::engine_ended { number, to_engine_end(outcome), meter.service() });
--- a/services/shedhilld/endpoint_daemon.h
+++ b/services/shedhilld/endpoint_daemon.h
@@ -37,7 +37,9 @@
     void run(endpoint::log_line& effect);
 
     void serve_connection(std::shared_ptr<net::frame_connection> const& connection);
-    void make_call(endpoint::call_number number, wire::run const& request, net::http_call& call);
+    // Makes the call, and reads no more of its answer while the connection to the router has no space.
+    void make_call(endpoint::call_number number, wire::run const& request, net::http_call& call,
+        std::shared_ptr<net::frame_connection> const& answered);
     void finish_stopping();
 
     process& m_host;
--- a/tests/processes/fleet_test.cpp
+++ b/tests/processes/fleet_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(two_hundred_streams_over_both_deployments_are_whole_and_match_their_callers);
     CPPUNIT_TEST(an_unstreamed_answer_arrives_whole);
     CPPUNIT_TEST(an_answer_without_a_body_keeps_its_status);
+    CPPUNIT_TEST(answers_without_end_leave_other_requests_served);
+    CPPUNIT_TEST(a_stream_without_end_leaves_other_requests_served);
     CPPUNIT_TEST(a_killed_endpoint_ends_streams_visibly_and_orders_run_once);
     CPPUNIT_TEST(a_frozen_endpoint_does_not_block_callers);
     CPPUNIT_TEST(a_planned_stop_of_router_and_endpoint_cuts_no_request_off);
@@ -105,6 +107,91 @@
         }
     }
 
+    static void check_memory(std::vector<child_process>& processes)
+    {
+        // The memory that one node has for control.
+        constexpr std::int64_t max_peak_kib = 256'000'000 / 1024;
+        for (auto& process : processes) {
+            CPPUNIT_ASSERT(!process.has_ended());
+            auto const peak_kib = process.peak_memory_kib();
+            CPPUNIT_ASSERT_MESSAGE("peak of " + std::to_string(peak_kib) + " KiB", peak_kib < max_peak_kib);
+        }
+    }
+
+    // Guards against a process that keeps what a service sends without end, and against requests that end with it.
+    void answers_without_end_leave_other_requests_served()
+    {
+        constexpr std::size_t endless_requests = 4;
+        constexpr std::size_t orders = 12;
+        auto shape = small_shape();
+        shape.work_ms = 100;
+        auto running = start(shape);
+        std::size_t unserved = 0;
+        std::size_t served = 0;
+        fiber_group callers;
+        for (std::size_t index = 0; index < endless_requests; ++index)
+            callers.start([&, index] {
+                auto const answer = call_service(running.http(0), key(index % 4), "/services/catalogue/endless",
+                    std::to_string(index), "endless-" + std::to_string(index));
+                unserved += answer && answer->status == 200 ? 0 : 1;
+            });
+        for (std::size_t index = 0; index < orders; ++index)
+            callers.start([&, index] {
+                auto const order = "order-" + std::to_string(index);
+                auto const answer
+                    = call_service(running.http(0), key(index % 4), "/services/catalogue/orders", "x", order);
+                served += answer && answer->status == 200 ? 1 : 0;
+            });
+        callers.join();
+        CPPUNIT_ASSERT_EQUAL(endless_requests, unserved);
+        CPPUNIT_ASSERT_EQUAL(orders, served);
+        check_memory(running.routers());
+        check_memory(running.endpoints());
+    }
+
+    // Guards against an endpoint that keeps what its engine sends faster than the router takes it.
+    void a_stream_without_end_leaves_other_requests_served()
+    {
+        constexpr std::size_t streams = 4;
+        constexpr std::size_t answers = 12;
+        constexpr std::size_t tokens = 100;
+        constexpr std::size_t taken_bytes = 100'000'000;
+        auto shape = small_shape();
+        shape.partners.front().engines = 1;
+        auto running = start(shape);
+        auto const body = [](char const* text) {
+            return R"({"model":"cook","stream":true,"max_tokens":100,"messages":[{"content":")" + std::string(text)
+                + R"("}]})";
+        };
+        std::size_t whole = 0;
+        fiber_group callers;
+        for (std::size_t index = 0; index < streams; ++index)
+            callers.start([&, index] {
+                auto const call = net::http_call::create();
+                std::size_t taken = 0;
+                (void)call->run(
+                    running.http(0),
+                    { "POST", "/v1/chat/completions", { { "authorization", "Bearer " + key(index % 4) } },
+                        body("endless") },
+                    std::chrono::milliseconds(20000), [](std::uint16_t, std::string const&) {},
+                    [&](std::string_view data) {
+                        taken += data.size();
+                        if (taken > taken_bytes)
+                            call->cancel();
+                    });
+            });
+        for (std::size_t index = 0; index < answers; ++index)
+            callers.start([&, index] {
+                auto const text = "q" + std::to_string(index);
+                auto const answer = request_chat(running.http(0), key(index % 4), "cook", text, tokens);
+                whole += answer.is_whole && answer.text == expected_text(text, tokens) ? 1 : 0;
+            });
+        callers.join();
+        CPPUNIT_ASSERT_EQUAL(answers, whole);
+        check_memory(running.routers());
+        check_memory(running.endpoints());
+    }
+
     void a_killed_endpoint_ends_streams_visibly_and_orders_run_once()
     {
         auto shape = small_shape();
--- a/tests/stand_ins/engine.cpp
+++ b/tests/stand_ins/engine.cpp
@@ -74,6 +74,8 @@
     boost::this_fiber::sleep_for(m_delay);
     if (!exchange.start_stream(200, "text/event-stream", {}))
         return;
+    if (text == "endless")
+        return stream_without_end(exchange);
     for (std::int64_t index = 0; index < tokens; ++index) {
         boost::this_fiber::sleep_for(m_token_interval);
         auto const is_faulty = m_mode != "ok" && index >= m_fault_after;
@@ -95,6 +97,16 @@
         ++m_completed;
 }
 
+void engine::stream_without_end(net::http_exchange& exchange)
+{
+    constexpr std::size_t piece_size = 65536;
+    // A limit keeps a test from running on if nobody closes the connection.
+    constexpr int max_pieces = 16384;
+    auto const event = "data: " + std::string(piece_size, 'x') + "\n\n";
+    for (int sent = 0; sent < max_pieces && exchange.write_chunk(event); ++sent) { }
+    exchange.abort_stream();
+}
+
 void engine::control(net::http_exchange& exchange)
 {
     auto const body = boost::json::parse(exchange.request().body);
--- a/tests/stand_ins/engine.h
+++ b/tests/stand_ins/engine.h
@@ -24,12 +24,14 @@
     // "delay_ms": N}, GET /now (current load), and GET /load (load that is up to half a second old). The modes other
     // than "ok" affect the tokens of a stream from number "after" on: "stall" delays each of them by 30 seconds, "cut"
     // aborts the connection, and "twice" sends each of them twice. "cut" also aborts every answer that is not streamed.
-    // "delay_ms" delays the first token of a stream.
+    // "delay_ms" delays the first token of a stream. A stream whose last message is "endless" goes on until its
+    // connection is closed.
     void serve(net::http_exchange& exchange);
 
 private:
     void serve_chat(net::http_exchange& exchange);
     void stream(net::http_exchange& exchange, std::string const& text, std::int64_t tokens);
+    static void stream_without_end(net::http_exchange& exchange);
     void control(net::http_exchange& exchange);
     [[nodiscard]] boost::json::object load() const;
     std::string delayed_load();
--- a/tests/stand_ins/service.cpp
+++ b/tests/stand_ins/service.cpp
@@ -43,8 +43,22 @@
         (void)exchange.respond({ static_cast<std::uint16_t>(status), {}, {}, {} });
         return;
     }
+    if (request.target.ends_with("/endless"))
+        return answer_without_end(exchange);
     boost::json::object const answer { { "path", request.target }, { "echo", request.body }, { "run", count } };
     (void)exchange.respond({ 200, {}, "application/json", boost::json::serialize(answer) });
 }
 
+void service::answer_without_end(net::http_exchange& exchange)
+{
+    constexpr std::size_t piece_size = 65536;
+    // A limit keeps a test from running on if nobody closes the connection.
+    constexpr int max_pieces = 16384;
+    std::string const piece(piece_size, 'x');
+    if (!exchange.start_stream(200, "text/plain", {}))
+        return;
+    for (int sent = 0; sent < max_pieces && exchange.write_chunk(piece); ++sent) { }
+    exchange.abort_stream();
+}
+
 } // namespace shedhill::stand_ins
--- a/tests/stand_ins/service.h
+++ b/tests/stand_ins/service.h
@@ -19,12 +19,14 @@
     }
 
     // Serves GET /runs (the number of runs by key) and POST /control {"mode": "ok" | "cut" | "slow", "delay_ms": N};
-    // any other request is a run. One whose path ends with /empty/N is answered with status N and no body. In the mode
-    // "cut" the connection is aborted after the run; "delay_ms" lengthens each run in every mode.
+    // any other request is a run. One whose path ends with /empty/N is answered with status N and no body, and one
+    // whose path ends with /endless without end until its connection is closed. In the mode "cut" the connection is
+    // aborted after the run; "delay_ms" lengthens each run in every mode.
     void serve(net::http_exchange& exchange);
 
 private:
     void run(net::http_exchange& exchange);
+    static void answer_without_end(net::http_exchange& exchange);
 
     std::chrono::milliseconds m_work_time;
     std::string m_mode { "ok" };
