dispatch, relay, daemon: A planned stop answers what is still open

Cause: at the end of the grace the process ended, whatever was open.

Change: 0.7 s before the end of the grace, when the process ended so far, all requests end with an answer: 504 if an endpoint may have run it, 503 if none has got it, the withheld failure of an endpoint as it is, and a stream that has begun breaks off visibly. The process ends once the answers are written, and 0.4 s before the end of the grace at the latest. The line "stop_time_over" tells how many were open.

The tests of the sequence expect the process to end in two steps now. Their bound stays the grace: nothing is open after the first step, and the second comes before the kill.

Why this works: no step ends the process before the one that answers all requests, whatever length the grace has.

--- a/libraries/dispatch/dispatch_outcomes.cpp
+++ b/libraries/dispatch/dispatch_outcomes.cpp
@@ -420,6 +420,13 @@
 }
 
 void dispatch_reducer::end_at_deadline(request_number number, active_request& request, step_context& step)
+{
+    auto const reason = request.ends_at_route_limit ? refusal_reason::time_limit : refusal_reason::deadline_passed;
+    end_unanswered(number, request, reason, step);
+}
+
+void dispatch_reducer::end_unanswered(
+    request_number number, active_request& request, refusal_reason reason, step_context& step)
 {
     if (request.state == phase::waiting)
         std::erase(m_waiting, number);
@@ -428,7 +435,6 @@
         end_attempt(request, nullptr, step);
         request.may_have_run = true;
     }
-    auto const reason = request.ends_at_route_limit ? refusal_reason::time_limit : refusal_reason::deadline_passed;
     if (request.is_failure_withheld)
         return forward_failure(number, request, reason, step);
     if (request.has_answer_begun)
--- a/libraries/dispatch/dispatch_reducer.cpp
+++ b/libraries/dispatch/dispatch_reducer.cpp
@@ -260,6 +260,15 @@
     stop_if_drained(step);
 }
 
+void dispatch_reducer::handle(drain_expired const&, step_context& step)
+{
+    std::vector<request_number> open;
+    for (auto const& [number, request] : m_requests)
+        open.push_back(number);
+    for (auto const number : open)
+        end_unanswered(number, m_requests.at(number), refusal_reason::stopping, step);
+}
+
 void dispatch_reducer::handle(tick const& ticked, step_context& step)
 {
     if (m_started_at == instant {})
--- a/libraries/dispatch/dispatch_reducer.h
+++ b/libraries/dispatch/dispatch_reducer.h
@@ -225,6 +225,7 @@
     void handle(peer_report const& report, step_context& step);
     void handle(peer_lost const& lost, step_context& step);
     void handle(drain_requested const& requested, step_context& step);
+    void handle(drain_expired const& expired, step_context& step);
     void handle(tick const& ticked, step_context& step);
 
     // Admission.
@@ -275,6 +276,8 @@
     void refuse_unrouted(
         request_arrived const& arrived, std::uint16_t status, refusal_reason reason, step_context& step);
     void end_at_deadline(request_number number, active_request& request, step_context& step);
+    // Ends a request that has no time left: cancels its attempt and answers as what is known of it allows.
+    void end_unanswered(request_number number, active_request& request, refusal_reason reason, step_context& step);
     // Removes the request and settles its failures, since no other attempt follows.
     void remove_request(request_number number, step_context& step);
 
--- a/libraries/dispatch/events.h
+++ b/libraries/dispatch/events.h
@@ -207,6 +207,9 @@
 
 struct drain_requested { };
 
+// The time for a drain is over, and the process ends once the callers have their answers.
+struct drain_expired { };
+
 struct tick {
     // The delay of this tick after its scheduled time; it grows while the process is overloaded.
     milliseconds lag { 0 };
@@ -218,10 +221,10 @@
     milliseconds list_age { 0 };
 };
 
-using event_body
-    = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled, endpoint_notice_received,
-        endpoint_probed, quarantines_loaded, versions_restored, streams_restored, configuration_received,
-        domains_evacuated, endpoints_listed, routers_listed, peer_report, peer_lost, drain_requested, tick>;
+using event_body = std::variant<request_arrived, caller_left, answer_began, attempt_ended, attempt_stalled,
+    endpoint_notice_received, endpoint_probed, quarantines_loaded, versions_restored, streams_restored,
+    configuration_received, domains_evacuated, endpoints_listed, routers_listed, peer_report, peer_lost,
+    drain_requested, drain_expired, tick>;
 
 // Returns the event's name for the log.
 [[nodiscard]] std::string_view name_of(event_body const& body);
--- a/libraries/relay/stop_sequence.cpp
+++ b/libraries/relay/stop_sequence.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 // The process ends this long before the end of its stop time, so that it exits by itself rather than being killed.
-constexpr milliseconds stop_margin { 700 };
+constexpr milliseconds stop_margin { 400 };
+// Requests end this long before the end of the stop time, so that their callers receive the answers.
+constexpr milliseconds answer_margin { 700 };
 
 } // namespace
 
@@ -22,9 +24,14 @@
     if (!has_begun())
         return stop_step::wait;
     auto const elapsed = now - m_begun_at;
+    if (elapsed >= stop_time - answer_margin && !m_has_ended_requests) {
+        m_has_ended_requests = true;
+        m_is_closing = true;
+        return stop_step::end_requests;
+    }
     if (elapsed >= stop_time - stop_margin)
         return stop_step::end_process;
-    if (elapsed < balancer_detection_time)
+    if (elapsed < balancer_detection_time && !m_is_closing)
         return stop_step::wait;
     if (!m_is_closing) {
         m_is_closing = true;
--- a/libraries/relay/stop_sequence.h
+++ b/libraries/relay/stop_sequence.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// The timed steps of a planned stop: wait until the load balancer has noticed, release idle callers, and end the
-// process when no work is in progress or the time is up. The sequence only decides; the router carries the steps out.
+// The timed steps of a planned stop: wait until the load balancer has noticed, release idle callers, answer what is
+// still open when the time is up, and end the process when no work is in progress. The sequence only decides; the
+// router carries the steps out.
 #pragma once
 
 #include "base/units.h"
@@ -22,6 +23,8 @@
     wait,
     // Release idle callers and refuse new requests: the load balancer sends no new callers any more.
     close_callers,
+    // End all requests that are being served with an answer, because their endpoints' answers come too late.
+    end_requests,
     end_process,
 };
 
@@ -33,12 +36,14 @@
     // Returns whether callers were released, so that new requests are refused.
     [[nodiscard]] bool is_closing() const { return m_is_closing; }
 
-    // Returns the step to carry out now; `close_callers` is returned once.
+    // Returns the step to carry out now; `close_callers` and `end_requests` are returned at most once, and the latter
+    // includes the former.
     stop_step advance(open_work const& open, milliseconds stop_time, instant now);
 
 private:
     instant m_begun_at {};
     bool m_is_closing { false };
+    bool m_has_ended_requests { false };
 };
 
 // The time until the load balancer no longer uses a router that is not ready: it checks every second and removes a
--- a/services/shedhilld/platform_router.h
+++ b/services/shedhilld/platform_router.h
@@ -525,6 +525,8 @@
             return;
         case relay::stop_step::close_callers:
             return close_idle_callers();
+        case relay::stop_step::end_requests:
+            return end_requests();
         case relay::stop_step::end_process:
             m_has_ended = true;
             return;
@@ -537,6 +539,14 @@
         m_callers.close_idle();
     }
 
+    void end_requests()
+    {
+        close_idle_callers();
+        log_state("stop_time_over", dispatch::log_fields().add("open", m_exchanges.size()).take());
+        reduce(dispatch::drain_expired {});
+        process_events();
+    }
+
     void reload()
     {
         auto const read = m_reload();
--- a/tests/dispatch/dispatch_guard_test.cpp
+++ b/tests/dispatch/dispatch_guard_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(own_delays_do_not_lower_an_engines_rate);
     CPPUNIT_TEST(an_older_configuration_is_not_applied);
     CPPUNIT_TEST(a_drain_ends_when_nothing_is_in_flight);
+    CPPUNIT_TEST(a_drain_that_expires_answers_what_is_open);
     CPPUNIT_TEST(the_log_contains_the_cause_of_a_refusal);
     CPPUNIT_TEST(a_request_past_its_share_is_refused_early_with_a_retry_delay);
     CPPUNIT_TEST(a_request_within_its_share_waits_a_little_longer);
@@ -183,6 +184,39 @@
         CPPUNIT_ASSERT(fleet.has_stopped());
     }
 
+    // Sends requests until the endpoints have no place for one, and returns that one.
+    static request_number ask_until_one_waits(driver& fleet, std::string const& path = "/look/")
+    {
+        constexpr int max_requests = 200;
+        for (int sent = 0; sent < max_requests; ++sent) {
+            if (auto const request = fleet.ask(path); fleet.sent_for(request).empty())
+                return request;
+        }
+        CPPUNIT_FAIL("every request was sent");
+        return {};
+    }
+
+    void a_drain_that_expires_answers_what_is_open()
+    {
+        driver fleet;
+        fleet.start({ driver::make_endpoint("e1", "plain", 1), driver::make_endpoint("e2", "model", 4) });
+        auto const running = fleet.ask("/order/");
+        auto const waiting = ask_until_one_waits(fleet);
+        auto const begun = fleet.ask("/once/");
+        fleet.begin(begun);
+        fleet.deliver(drain_requested {});
+        fleet.deliver(drain_expired {});
+        // The order may have run, and the other request has not.
+        CPPUNIT_ASSERT(fleet.is_cancelled(running));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 504 }, fleet.refusal_of(running)->status);
+        CPPUNIT_ASSERT(!fleet.refusal_of(running)->retry_after);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 503 }, fleet.refusal_of(waiting)->status);
+        CPPUNIT_ASSERT(fleet.refusal_of(waiting)->reason == refusal_reason::stopping);
+        CPPUNIT_ASSERT(fleet.is_aborted(begun));
+        fleet.wait(milliseconds(20));
+        CPPUNIT_ASSERT(fleet.has_stopped());
+    }
+
     void the_log_contains_the_cause_of_a_refusal()
     {
         driver fleet;
--- a/tests/harness/hosted_fleet.cpp
+++ b/tests/harness/hosted_fleet.cpp
@@ -129,7 +129,7 @@
                 { "frontend", "127.0.0.1:0" }, { "ready", "127.0.0.1:0" }, { "control_plane", "127.0.0.1:0" } } },
         { "platform", json::object { { "address", store } } },
         { "bounds",
-            json::object { { "grace_s", 8 }, { "retry_budget_ratio", m_options.retry_ratio },
+            json::object { { "grace_s", m_options.grace_s }, { "retry_budget_ratio", m_options.retry_ratio },
                 { "retry_slack", m_options.retry_slack }, { "cold_overage", cold_overage },
                 { "cold_start_slack", cold_start_slack } } } };
     if (m_options.memory_mb > 0)
--- a/tests/harness/hosted_fleet.h
+++ b/tests/harness/hosted_fleet.h
@@ -35,6 +35,8 @@
     int retry_slack { 500 };
     // Requests a second that a replica sustains while it is cold; 0 if replicas are never cold.
     int cold_per_second { 0 };
+    // Time between SIGTERM and SIGKILL that the settings of routers name.
+    int grace_s { 8 };
     // Memory of a router's VM in MB; 0 if the settings do not name it.
     int memory_mb { 0 };
     // Software versions of the replicas, which take turns. A replica that restarts has the next one.
--- a/tests/relay/stop_sequence_test.cpp
+++ b/tests/relay/stop_sequence_test.cpp
@@ -11,7 +11,9 @@
     CPPUNIT_TEST(nothing_happens_before_a_stop_is_requested);
     CPPUNIT_TEST(callers_are_released_once_the_balancer_has_noticed);
     CPPUNIT_TEST(the_stop_waits_for_open_work);
+    CPPUNIT_TEST(open_requests_are_answered_before_the_stop_ends);
     CPPUNIT_TEST(the_stop_ends_in_time_whatever_is_open);
+    CPPUNIT_TEST(a_stop_without_time_answers_first);
     CPPUNIT_TEST(a_second_signal_does_not_restart_the_stop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -53,19 +55,39 @@
         CPPUNIT_ASSERT(stop.advance(nothing_open, stop_time, at(6100)) == stop_step::end_process);
     }
 
-    static void the_stop_ends_in_time_whatever_is_open()
+    static void open_requests_are_answered_before_the_stop_ends()
     {
         auto stop = make_started();
         (void)stop.advance({ 3, true }, stop_time, at(3700));
         CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8299)) == stop_step::wait);
-        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8300)) == stop_step::end_process);
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8300)) == stop_step::end_requests);
+        CPPUNIT_ASSERT(stop.advance({ 0, true }, stop_time, at(8308)) == stop_step::wait);
+        CPPUNIT_ASSERT(stop.advance(nothing_open, stop_time, at(8316)) == stop_step::end_process);
+    }
+
+    static void the_stop_ends_in_time_whatever_is_open()
+    {
+        auto stop = make_started();
+        (void)stop.advance({ 3, true }, stop_time, at(3700));
+        (void)stop.advance({ 3, true }, stop_time, at(8300));
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8599)) == stop_step::wait);
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8600)) == stop_step::end_process);
+    }
+
+    static void a_stop_without_time_answers_first()
+    {
+        auto stop = make_started();
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, milliseconds(0), at(1000)) == stop_step::end_requests);
+        CPPUNIT_ASSERT(stop.is_closing());
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, milliseconds(0), at(1008)) == stop_step::end_process);
     }
 
     static void a_second_signal_does_not_restart_the_stop()
     {
         auto stop = make_started();
         stop.begin(at(8000));
-        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8300)) == stop_step::end_process);
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8300)) == stop_step::end_requests);
+        CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8600)) == stop_step::end_process);
     }
 };
 
