relay: A short planned stop refuses new requests from half of its time on

Report of other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end. Here this happened where the grace is shorter than 3.4 s.

Cause: a stopping router takes requests until the load balancer has noticed, 2.7 s, whatever grace it has. With a grace of 2 s an order that came after 1.1 s was run, and its caller was cut off 0.2 s later.

Change: new requests are refused from half of the stop time on, if that is before the load balancer has noticed. From a grace of 5.4 s on nothing changes.

Evidence: a_short_stop_takes_nothing_that_it_cannot_end failed before (the order ran) and passes now, as does a_short_stop_releases_callers_at_half_of_its_time.

Why this works: whatever the grace, a request that is taken has at least half of it, less 0.7 s, before requests end.

--- a/libraries/relay/stop_sequence.cpp
+++ b/libraries/relay/stop_sequence.cpp
@@ -2,6 +2,8 @@
 // Decides the steps of a planned stop by the elapsed time.
 #include "libraries/relay/stop_sequence.h"
 
+#include <algorithm>
+
 namespace shedhill::relay {
 
 namespace {
@@ -31,7 +33,7 @@
     }
     if (elapsed >= stop_time - stop_margin)
         return stop_step::end_process;
-    if (elapsed < balancer_detection_time && !m_is_closing)
+    if (elapsed < std::min(balancer_detection_time, stop_time / 2) && !m_is_closing)
         return stop_step::wait;
     if (!m_is_closing) {
         m_is_closing = true;
--- a/libraries/relay/stop_sequence.h
+++ b/libraries/relay/stop_sequence.h
@@ -21,7 +21,8 @@
 enum class stop_step {
     // Continue with the open work.
     wait,
-    // Release idle callers and refuse new requests: the load balancer sends no new callers any more.
+    // Release idle callers and refuse new requests: the load balancer sends no new callers any more, or half of the
+    // stop time is left for the requests that are being served.
     close_callers,
     // End all requests that are being served with an answer, because their endpoints' answers come too late.
     end_requests,
--- a/tests/processes/hosted_stop_test.cpp
+++ b/tests/processes/hosted_stop_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(hosted_stop_test);
     CPPUNIT_TEST(a_request_that_outlasts_the_stop_is_answered);
     CPPUNIT_TEST(a_stream_that_outlasts_the_stop_does_not_look_whole);
+    CPPUNIT_TEST(a_short_stop_takes_nothing_that_it_cannot_end);
     CPPUNIT_TEST(a_late_request_on_an_open_connection_is_not_run);
     CPPUNIT_TEST_SUITE_END();
 
@@ -72,6 +73,19 @@
         check_ends_by_itself(fleet);
     }
 
+    // Guards against requests that are taken until the process ends, because the grace is shorter than the time in
+    // which the load balancer notices.
+    void a_short_stop_takes_nothing_that_it_cannot_end()
+    {
+        auto fleet = start_fleet(3000, 2);
+        fleet.router(0).send_signal(SIGTERM);
+        pause(1100);
+        auto const answer = fleet.send_request(0, "/order/a", "late");
+        CPPUNIT_ASSERT(!answer || answer->status == 503);
+        check_ends_by_itself(fleet);
+        CPPUNIT_ASSERT(!has_run(fleet, "late"));
+    }
+
     // A caller that keeps its connection open, with a request of which the end is still to come.
     class slow_caller {
     public:
--- a/tests/relay/stop_sequence_test.cpp
+++ b/tests/relay/stop_sequence_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(the_stop_waits_for_open_work);
     CPPUNIT_TEST(open_requests_are_answered_before_the_stop_ends);
     CPPUNIT_TEST(the_stop_ends_in_time_whatever_is_open);
+    CPPUNIT_TEST(a_short_stop_releases_callers_at_half_of_its_time);
     CPPUNIT_TEST(a_stop_without_time_answers_first);
     CPPUNIT_TEST(a_second_signal_does_not_restart_the_stop);
     CPPUNIT_TEST_SUITE_END();
@@ -74,6 +75,16 @@
         CPPUNIT_ASSERT(stop.advance({ 3, true }, stop_time, at(8600)) == stop_step::end_process);
     }
 
+    static void a_short_stop_releases_callers_at_half_of_its_time()
+    {
+        constexpr milliseconds short_time { 3000 };
+        auto stop = make_started();
+        CPPUNIT_ASSERT(stop.advance({ 3, false }, short_time, at(2499)) == stop_step::wait);
+        CPPUNIT_ASSERT(stop.advance({ 3, false }, short_time, at(2500)) == stop_step::close_callers);
+        CPPUNIT_ASSERT(stop.advance({ 3, false }, short_time, at(3299)) == stop_step::wait);
+        CPPUNIT_ASSERT(stop.advance({ 3, false }, short_time, at(3300)) == stop_step::end_requests);
+    }
+
     static void a_stop_without_time_answers_first()
     {
         auto stop = make_started();
