platform: A page of rows is asked for after any key

What was found with the report on odd entries: the call for the next page of a table names the last key of the page before as it stands. A key with a blank makes the store refuse the call, so that routers do not read the list to its end; one with an ampersand or a percent sign asks for another page; and one with an empty line adds a call of its own to the store's connection. It needs an odd key where a page of 500 rows or 1 MB ends.

Cause: any program may write rows, and the key was not encoded.

--- a/tests/platform/binding_test.cpp
+++ b/tests/platform/binding_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(a_bad_configuration_is_refused_with_the_fields_name);
     CPPUNIT_TEST(an_endpoint_row_is_parsed);
     CPPUNIT_TEST(a_row_of_another_writer_names_no_endpoint);
+    CPPUNIT_TEST(odd_rows_of_another_writer_are_read_safely);
+    CPPUNIT_TEST(a_page_after_an_odd_key_is_asked_for);
     CPPUNIT_TEST(the_start_time_is_parsed);
     CPPUNIT_TEST(rows_are_decoded);
     CPPUNIT_TEST(arbitrary_bytes_are_parsed_safely);
@@ -402,6 +404,38 @@
             CPPUNIT_ASSERT(!table_binding::parse_endpoint("i", endpoint_text({ { "capacity", text } })));
     }
 
+    void odd_rows_of_another_writer_are_read_safely()
+    {
+        constexpr std::size_t deep = 100'000;
+        auto const nested = std::string(deep, '[') + std::string(deep, ']');
+        for (auto const& text : { nested, std::string(deep, '{'), std::string("\0\xff\xfe", 3), std::string("null") })
+            CPPUNIT_ASSERT(!table_binding::parse_endpoint("i", text));
+        for (auto const* const field : { "service", "zone", "capacity", "more" })
+            CPPUNIT_ASSERT(!table_binding::parse_endpoint("i", endpoint_text({ { field, nested } })));
+        for (auto const* const number : { "1e400", "1e308", "18446744073709551616", "-9223372036854775809", "-1" })
+            for (auto const* const field : { "capacity", "sequence", "born" })
+                CPPUNIT_ASSERT_MESSAGE(
+                    number, !table_binding::parse_endpoint("i", endpoint_text({ { field, number } })));
+        // A cold time out of range is replaced by the usual one.
+        auto const cold = table_binding::parse_endpoint("i", endpoint_text({ { "cold_remaining_ms", "1e308" } }));
+        CPPUNIT_ASSERT(cold && cold->cold_time_left == milliseconds(10'000));
+    }
+
+    // Guards against a list that is not read to its end, and against calls to the store that another writer's key adds.
+    void a_page_after_an_odd_key_is_asked_for()
+    {
+        auto const line_of = [](std::string const& key) {
+            auto const call = table_binding::read_call("store", relay::table_name::endpoints, key);
+            CPPUNIT_ASSERT_EQUAL(std::string("\r\nHost: store\r\n\r\n"), call.substr(call.find("\r\n")));
+            return call.substr(0, call.find("\r\n"));
+        };
+        auto const line = std::string("GET /rows-get?table=servers&part=&source=");
+        CPPUNIT_ASSERT_EQUAL(line + "i-7f3a.91~c_2%00 HTTP/1.1", line_of("i-7f3a.91~c_2"));
+        CPPUNIT_ASSERT_EQUAL(line + "a%20b%26c%3D%25%23%2B%00 HTTP/1.1", line_of("a b&c=%#+"));
+        CPPUNIT_ASSERT_EQUAL(line + "%0D%0A%0D%0AGET%20%2F%00 HTTP/1.1", line_of("\r\n\r\nGET /"));
+        CPPUNIT_ASSERT_EQUAL(line + "%C3%A9%FF%00%00 HTTP/1.1", line_of(std::string("\xc3\xa9\xff\0", 4)));
+    }
+
     void the_start_time_is_parsed()
     {
         auto const started_at_ms = [](std::string const& text) {
