net: A chunk line or a trailer of a caller is limited

On the product's own interface the server kept a chunk line or a trailer for as long as its caller sent, up to the time limit of 30 s.

Cause: the limits of heads and bodies cover what the parser has consumed. It consumes such a line only at its end.

Change: what the parser cannot consume has the limit of a head. The caller gets 431, and the connection ends.

Evidence: a_chunk_line_or_trailer_without_end_is_refused failed before (no answer) and passes now.

Why this works: bytes of a caller are in the head, in the body or in this buffer, and each of the three has a limit.

--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -191,9 +191,10 @@
     (void)exchange.respond(refusal);
 }
 
-// Reads the rest of the request whose head the buffer holds, without the trailer fields of a chunked body.
+// Reads the rest of the request whose head the buffer holds, without the trailer fields of a chunked body. A chunk line
+// or a trailer has the limit of a head.
 boost::system::error_code read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    http::request_parser<http::string_body>& parser, http::request_header<>& head)
+    std::size_t max_head_bytes, http::request_parser<http::string_body>& parser, http::request_header<>& head)
 {
     boost::system::error_code failure;
     buffer.consume(parser.put(buffer.data(), failure));
@@ -206,6 +207,8 @@
         failure = http::error::need_more;
         if (buffer.size() >= min_size)
             buffer.consume(parser.put(buffer.data(), failure));
+        if (failure == http::error::need_more && buffer.size() > max_head_bytes)
+            failure = http::error::header_limit;
         if (failure == http::error::need_more)
             failure = detail::receive(stream, buffer);
         if (failure)
@@ -229,7 +232,7 @@
         auto const head_error = failure ? std::nullopt : framing::check_head(detail::view_of(buffer));
         http::request_header<> head;
         if (!failure && !head_error)
-            failure = read_message(stream, buffer, parser, head);
+            failure = read_message(stream, buffer, limits.header_bytes, parser, head);
         if (is_disconnect(failure))
             break;
         if (failure || head_error) {
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_request_in_a_body_of_unknown_length_is_not_run);
     CPPUNIT_TEST(trailer_fields_are_no_header_fields);
     CPPUNIT_TEST(an_empty_chunked_body_may_arrive_in_pieces);
+    CPPUNIT_TEST(a_chunk_line_or_trailer_without_end_is_refused);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,18 @@
         CPPUNIT_ASSERT(result.answers.starts_with("HTTP/1.1 200"));
     }
 
+    // Guards against a process whose memory grows for as long as a caller sends.
+    void a_chunk_line_or_trailer_without_end_is_refused()
+    {
+        constexpr std::size_t size = 200'000;
+        for (std::string const beginning : { "5;", "0\r\nName: " }) {
+            auto const result = send({ "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + beginning
+                + std::string(size, 'x') });
+            CPPUNIT_ASSERT(result.requests.empty());
+            CPPUNIT_ASSERT_MESSAGE(result.answers, result.answers.starts_with("HTTP/1.1 431"));
+        }
+    }
+
     void pipelined_requests_are_answered_in_order()
     {
         auto const result = send({ "POST /one HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
