--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -238,7 +238,7 @@
         CPPUNIT_ASSERT(!fetch_answer({ "HTTP/1.1 200 OK\r\nContent-Length: 90000000000000\r\n\r\nhi" }));
     }
 
-    // What the system buffers for the two ends of a connection.
+    // The system buffers at most this much for the two ends of a connection.
     static constexpr std::size_t max_buffered_bytes = 16 * megabyte;
 
     static void check_is_not_kept(std::string const& beginning, std::string const& unit, std::size_t max_kept_bytes)
