framing, net, relay: The limit of an answer's head stands once

Cause: the reader of the product's own interface named the limit of 32 KiB again that the platform's calls have, so that the two could drift apart. Change: framing names it, beside the check of heads, and both use it. The value, the checks and the bounds are unchanged.

--- a/libraries/framing/message_head.h
+++ b/libraries/framing/message_head.h
@@ -15,6 +15,10 @@
 // less of the last chunk: it asserts that it has these bytes when it looks at the chunk again.
 constexpr std::size_t min_rest_of_chunks = 5;
 
+// The limit of what a peer may send as the head of an answer, interim answers before it included, as a line that begins
+// a chunk, or as a trailer section.
+constexpr std::size_t max_answer_head_bytes = 32768;
+
 // A line of a head for which the message is refused.
 struct head_error {
     // The field's name; empty if the line is not that of a field.
--- a/libraries/net/answer_reader.cpp
+++ b/libraries/net/answer_reader.cpp
@@ -11,12 +11,7 @@
 
 namespace http = boost::beast::http;
 
-namespace {
-
-// The limit of all heads of one answer.
-constexpr std::size_t max_answer_head_bytes = 32768;
-
-} // namespace
+using framing::max_answer_head_bytes;
 
 result<void> answer_reader::read_head()
 {
--- a/libraries/relay/buffer_limits.h
+++ b/libraries/relay/buffer_limits.h
@@ -3,12 +3,13 @@
 // buffered_bytes.h. docs/CAPACITY.md has a table of all places.
 #pragma once
 
+#include "libraries/framing/message_head.h"
+
 #include <cstddef>
 
 namespace shedhill::relay {
 
-// The head of an answer, a line that begins a chunk, or a trailer section.
-constexpr std::size_t max_answer_head_bytes = 32768;
+using framing::max_answer_head_bytes;
 // An answer that is no stream is withheld up to this size, so that another endpoint can be tried if it breaks off. One
 // with a greater length is forwarded as it arrives; one of unknown length that exceeds it is invalid.
 constexpr std::size_t max_withheld_bytes = 4U << 20U;
