--- a/review/stand_ins_2/world.cpp
+++ b/review/stand_ins_2/world.cpp
@@ -16,6 +16,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -467,8 +468,8 @@
             json::object { { "cpu_quota", 0.19 }, { "cpu_cores", 1 }, { "memory_mb", 260 }, { "max_fds", 4100 },
                 { "bandwidth_mbps", 1000.0 }, { "disk_mb", 0 } } },
         { "bounds",
-            json::object { { "grace_s", 8 }, { "drain_ms", 2000 }, { "retry_budget_ratio", 0.2 },
-                { "retry_window_s", 10 }, { "retry_slack", 58 }, { "quota_window_s", 4 } } },
+            json::object { { "grace_s", 8 }, { "drain_ms", 3000 }, { "retry_budget_ratio", 0.2 },
+                { "retry_window_s", 10 }, { "retry_slack", 92 }, { "quota_window_s", 4 } } },
         { "platform", json::object { { "address", store_address }, { "form", "table" } } } };
     auto const path = folder + "/settings-" + host + ".json";
     std::ofstream(path) << json::serialize(settings);
@@ -491,6 +492,8 @@
     auto const log = folder + "/router-" + host + ".log";
     m_process = ::fork();
     if (m_process == 0) {
+        // The router ends with this process, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (std::freopen(log.c_str(), "w", stdout) != nullptr)
             ::execve(arguments[0], arguments.data(), environment.data());
         ::_exit(127);
@@ -505,6 +508,12 @@
     ::waitpid(m_process, nullptr, 0);
 }
 
+void router::signal(int number) const
+{
+    if (m_process > 0)
+        ::kill(m_process, number);
+}
+
 bool router::is_running()
 {
     if (m_process > 0 && ::waitpid(m_process, nullptr, WNOHANG) == m_process)
--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -144,6 +144,8 @@
     [[nodiscard]] bool wait_until_ready(milliseconds limit) const;
     [[nodiscard]] std::string const& callers() const { return m_callers; }
     [[nodiscard]] bool is_running();
+    // Sends a signal to the process.
+    void signal(int number) const;
 
 private:
     std::string m_callers;
