--- a/review/stand_ins_2/world.cpp
+++ b/review/stand_ins_2/world.cpp
@@ -455,7 +455,7 @@
     return respond(peer, status, "Content-Type: application/json\r\n", answer);
 }
 
-router::router(std::string const& host, std::string const& folder, std::string const& store_address)
+router::router(std::string const& host, std::string const& folder, std::string const& store_address, int memory_mb)
     : m_callers(host + ":" + std::to_string(free_port(host)))
     , m_ready(host + ":" + std::to_string(free_port(host)))
 {
@@ -465,7 +465,7 @@
         { "listen", json::object { { "frontend", m_callers }, { "ready", m_ready }, { "control_plane", control } } },
         { "port_range", json::array { 7400, 7415 } }, { "bootstrap", true },
         { "limits",
-            json::object { { "cpu_quota", 0.19 }, { "cpu_cores", 1 }, { "memory_mb", 260 }, { "max_fds", 4100 },
+            json::object { { "cpu_quota", 0.19 }, { "cpu_cores", 1 }, { "memory_mb", memory_mb }, { "max_fds", 4100 },
                 { "bandwidth_mbps", 1000.0 }, { "disk_mb", 0 } } },
         { "bounds",
             json::object { { "grace_s", 8 }, { "drain_ms", 3000 }, { "retry_budget_ratio", 0.2 },
--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -137,7 +137,7 @@
 // A router process on a loopback host of its own, with the command of the deploy file.
 class router {
 public:
-    router(std::string const& host, std::string const& folder, std::string const& store_address);
+    router(std::string const& host, std::string const& folder, std::string const& store_address, int memory_mb = 260);
     router(router const&) = delete;
     router& operator=(router const&) = delete;
     ~router();
